--- /dev/null
+++ b/cmd/aspenstall/main.go
@@ -0,0 +1,111 @@
+// Command aspenstall is one controller of the scheduler.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/net/netutil"
+
+	"aspenstall/internal/config"
+	"aspenstall/internal/httpapi"
+	"aspenstall/internal/node"
+)
+
+var version = "0.1.0"
+
+// exitConfig is the exit code for a settings file that can't be used.
+const exitConfig = 2
+
+type cli struct {
+	Config   string   `help:"The platform's settings (JSON)." type:"path" placeholder:"FILE"`
+	Settings string   `help:"The operators' settings (an S-expression)." type:"path" placeholder:"FILE"`
+	Run      struct{} `cmd:"" default:"1" help:"Run a controller."`
+	Check    struct{} `cmd:"" help:"Check the settings and exit."`
+	Version  struct{} `cmd:"" help:"Print the version and exit."`
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("aspenstall"), kong.Description("A cluster scheduler with elastic quotas."))
+	if k.Command() == "version" {
+		fmt.Println("aspenstall", version)
+		return
+	}
+	p, s, err := load(&c)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "aspenstall:", err)
+		os.Exit(exitConfig)
+	}
+	if k.Command() == "check" {
+		fmt.Println("settings are good")
+		return
+	}
+	if err := run(p, s); err != nil {
+		fmt.Fprintln(os.Stderr, "aspenstall:", err)
+		os.Exit(1)
+	}
+}
+
+func load(c *cli) (*config.Platform, config.Settings, error) {
+	s, err := config.LoadSettings(c.Settings)
+	if err != nil {
+		return nil, s, err
+	}
+	if c.Config == "" {
+		return nil, s, errors.New("--config: missing")
+	}
+	p, err := config.LoadPlatform(c.Config)
+	return p, s, err
+}
+
+func logger(member string) *slog.Logger {
+	level := slog.LevelInfo
+	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
+	case "error":
+		level = slog.LevelError
+	case "debug":
+		level = slog.LevelDebug
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", member)
+}
+
+func run(p *config.Platform, s config.Settings) error {
+	if mb := p.Params.Limits.MemMB; mb > 0 {
+		// Below the platform's limit, since the runtime's own and the stacks
+		// come on top; collecting more rarely saves processor time.
+		debug.SetMemoryLimit(int64(mb * 0.6 * (1 << 20)))
+		debug.SetGCPercent(400)
+	}
+	log := logger(p.Member)
+	ctx := context.Background()
+	n := node.New(p, s, log)
+	l, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return err
+	}
+	if m := p.Params.Limits.MaxConnections; m > 0 {
+		l = netutil.LimitListener(l, max(m*6/10, 8))
+	}
+	srv := &http.Server{
+		Handler:           httpapi.Handler(n),
+		ReadHeaderTimeout: 10 * time.Second,
+		ReadTimeout:       20 * time.Second,
+		WriteTimeout:      20 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	go n.Run(ctx)
+	log.Info("listening", "address", p.Listen, "version", version)
+	return srv.Serve(l)
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,153 @@
+// Package cloud is the client of the machine cloud.
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/wire"
+)
+
+// ErrNoCapacity: nothing of this type, zone and kind is to be had now.
+var ErrNoCapacity = errors.New("no capacity")
+
+const (
+	requestTimeout = 5 * time.Second
+	pageSize       = 500
+	maxAnswer      = 4 << 20
+)
+
+// Client talks to the cloud; calls wait for their place in its rate.
+type Client struct {
+	base  string
+	http  *http.Client
+	limit *rate.Limiter
+}
+
+// New returns a client for the cloud at addr that keeps to a share of rps.
+func New(addr string, rps float64) *Client {
+	lim := rate.NewLimiter(rate.Inf, 1)
+	if rps > 0 {
+		lim = rate.NewLimiter(rate.Limit(rps*0.8), max(int(rps), 1))
+	}
+	d := &net.Dialer{Timeout: 2 * time.Second}
+	return &Client{
+		base:  "http://" + addr,
+		limit: lim,
+		http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
+			DialContext: d.DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 4, DisableCompression: true,
+		}},
+	}
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in any) (int, []byte, error) {
+	if err := c.limit.Wait(ctx); err != nil {
+		return 0, nil, err
+	}
+	var body io.Reader
+	if in != nil {
+		b, err := wire.Marshal(in)
+		if err != nil {
+			return 0, nil, err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	return resp.StatusCode, b, nil
+}
+
+// Catalog returns the machine types with current prices, and the answer as it
+// came, which is what is kept for nodes that cannot ask.
+func (c *Client) Catalog(ctx context.Context) ([]core.MachineType, []byte, error) {
+	status, b, err := c.do(ctx, http.MethodGet, wire.CatalogPath, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	if status != http.StatusOK {
+		return nil, nil, fmt.Errorf("catalog: status %d", status)
+	}
+	types, err := wire.ParseCatalog(b)
+	return types, b, err
+}
+
+// Rent rents machines.
+func (c *Client) Rent(ctx context.Context, r wire.RentRequest) ([]string, error) {
+	status, b, err := c.do(ctx, http.MethodPost, wire.MachinesPath, &r)
+	if err != nil {
+		return nil, err
+	}
+	switch status {
+	case http.StatusOK:
+		var names wire.MachineNames
+		if err := wire.Unmarshal(b, &names); err != nil {
+			return nil, err
+		}
+		return names.Machines, nil
+	case http.StatusServiceUnavailable:
+		var e struct {
+			Error string `msgpack:"error"`
+		}
+		if wire.Unmarshal(b, &e) == nil && e.Error == ErrNoCapacity.Error() {
+			return nil, ErrNoCapacity
+		}
+	}
+	return nil, fmt.Errorf("rent: status %d", status)
+}
+
+// Return gives machines back; without an error they are gone.
+func (c *Client) Return(ctx context.Context, names []string) error {
+	status, _, err := c.do(ctx, http.MethodPost, wire.MachineReturnPath, &wire.MachineNames{Machines: names})
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("return: status %d", status)
+	}
+	return err
+}
+
+// List returns the cloud's list of machines, which is late.
+func (c *Client) List(ctx context.Context) ([]core.Listed, error) {
+	var all []core.Listed
+	since := ""
+	for {
+		path := fmt.Sprintf("%s?limit=%d", wire.MachinesPath, pageSize)
+		if since != "" {
+			path += "&since=" + since
+		}
+		status, b, err := c.do(ctx, http.MethodGet, path, nil)
+		if err != nil {
+			return nil, err
+		}
+		if status != http.StatusOK {
+			return nil, fmt.Errorf("list: status %d", status)
+		}
+		page, more, err := wire.ParseMachines(b)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if !more || len(page) == 0 {
+			return all, nil
+		}
+		since = page[len(page)-1].Name
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,260 @@
+// Package config reads the platform's JSON file and the operators' settings.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"os"
+
+	"olympos.io/encoding/edn"
+
+	"aspenstall/internal/core"
+)
+
+// Platform is the file that the platform hands over. Fields that it does not
+// know are ignored.
+type Platform struct {
+	Member        string `json:"member"`
+	Zone          string `json:"area"`
+	Listen        string `json:"listen"`
+	ClusterListen string `json:"cluster_listen"`
+	Peers         []Peer `json:"known"`
+	Services      struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"services"`
+	Params Params `json:"params"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Member   string `json:"member"`
+	Zone     string `json:"area"`
+	Endpoint string `json:"endpoint"`
+}
+
+// Params are the deployment's parameters.
+type Params struct {
+	Zones []string `json:"zones"`
+	Teams []struct {
+		Name    string  `json:"name"`
+		CPUs    float64 `json:"cpus"`
+		CPUsMax float64 `json:"cpus_max"`
+		GPUs    float64 `json:"gpus"`
+		GPUsMax float64 `json:"gpus_max"`
+	} `json:"teams"`
+	Objectives []Objective `json:"objectives"`
+	Workers    struct {
+		ReportS   float64 `json:"report_s"`
+		LeaseS    float64 `json:"lease_s"`
+		GangWaitS float64 `json:"gang_wait_s"`
+		GangPeerS float64 `json:"gang_peer_s"`
+		CancelS   float64 `json:"cancel_s"`
+	} `json:"workers"`
+	State struct {
+		RPS      float64 `json:"rps"`
+		WriteRPS float64 `json:"write_rps"`
+		ValueKB  float64 `json:"value_kb"`
+		TxnOps   int     `json:"txn_ops"`
+	} `json:"state"`
+	Cloud struct {
+		RPS      float64 `json:"rps"`
+		ListLagS float64 `json:"list_lag_s"`
+	} `json:"cloud"`
+	Limits struct {
+		CPU            float64 `json:"cpu"`
+		MemMB          float64 `json:"mem_mb"`
+		MaxConnections int     `json:"max_connections"`
+	} `json:"limits"`
+	SkewMS float64 `json:"skew_ms"`
+}
+
+// Objective is an aim on starting or finishing.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	Share   float64 `json:"share"`
+	Times   float64 `json:"times"`
+	WithinS float64 `json:"within_s"`
+}
+
+// Settings are the operators' own, in seconds where the name says so.
+type Settings struct {
+	LeaderLeaseS  float64 `edn:"leader-lease-s"`
+	IdleReturnS   float64 `edn:"idle-return-s"`
+	RefusalPauseS float64 `edn:"refusal-pause-s"`
+	QuarantineS   float64 `edn:"quarantine-s"`
+	SuspectS      float64 `edn:"suspect-s"`
+	SpareTasks    int     `edn:"spare-tasks"`
+	ListEveryS    float64 `edn:"list-every-s"`
+}
+
+// DefaultSettings are what the program runs with without a settings file.
+func DefaultSettings() Settings {
+	return Settings{
+		LeaderLeaseS: 3, IdleReturnS: 20, RefusalPauseS: 15, QuarantineS: 120,
+		SuspectS: 7, SpareTasks: 3, ListEveryS: 10,
+	}
+}
+
+// LoadPlatform reads and checks the platform's file.
+func LoadPlatform(path string) (*Platform, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var p Platform
+	if err := json.Unmarshal(b, &p); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return nil, fmt.Errorf("%s: %s: want %s, not %s", path, te.Field, te.Type, te.Value)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := p.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &p, nil
+}
+
+func address(name, a string) error {
+	host, _, err := net.SplitHostPort(a)
+	if err != nil {
+		return fmt.Errorf("%s: %q is not an address: %v", name, a, err)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("%s: %q is not an IP address and port", name, a)
+	}
+	return nil
+}
+
+func (p *Platform) check() error {
+	if p.Member == "" {
+		return errors.New("member: missing")
+	}
+	for _, a := range [][2]string{
+		{"listen", p.Listen}, {"cluster_listen", p.ClusterListen},
+		{"services.cloud", p.Services.Cloud}, {"services.state", p.Services.State},
+	} {
+		if err := address(a[0], a[1]); err != nil {
+			return err
+		}
+	}
+	for i, k := range p.Peers {
+		if k.Member == "" {
+			return fmt.Errorf("known[%d].member: missing", i)
+		}
+		if err := address(fmt.Sprintf("known[%d].endpoint", i), k.Endpoint); err != nil {
+			return err
+		}
+	}
+	seen := map[string]bool{}
+	for i, t := range p.Params.Teams {
+		if t.Name == "" || seen[t.Name] {
+			return fmt.Errorf("params.teams[%d].name: missing or given twice", i)
+		}
+		seen[t.Name] = true
+		for _, v := range [][2]float64{{t.CPUs, t.CPUsMax}, {t.GPUs, t.GPUsMax}} {
+			if v[0] < 0 || v[1] < 0 || v[1] > 0 && v[0] > v[1] {
+				return fmt.Errorf("params.teams[%d]: %s: guarantee %v is over the limit %v, or one is negative", i, t.Name, v[0], v[1])
+			}
+		}
+	}
+	for _, v := range []struct {
+		name string
+		v    float64
+	}{
+		{"params.workers.report_s", p.Params.Workers.ReportS},
+		{"params.workers.lease_s", p.Params.Workers.LeaseS},
+		{"params.state.value_kb", p.Params.State.ValueKB},
+		{"params.state.txn_ops", float64(p.Params.State.TxnOps)},
+	} {
+		if v.v <= 0 {
+			return fmt.Errorf("%s: want more than 0, not %v", v.name, v.v)
+		}
+	}
+	return nil
+}
+
+// LoadSettings reads and checks the operators' settings: one S-expression, a
+// map from keywords to numbers. What it does not name keeps its default.
+func LoadSettings(path string) (Settings, error) {
+	s := DefaultSettings()
+	if path == "" {
+		return s, nil
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return s, err
+	}
+	// Names are checked first: a misspelt setting that is silently ignored
+	// would be worse than a refusal.
+	var names map[edn.Keyword]any
+	dec := edn.NewDecoder(bytes.NewReader(b))
+	if err := dec.Decode(&names); err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	var extra any
+	if err := dec.Decode(&extra); !errors.Is(err, io.EOF) {
+		return s, fmt.Errorf("%s: more than one expression", path)
+	}
+	limits := s.limits()
+	for k := range names {
+		if _, ok := limits[string(k)]; !ok {
+			return s, fmt.Errorf("%s: :%s: no such setting", path, k)
+		}
+	}
+	if err := edn.Unmarshal(b, &s); err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	for k, l := range s.limits() {
+		if math.IsNaN(l.v) || l.v < l.lo || l.v > l.hi {
+			return s, fmt.Errorf("%s: :%s: want %v to %v, not %v", path, k, l.lo, l.hi, l.v)
+		}
+	}
+	return s, nil
+}
+
+type limit struct{ v, lo, hi float64 }
+
+func (s *Settings) limits() map[string]limit {
+	return map[string]limit{
+		"leader-lease-s":  {s.LeaderLeaseS, 1, 60},
+		"idle-return-s":   {s.IdleReturnS, 0, 86400},
+		"refusal-pause-s": {s.RefusalPauseS, 0, 3600},
+		"quarantine-s":    {s.QuarantineS, 0, 86400},
+		"suspect-s":       {s.SuspectS, 1, 600},
+		"spare-tasks":     {float64(s.SpareTasks), 0, 1000},
+		"list-every-s":    {s.ListEveryS, 1, 3600},
+	}
+}
+
+// Core is the core's configuration.
+func Core(p *Platform, s Settings) core.Config {
+	c := core.Config{
+		Lease:     core.Seconds(p.Params.Workers.LeaseS),
+		ReportGap: core.Seconds(p.Params.Workers.ReportS),
+		GangPeers: core.Seconds(p.Params.Workers.GangPeerS),
+		GangWait:  core.Seconds(p.Params.Workers.GangWaitS),
+		// Every second task finished is the worst case: two numbers with their
+		// commas for two tasks.
+		ChunkSize: max(int(p.Params.State.ValueKB*1024-200)/8, 16),
+		Tuning: core.Tuning{
+			Idle: core.Seconds(s.IdleReturnS), RefusalPause: core.Seconds(s.RefusalPauseS),
+			Quarantine: core.Seconds(s.QuarantineS), Suspect: core.Seconds(s.SuspectS), SpareTasks: s.SpareTasks,
+		},
+	}
+	for _, t := range p.Params.Teams {
+		c.Teams = append(c.Teams, core.Team{
+			Name: t.Name,
+			Min:  core.Res{CPU: int64(t.CPUs * 1000), GPU: int64(t.GPUs * 1000)},
+			Max:  core.Res{CPU: int64(t.CPUsMax * 1000), GPU: int64(t.GPUsMax * 1000)},
+		})
+	}
+	return c
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,887 @@
+package core
+
+import (
+	"fmt"
+	"sort"
+)
+
+type team struct {
+	Team
+	used Res
+}
+
+// Core is the scheduler's state. Its methods are events; Step returns what is
+// to be done about them. It is not safe for concurrent use.
+type Core struct {
+	cfg   Config
+	teams map[string]*team
+
+	leading     bool
+	token       uint64 // of commands sent now
+	settleToken uint64 // a report with this token or a higher one is current
+	attempts    uint64
+	begun       Micros
+
+	jobs      map[string]*job
+	queue     []*job // unfinished jobs in the order they are given room
+	machines  map[string]*machine
+	order     []*machine // by name, so that decisions repeat
+	types     map[string]*MachineType
+	typeOrder []*MachineType
+	gone      map[string]bool // machines known to be deleted
+	rents     map[string]*rent
+	unsettled int
+
+	dirty         bool // room, work or quota changed: place again
+	dirtyMachines bool // some machine is to be told something
+	flushWanted   bool // some job has finished tasks to be written
+	placeAt       Micros
+	wantRaise     bool
+	raising       Micros
+	fleetAt       Micros
+	probeAt       Micros
+	refused       map[offer]Micros
+	spare         map[string]int // service tasks that could start at once, by zone
+	spareNeed     Res
+	lastNeed      map[string]need // of service classes, for spare room
+	writes        map[uint64]func(now Micros, ok bool)
+	writeID       uint64
+	requests      uint64
+	out           []Action
+}
+
+type need struct {
+	res   Res
+	types []string
+}
+
+type rent struct {
+	RentRecord
+	at        Micros
+	persisted bool
+	asked     bool
+	retryAt   Micros
+	left      int // machines not yet heard of
+}
+
+// New returns a core that does not lead.
+func New(cfg Config) *Core {
+	c := &Core{cfg: cfg, teams: map[string]*team{}, types: map[string]*MachineType{}}
+	for _, t := range cfg.Teams {
+		c.teams[t.Name] = &team{Team: t}
+	}
+	return c
+}
+
+func (c *Core) team(name string) *team {
+	t := c.teams[name]
+	if t == nil {
+		t = &team{Team: Team{Name: name}}
+		c.teams[name] = t
+	}
+	return t
+}
+
+func (c *Core) note(text string, args ...any) { c.out = append(c.out, Note{text, args}) }
+
+// Leading reports whether a term is under way.
+func (c *Core) Leading() bool { return c.leading }
+
+// Token is the term's token.
+func (c *Core) Token() uint64 { return c.token }
+
+// Begin starts a term: jobs are all jobs that are unfinished, and the
+// cancelled ones; snap is the bookkeeping, read after the leader's key was
+// written. wall is the time of day at now.
+func (c *Core) Begin(now, wall Micros, token uint64, jobs []JobRecord, snap Snapshot) {
+	c.leading, c.token, c.settleToken, c.attempts, c.begun = true, token, token, 0, now
+	c.jobs = map[string]*job{}
+	c.queue = nil
+	c.machines = map[string]*machine{}
+	c.order = nil
+	c.gone = map[string]bool{}
+	c.rents = map[string]*rent{}
+	c.unsettled = 0
+	c.refused = map[offer]Micros{}
+	c.lastNeed = map[string]need{}
+	c.writes = map[uint64]func(Micros, bool){}
+	c.out = nil
+	c.wantRaise, c.raising = false, 0
+	c.fleetAt, c.probeAt = now, now
+	for _, t := range c.teams {
+		t.used = Res{}
+	}
+	for _, m := range snap.Machines {
+		c.addMachine(&machine{
+			name: m.Name, address: m.Address, typeName: m.Type, zone: m.Zone, spot: m.Spot,
+			session: m.Session, recorded: true, seen: now, heard: now, answered: now, probe: true, dirty: true,
+		})
+		c.unsettled++
+	}
+	open := map[string]bool{}
+	for _, id := range snap.Open {
+		open[id] = true
+	}
+	for _, rec := range jobs {
+		if rec.Phase == Pending || rec.Phase == Cancelled && open[rec.Spec.ID] {
+			c.addJob(now, wall, rec, open[rec.Spec.ID])
+		}
+	}
+	for _, r := range snap.Ranges {
+		j := c.jobs[r.Job]
+		if j == nil {
+			continue
+		}
+		j.stored[r.Chunk] = true
+		for i := 0; i+1 < len(r.Ranges); i += 2 {
+			for n := r.Ranges[i]; n <= r.Ranges[i+1]; n++ {
+				if k := r.Chunk*c.cfg.ChunkSize + n; k < len(j.status) {
+					j.set(k, taskDone)
+				}
+			}
+		}
+	}
+	for _, r := range snap.Rents {
+		rt := &rent{RentRecord: r, at: now, persisted: true}
+		c.rents[r.Request] = rt
+		if len(r.Machines) > 0 {
+			rt.asked = true
+			c.expect(rt, now)
+		}
+	}
+	c.dirty = true
+	if c.unsettled == 0 {
+		for _, j := range c.sortedJobs() {
+			c.unhold(j)
+		}
+	}
+	for _, j := range c.sortedJobs() {
+		c.checkDone(j, now)
+	}
+	c.note("term begins", "token", token, "jobs", len(c.jobs), "machines", len(c.machines), "unsettled", c.unsettled)
+}
+
+func (c *Core) sortedJobs() []*job {
+	out := make([]*job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		out = append(out, j)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].spec.ID < out[b].spec.ID })
+	return out
+}
+
+// End ends the term; nothing of it is kept.
+func (c *Core) End() {
+	c.leading = false
+	c.jobs, c.queue, c.machines, c.order, c.rents, c.writes, c.out = nil, nil, nil, nil, nil, nil, nil
+}
+
+// Raised says that the leader's key was written again and what the token is now.
+func (c *Core) Raised(now Micros, token uint64) {
+	c.raising = 0
+	if token > c.token {
+		c.note("token raised", "from", c.token, "to", token)
+		c.token, c.attempts = token, 0
+		c.wantRaise = false
+		for _, m := range c.order {
+			m.probe, m.dirty = true, true
+		}
+	}
+}
+
+func (c *Core) nextAttempt() uint64 {
+	c.attempts++
+	// A token is never given twice, so neither is an attempt, by any leader.
+	return c.token<<24 | c.attempts
+}
+
+// Job takes a new or changed job record.
+func (c *Core) Job(now, wall Micros, rec JobRecord) {
+	if !c.leading {
+		return
+	}
+	j := c.jobs[rec.Spec.ID]
+	switch {
+	case j == nil && rec.Phase == Pending:
+		c.addJob(now, wall, rec, false)
+	case j == nil:
+	case rec.Phase == Done:
+		c.finish(j, now)
+	case rec.Phase == Cancelled && !j.cancelled:
+		c.cancel(j, now)
+	}
+}
+
+func (c *Core) addJob(now, wall Micros, rec JobRecord, opened bool) {
+	age := max(wall-rec.Submitted, 0)
+	j := newJob(rec, now-age)
+	j.opened, j.held = opened, opened
+	c.jobs[rec.Spec.ID] = j
+	if rec.Phase == Cancelled {
+		j.cancelled = true
+		return
+	}
+	c.enqueue(j)
+	c.dirty = true
+	if rec.Spec.Kind == Service {
+		c.lastNeed[rec.Spec.Class] = need{rec.Spec.Need, rec.Spec.Types}
+	}
+}
+
+func (c *Core) cancel(j *job, now Micros) {
+	c.note("job cancelled", "job", j.spec.ID, "tasks_on_machines", j.on)
+	j.cancelled = true
+	c.dequeue(j)
+	for _, p := range j.placements() {
+		c.unwant(p, now, 0)
+		p.finalOK = true
+	}
+	c.dirty = true
+	c.closeIfOver(j)
+}
+
+// placements lists the job's live placements by task.
+func (j *job) placements() []*placement {
+	out := make([]*placement, 0, len(j.live))
+	for _, p := range j.live {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].index < out[b].index })
+	return out
+}
+
+// finish forgets a job that is recorded as done.
+func (c *Core) finish(j *job, now Micros) {
+	c.dequeue(j)
+	delete(c.jobs, j.spec.ID)
+	for _, m := range c.order {
+		for _, p := range m.tasks {
+			if p.j == j {
+				p.finalOK = true
+				m.dirty = true
+				if p.holds() {
+					c.unwant(p, now, 0)
+				}
+			}
+		}
+	}
+	c.dirty = true
+}
+
+// closeIfOver drops the records of a cancelled job once nothing of it is left
+// on any machine.
+func (c *Core) closeIfOver(j *job) {
+	if !j.cancelled || j.held || j.on > 0 || c.jobs[j.spec.ID] != j {
+		return
+	}
+	delete(c.jobs, j.spec.ID)
+	if j.opened || j.opening {
+		c.write(Write{Drops: c.jobKeys(j)}, nil)
+	}
+}
+
+// Keys of the leader's bookkeeping.
+const (
+	OpenPrefix    = "b/open/"
+	RangesPrefix  = "b/done/"
+	MachinePrefix = "b/machine/"
+	RentPrefix    = "b/rent/"
+)
+
+// RangeKey is where a chunk of a job's finished tasks is kept.
+func RangeKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", RangesPrefix, id, chunk) }
+
+func (c *Core) jobKeys(j *job) []string {
+	keys := []string{OpenPrefix + j.spec.ID}
+	for k := range j.stored {
+		keys = append(keys, RangeKey(j.spec.ID, k))
+	}
+	sort.Strings(keys[1:])
+	return keys
+}
+
+func (c *Core) write(w Write, done func(now Micros, ok bool)) {
+	c.writeID++
+	w.ID = c.writeID
+	if done != nil {
+		c.writes[w.ID] = done
+	}
+	c.out = append(c.out, w)
+}
+
+// Written is the result of a Write. Where it is not known whether the write
+// was executed, ok is false.
+func (c *Core) Written(now Micros, id uint64, ok bool) {
+	if !c.leading {
+		return
+	}
+	if f := c.writes[id]; f != nil {
+		delete(c.writes, id)
+		f(now, ok)
+	}
+}
+
+// unwant marks a placement to be stopped; one that was never sent goes at once.
+func (c *Core) unwant(p *placement, now Micros, grace Micros) {
+	if p.unwanted && grace >= p.grace {
+		return
+	}
+	if p.unwanted {
+		p.stopSent = 0
+	}
+	p.unwanted, p.grace = true, grace
+	p.m.dirty = true
+	if !p.sent && !p.shown && !p.inDo {
+		c.remove(p, now)
+	}
+}
+
+// exited handles the end of a task; its room is free already.
+func (c *Core) exited(p *placement, now Micros) {
+	j := p.j
+	if j == nil || c.jobs[p.job] != j {
+		p.finalOK = true
+		return
+	}
+	if p.cause == CauseDone && !j.cancelled && j.spec.Kind != Service {
+		delete(p.m.failed, p.job)
+		c.taskDone(j, p.index, now)
+		if j.spec.Kind == Gang {
+			// The tasks of a gang complete together.
+			for i := range j.status {
+				c.taskDone(j, i, now)
+			}
+		}
+		return
+	}
+	p.finalOK = true
+	switch p.cause {
+	case CauseError:
+		c.failed(p, now)
+	case CauseNoRoom:
+		p.m.blocked = now + 2*Second
+		c.note("start refused: no room", "machine", p.m.name, "job", p.job, "task", p.index)
+	case CauseUnknown:
+		j.notBefore = now + Second
+	}
+	c.gangLost(p, now)
+	c.closeIfOver(j)
+}
+
+func (c *Core) taskDone(j *job, i int, now Micros) {
+	if j.status[i] == taskDone {
+		return
+	}
+	j.set(i, taskDone)
+	j.dirty[i/c.cfg.ChunkSize] = true
+	c.checkDone(j, now)
+}
+
+// checkDone lets a completed job's final record go out at once.
+func (c *Core) checkDone(j *job, now Micros) {
+	if j.done == len(j.status) && !j.cancelled {
+		j.writeFrom = now
+	}
+	c.flushWanted = true
+}
+
+// failed notes that a task failed. A machine on which several jobs fail is
+// taken out of use; a job that fails on several machines waits longer and
+// longer, and evicts nobody meanwhile.
+func (c *Core) failed(p *placement, now Micros) {
+	m, j := p.m, p.j
+	if m.failed == nil {
+		m.failed = map[string]bool{}
+	}
+	m.failed[p.job] = true
+	if j.errors == nil {
+		j.errors = map[string]bool{}
+	}
+	j.errors[m.name] = true
+	j.failures++
+	c.note("task failed", "machine", m.name, "job", p.job, "task", p.index, "jobs_failed_here", len(m.failed), "machines_failed_on", len(j.errors))
+	if len(m.failed) >= 2 && now >= m.quarantine {
+		m.quarantine = now + c.cfg.Tuning.Quarantine
+		c.note("quarantine: several jobs failed here", "machine", m.name)
+		c.drain(m, now, 0)
+	}
+	if len(j.errors) >= 3 {
+		n := min(len(j.errors)-3, 5)
+		j.notBefore = now + (2*Second)<<n
+		c.note("job backs off: it failed on several machines", "job", p.job, "machines", len(j.errors))
+	}
+}
+
+// drain empties a machine: its tasks are stopped, with time to save where
+// there is some, and start elsewhere.
+func (c *Core) drain(m *machine, now, by Micros) {
+	if m.draining {
+		return
+	}
+	m.draining, m.drainBy = true, by
+	c.dirty = true
+	for i := len(m.tasks) - 1; i >= 0; i-- {
+		if i >= len(m.tasks) {
+			continue
+		}
+		p := m.tasks[i]
+		if !p.holds() || p.unwanted {
+			continue
+		}
+		c.stopTask(p, now, by)
+	}
+}
+
+// stopTask stops a task, and with it its gang.
+func (c *Core) stopTask(p *placement, now, by Micros) {
+	if p.j == nil {
+		c.unwant(p, now, 0)
+		return
+	}
+	grace := Micros(0)
+	if p.j.spec.Checkpoint > 0 && (by == 0 || now+p.j.spec.SaveCost < by) {
+		grace = p.j.spec.SaveCost + Second
+	}
+	if p.j.spec.Kind == Gang {
+		c.stopGang(p.j, now, grace)
+		return
+	}
+	c.unwant(p, now, grace)
+}
+
+// stopGang stops all tasks of a gang; they start again together once the last
+// has exited.
+func (c *Core) stopGang(j *job, now, grace Micros) {
+	if j.stopping {
+		return
+	}
+	j.stopping = true
+	for _, p := range j.placements() {
+		c.unwant(p, now, grace)
+	}
+	c.gangSettle(j)
+}
+
+// gangLost stops the rest of a gang that lost a task.
+func (c *Core) gangLost(p *placement, now Micros) {
+	if p.j == nil || p.j.spec.Kind != Gang || p.j.cancelled || p.attempt != p.j.attempt || p.j.stopping {
+		return
+	}
+	if p.j.done > 0 || c.jobs[p.job] != p.j {
+		return
+	}
+	c.stopGang(p.j, now, 0)
+	c.gangSettle(p.j)
+}
+
+func (c *Core) gangSettle(j *job) {
+	if j.stopping && len(j.live) == 0 {
+		j.stopping = false
+		c.dirty = true
+	}
+}
+
+// Beat takes a worker's report and returns the commands for the answer. ok is
+// false if this node may not answer it.
+func (c *Core) Beat(now Micros, r *Report) (cmds []Command, token uint64, ok bool) {
+	if !c.leading {
+		return nil, 0, false
+	}
+	m := c.machines[r.Machine]
+	if m == nil {
+		if c.gone[r.Machine] {
+			return nil, c.token, true
+		}
+		// Rented late, or by a leader that died before it could say so: it was
+		// never recorded, so it was never given a task.
+		m = &machine{name: r.Machine, typeName: r.Type, zone: r.Zone, spot: r.Spot, seen: now, booting: true, settled: true}
+		c.addMachine(m)
+		c.note("unexpected machine reports", "machine", m.name, "type", m.typeName, "zone", m.zone)
+	}
+	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
+		// Older than what is known: it changes nothing, and a worker that is
+		// still waiting for this answer has nothing to lose by it.
+		m.answered = now
+		return nil, c.token, true
+	}
+	if m.typeName == "" {
+		m.typeName, m.zone, m.spot = r.Type, r.Zone, r.Spot
+		m.typ = c.types[m.typeName]
+	}
+	c.absorb(m, r, true, now)
+	m.answered = now
+	return c.commands(m, now, true), c.token, true
+}
+
+func (c *Core) addMachine(m *machine) {
+	m.typ = c.types[m.typeName]
+	c.machines[m.name] = m
+	i := sort.Search(len(c.order), func(i int) bool { return c.order[i].name >= m.name })
+	c.order = append(c.order, nil)
+	copy(c.order[i+1:], c.order[i:])
+	c.order[i] = m
+}
+
+// commands works out what the machine is to be told: the difference between
+// what is wanted there and what it has shown. In the answer to a beat that is
+// everything; directly, only what was not sent yet.
+func (c *Core) commands(m *machine, now Micros, beat bool) []Command {
+	var forget, stop, start []Command
+	if m.returning || m.lost {
+		return nil
+	}
+	if len(m.tasks) > 0 && !m.recorded {
+		c.record(m)
+	}
+	var on Res
+	for _, p := range m.tasks {
+		if p.onWorker() {
+			on = on.Add(p.need)
+		}
+	}
+	for _, p := range m.tasks {
+		switch {
+		case p.inDo:
+		case p.shown && p.state == Exited:
+			// A start that may still arrive would run again an attempt that the
+			// worker has been told to forget.
+			if p.finalOK && !(p.late && m.token <= p.lateToken) {
+				forget = append(forget, p.command(Forget))
+			} else if p.finalOK && beat {
+				c.wantRaise = true
+			}
+		case p.unwanted && p.shown:
+			if p.stopSent == 0 || beat && now-p.stopSent > 2*Second {
+				cmd := p.command(Stop)
+				cmd.Grace = p.grace
+				stop = append(stop, cmd)
+				p.stopSent = now
+				if p.j == nil || p.j.spec.Checkpoint == 0 || p.grace < p.j.spec.SaveCost {
+					on = on.Sub(p.need)
+				}
+			}
+		}
+	}
+	for _, p := range m.tasks {
+		if p.inDo || p.shown || p.unwanted || p.sent && !(beat && p.resend) {
+			continue
+		}
+		if !m.recorded || p.j == nil || !c.open(p.j) {
+			continue
+		}
+		if !p.sent {
+			if m.typ == nil || !on.Add(p.need).Fits(m.typ.Cap) {
+				continue
+			}
+			on = on.Add(p.need)
+		}
+		p.resend = false
+		p.sent = true
+		if beat {
+			p.beatSeq = m.seq
+		} else {
+			p.inDo = true
+		}
+		start = append(start, p.command(Start))
+	}
+	m.dirty = false
+	if !beat && len(stop) == 0 && len(start) == 0 {
+		return nil // what is over can wait for the next beat
+	}
+	return append(append(forget, stop...), start...)
+}
+
+func (p *placement) command(op Op) Command {
+	return Command{Op: op, Job: p.job, Index: p.index, Attempt: p.attempt}
+}
+
+// open reports whether it is recorded that tasks of the job may run, and sees
+// to it where it is not.
+func (c *Core) open(j *job) bool {
+	if j.opened {
+		return true
+	}
+	if j.opening {
+		return false
+	}
+	j.opening = true
+	c.write(Write{Puts: []Put{{OpenPrefix + j.spec.ID, OpenRecord{j.spec.ID}}}, Urgent: true}, func(now Micros, ok bool) {
+		j.opening = false
+		j.opened = j.opened || ok
+		for _, p := range j.live {
+			p.m.dirty = true
+		}
+		c.dirtyMachines = true
+	})
+	return false
+}
+
+// record sees to it that the machine is in the state service before it is
+// given its first task.
+func (c *Core) record(m *machine) {
+	if m.recording || m.address == "" {
+		return
+	}
+	m.recording = true
+	rec := MachineRecord{m.name, m.address, m.typeName, m.zone, m.spot, m.session}
+	c.write(Write{Puts: []Put{{MachinePrefix + m.name, rec}}, Urgent: true}, func(now Micros, ok bool) {
+		m.recording = false
+		m.recorded = m.recorded || ok
+		m.dirty = true
+		c.dirtyMachines = true
+		c.settleRents(m.name)
+	})
+}
+
+// Outcome says what became of a direct command.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Executed   Outcome = iota // the report is as of after the commands
+	Refused                   // nothing was executed; the report is current
+	NotSent                   // no connection was made, so it will never arrive
+	Unanswered                // it may be executed, now or minutes later
+)
+
+// Commanded is the result of SendCommands.
+func (c *Core) Commanded(now Micros, machine string, token uint64, o Outcome, r *Report) {
+	if !c.leading {
+		return
+	}
+	m := c.machines[machine]
+	if m == nil {
+		return
+	}
+	m.doing = false
+	m.dirty = true
+	c.dirtyMachines = true
+	for _, p := range m.tasks {
+		if !p.inDo {
+			continue
+		}
+		p.inDo = false
+		switch o {
+		case Refused, NotSent:
+			p.sent = p.late
+		case Unanswered:
+			p.late, p.lateToken = true, max(p.lateToken, token)
+		}
+	}
+	c.dropUnwantedUnsent(m, now)
+	if r != nil {
+		if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
+			c.absorb(m, r, false, now)
+		}
+		if r.Session != m.session || o == Refused {
+			m.probe = m.probe || !m.settled
+		}
+		if o == Executed {
+			m.probe = false
+		}
+		return
+	}
+	m.noDo = true
+	if now-m.heard >= c.cfg.Tuning.Suspect {
+		m.silent = true
+	}
+	c.note("direct command failed", "machine", m.name, "delivered", map[Outcome]string{NotSent: "no", Unanswered: "unknown"}[o])
+}
+
+func (c *Core) dropUnwantedUnsent(m *machine, now Micros) {
+	for i := len(m.tasks) - 1; i >= 0; i-- {
+		if i < len(m.tasks) {
+			if p := m.tasks[i]; p.unwanted && !p.sent && !p.shown && !p.inDo {
+				c.remove(p, now)
+			}
+		}
+	}
+}
+
+// Step places what can be placed and returns what is to be done.
+func (c *Core) Step(now Micros) []Action {
+	if !c.leading {
+		return nil
+	}
+	c.expire(now)
+	if c.dirty || now >= c.placeAt {
+		c.dirty = false
+		c.placeAt = now + Second
+		c.schedule(now)
+	}
+	if now >= c.fleetAt {
+		c.fleetAt = now + Second
+		c.fleet(now)
+	}
+	c.flushRanges(now)
+	c.direct(now)
+	if c.wantRaise && now >= c.raising {
+		c.raising = now + 10*Second
+		c.wantRaise = false
+		c.out = append(c.out, RaiseToken{})
+	}
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// expire ends what only time can end: the leases of machines that are no
+// longer answered.
+func (c *Core) expire(now Micros) {
+	if now < c.probeAt {
+		return
+	}
+	c.probeAt = now + Second/2
+	for _, m := range c.order {
+		if m.booting || m.lost {
+			continue
+		}
+		if now >= c.leaseOver(m.answered) {
+			c.note("machine lost: its lease is over", "machine", m.name, "tasks", len(m.tasks))
+			m.lost = true
+			c.clear(m, now)
+			c.settle(m)
+			c.giveBack(m, now, "lost")
+			continue
+		}
+		if m.returning {
+			continue
+		}
+		if (now-m.heard >= c.cfg.Tuning.Suspect || !m.settled) && now-m.probed >= 2*Second {
+			m.probe, m.dirty, m.noDo = true, true, false
+		}
+	}
+}
+
+// direct sends what cannot wait for a beat.
+func (c *Core) direct(now Micros) {
+	c.dirtyMachines = false
+	for _, m := range c.order {
+		if !m.dirty || m.doing || m.noDo && !m.probe || m.address == "" || m.lost || m.booting {
+			continue
+		}
+		session := m.session
+		if session == 0 {
+			session = 1
+		}
+		cmds := c.commands(m, now, false)
+		if len(cmds) == 0 && !m.probe {
+			continue
+		}
+		if m.probe {
+			m.probed, m.probe = now, false
+		}
+		m.doing = true
+		c.out = append(c.out, SendCommands{m.name, m.address, c.token, session, cmds})
+	}
+}
+
+// flushRanges writes finished tasks: a job's last ones at once with its final
+// record, others in batches.
+func (c *Core) flushRanges(now Micros) {
+	if !c.flushWanted {
+		return
+	}
+	c.flushWanted = false
+	for _, j := range c.sortedJobs() {
+		complete := j.done == len(j.status)
+		if j.cancelled || len(j.dirty) == 0 && !complete {
+			continue
+		}
+		if j.writing || now < j.writeFrom {
+			c.flushWanted = true
+			continue
+		}
+		j.writing = true
+		if complete {
+			c.writeDone(j)
+			continue
+		}
+		c.writeRanges(j)
+	}
+}
+
+func (c *Core) writeDone(j *job) {
+	rec := j.rec
+	rec.Phase = Done
+	w := Write{Puts: []Put{{"", JobDone{rec}}}, Drops: c.jobKeys(j), IfJob: j.spec.ID, IfStamp: j.rec.Stamp, Urgent: true}
+	c.write(w, func(now Micros, ok bool) {
+		j.writing = false
+		if c.jobs[j.spec.ID] != j {
+			return
+		}
+		if ok {
+			c.finish(j, now)
+			return
+		}
+		// Refused, because the job was cancelled first, or not known: the
+		// record comes through the watch, and trying again is harmless.
+		j.writeFrom = now + Second/2
+		c.flushWanted = true
+	})
+}
+
+func (c *Core) writeRanges(j *job) {
+	chunks := make([]int, 0, len(j.dirty))
+	for k := range j.dirty {
+		chunks = append(chunks, k)
+	}
+	sort.Ints(chunks)
+	chunks = chunks[:min(len(chunks), 8)]
+	var w Write
+	covered := map[int]bool{}
+	for _, k := range chunks {
+		delete(j.dirty, k)
+		covered[k] = true
+		j.stored[k] = true
+		w.Puts = append(w.Puts, Put{RangeKey(j.spec.ID, k), RangeRecord{j.spec.ID, k, j.ranges(k, c.cfg.ChunkSize)}})
+	}
+	var ends []*placement
+	for _, m := range c.order {
+		for _, p := range m.tasks {
+			if p.j == j && p.shown && p.state == Exited && p.cause == CauseDone && covered[p.index/c.cfg.ChunkSize] {
+				ends = append(ends, p)
+			}
+		}
+	}
+	c.write(w, func(now Micros, ok bool) {
+		j.writing = false
+		j.writeFrom = now + Second
+		c.flushWanted = true
+		if !ok {
+			for k := range covered {
+				j.dirty[k] = true
+			}
+			return
+		}
+		for _, p := range ends {
+			p.finalOK = true
+		}
+	})
+}
+
+// Counts are a job's tasks that are done and that run, for display.
+func (c *Core) Counts(id string) (done, running int, ok bool) {
+	if !c.leading {
+		return 0, 0, false
+	}
+	j := c.jobs[id]
+	if j == nil {
+		return 0, 0, false
+	}
+	return j.done, j.running(), true
+}
+
+// Catalog takes the cloud's current machine types.
+func (c *Core) Catalog(types []MachineType) {
+	c.types = map[string]*MachineType{}
+	c.typeOrder = nil
+	for i := range types {
+		c.types[types[i].Name] = &types[i]
+		c.typeOrder = append(c.typeOrder, &types[i])
+	}
+	for _, m := range c.order {
+		m.typ = c.types[m.typeName]
+	}
+	c.dirty = true
+}
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,475 @@
+package core
+
+import (
+	"fmt"
+	"sort"
+)
+
+// offer is a kind of machine that can be rented.
+type offer struct {
+	typ, zone string
+	spot      bool
+}
+
+// room is a machine that is coming: tasks are promised to it before more is
+// rented.
+type room struct {
+	offer
+	free Res
+}
+
+const maxRentsOut = 4
+
+// fleet compares the machines there are with those that are wanted.
+func (c *Core) fleet(now Micros) {
+	if len(c.types) == 0 {
+		return
+	}
+	c.returns(now)
+	c.pursueRents(now)
+	c.rentForDemand(now)
+}
+
+// returns gives back machines that are lost, drained, overdue or idle.
+func (c *Core) returns(now Micros) {
+	c.countSpare(now)
+	silent := 0
+	for _, m := range c.order {
+		if m.silent {
+			silent++
+		}
+	}
+	for _, m := range c.order {
+		if m.returning {
+			if m.returnFrom > 0 && now >= m.returnFrom {
+				m.returnFrom = 0
+				c.out = append(c.out, Return{[]string{m.name}, m.returnWhy})
+			}
+			continue
+		}
+		switch {
+		case m.lost:
+			c.giveBack(m, now, "lost")
+		case m.booting:
+			if m.typ != nil && now-m.seen > 3*m.typ.Boot+10*Second {
+				c.giveBack(m, now, "never came up")
+			}
+		case m.silent && silent*3 <= len(c.order)+3:
+			// Deleting it frees its tasks at once; waiting for its lease would
+			// take longer. When many are silent the fault is more likely ours.
+			c.giveBack(m, now, "silent")
+		case !m.settled:
+		case m.draining:
+			if m.used == (Res{}) {
+				c.giveBack(m, now, "drained")
+			}
+		case m.used == (Res{}) && m.idle > 0 && now-m.idle >= c.cfg.Tuning.Idle && now-m.rented >= 60*Second:
+			if !m.spot && c.neededSpare(m) {
+				continue
+			}
+			c.spare[m.zone] -= c.spareNeed.copies(m.free())
+			c.giveBack(m, now, "idle")
+		}
+	}
+}
+
+// neededSpare reports whether services could lack room without the machine.
+func (c *Core) neededSpare(m *machine) bool {
+	return c.spareNeed != (Res{}) && c.spare[m.zone]-c.spareNeed.copies(m.free()) < c.cfg.Tuning.SpareTasks
+}
+
+func (c *Core) giveBack(m *machine, now Micros, why string) {
+	if m.returning {
+		return
+	}
+	m.returning, m.returnWhy, m.returnFrom = true, why, 0
+	c.out = append(c.out, Return{[]string{m.name}, why})
+}
+
+// Returned is the result of a Return: after ok, the machines and all that was
+// on them are gone.
+func (c *Core) Returned(now Micros, names []string, ok bool) {
+	if !c.leading {
+		return
+	}
+	for _, name := range names {
+		m := c.machines[name]
+		if m == nil {
+			continue
+		}
+		if !ok {
+			m.returnFrom = now + Second
+			continue
+		}
+		c.removeMachine(m, now)
+	}
+}
+
+func (c *Core) removeMachine(m *machine, now Micros) {
+	c.clear(m, now)
+	c.settle(m)
+	delete(c.machines, m.name)
+	i := sort.Search(len(c.order), func(i int) bool { return c.order[i].name >= m.name })
+	c.order = append(c.order[:i:i], c.order[i+1:]...)
+	c.gone[m.name] = true
+	if m.recorded || m.recording {
+		c.write(Write{Drops: []string{MachinePrefix + m.name}}, nil)
+	}
+	c.settleRents(m.name)
+	c.dirty = true
+}
+
+// settleRents takes a machine off the rental it came from; a rental is
+// forgotten when all its machines are recorded or gone.
+func (c *Core) settleRents(name string) {
+	for _, r := range c.rents {
+		for i, n := range r.Machines {
+			if n != name {
+				continue
+			}
+			r.Machines = append(r.Machines[:i:i], r.Machines[i+1:]...)
+			if len(r.Machines) == 0 {
+				c.dropRent(r)
+			}
+			return
+		}
+	}
+}
+
+func (c *Core) dropRent(r *rent) {
+	delete(c.rents, r.Request)
+	c.write(Write{Drops: []string{RentPrefix + r.Request}}, nil)
+}
+
+// expect makes the machines of an answered rental known.
+func (c *Core) expect(r *rent, now Micros) {
+	for _, n := range append([]string(nil), r.Machines...) {
+		if m := c.machines[n]; m != nil {
+			m.rented = now
+			if m.recorded {
+				c.settleRents(n)
+			}
+			continue
+		}
+		if c.gone[n] {
+			c.settleRents(n)
+			continue
+		}
+		c.addMachine(&machine{
+			name: n, typeName: r.Type, zone: r.Zone, spot: r.Spot,
+			booting: true, settled: true, seen: now, rented: now,
+		})
+	}
+}
+
+// pursueRents asks for what is recorded and not answered.
+func (c *Core) pursueRents(now Micros) {
+	for _, r := range c.sortedRents() {
+		if !r.persisted || r.asked || now < r.retryAt {
+			continue
+		}
+		c.ask(r, "asked again")
+	}
+}
+
+func (c *Core) ask(r *rent, why string) {
+	r.asked = true
+	c.out = append(c.out, Rent{r.Request, r.Type, r.Zone, r.Spot, r.Count, why})
+}
+
+func (c *Core) sortedRents() []*rent {
+	out := make([]*rent, 0, len(c.rents))
+	for _, r := range c.rents {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Request < out[b].Request })
+	return out
+}
+
+// RentOutcome says what became of a rental request.
+type RentOutcome uint8
+
+// The outcomes.
+const (
+	RentGranted RentOutcome = iota
+	RentRefused             // no capacity
+	RentUnknown             // failed or unanswered: the same request is repeated
+)
+
+// Rented is the result of a Rent.
+func (c *Core) Rented(now Micros, request string, o RentOutcome, machines []string) {
+	if !c.leading {
+		return
+	}
+	r := c.rents[request]
+	if r == nil {
+		return
+	}
+	of := offer{r.Type, r.Zone, r.Spot}
+	switch o {
+	case RentUnknown:
+		r.asked = false
+		r.retryAt = now + Second
+	case RentRefused:
+		c.refused[of] = now + c.cfg.Tuning.RefusalPause
+		c.dropRent(r)
+		c.note("rental refused: no capacity", "request", request, "type", r.Type, "zone", r.Zone, "spot", r.Spot)
+	case RentGranted:
+		if len(machines) < r.Count {
+			c.refused[of] = now + c.cfg.Tuning.RefusalPause
+		}
+		r.Machines = append([]string(nil), machines...)
+		if len(machines) == 0 {
+			c.dropRent(r)
+			return
+		}
+		rec := r.RentRecord
+		rec.Machines = append([]string(nil), machines...)
+		c.write(Write{Puts: []Put{{RentPrefix + request, rec}}}, nil)
+		c.expect(r, now)
+	}
+}
+
+// rentForDemand rents for tasks that wait and for spare room, after what is
+// coming already.
+func (c *Core) rentForDemand(now Micros) {
+	out := 0
+	var coming []*room
+	for _, m := range c.order {
+		if m.booting && !m.returning && m.typ != nil && now-m.seen < 2*m.typ.Boot {
+			coming = append(coming, &room{offer{m.typeName, m.zone, m.spot}, m.typ.Cap})
+		}
+	}
+	for _, r := range c.sortedRents() {
+		if len(r.Machines) > 0 {
+			continue
+		}
+		out++
+		if t := c.types[r.Type]; t != nil {
+			for i := 0; i < r.Count; i++ {
+				coming = append(coming, &room{offer{r.Type, r.Zone, r.Spot}, t.Cap})
+			}
+		}
+	}
+	d := &demand{c: c, now: now, coming: coming, orders: map[offer]int{}, why: map[offer]string{}}
+	for _, j := range c.queue {
+		if j.pending == 0 || j.held || j.failures > 0 && len(j.errors) >= 3 {
+			continue
+		}
+		d.job(j)
+	}
+	d.spare()
+	for _, of := range d.order {
+		if out >= maxRentsOut {
+			break
+		}
+		out++
+		c.rent(now, of, min(d.orders[of], 50), d.why[of])
+	}
+}
+
+func (c *Core) rent(now Micros, of offer, n int, why string) {
+	c.requests++
+	r := &rent{RentRecord: RentRecord{Request: fmt.Sprintf("r-%d-%d", c.token, c.requests), Type: of.typ, Zone: of.zone, Spot: of.spot, Count: n}, at: now}
+	c.rents[r.Request] = r
+	c.note("renting", "request", r.Request, "type", of.typ, "zone", of.zone, "spot", of.spot, "count", n, "reason", why)
+	c.write(Write{Puts: []Put{{RentPrefix + r.Request, r.RentRecord}}}, func(now Micros, ok bool) {
+		if c.rents[r.Request] != r {
+			return
+		}
+		if !ok {
+			// Not asked for, so nothing can have been rented.
+			delete(c.rents, r.Request)
+			return
+		}
+		r.persisted = true
+		c.ask(r, why)
+	})
+}
+
+// demand is one computation of what to rent.
+type demand struct {
+	c      *Core
+	now    Micros
+	coming []*room
+	orders map[offer]int
+	order  []offer
+	why    map[offer]string
+}
+
+// job covers a job's waiting tasks.
+func (d *demand) job(j *job) {
+	c := d.c
+	t := c.team(j.spec.Team)
+	use := c.teamUse(t)
+	zones := map[string]int{}
+	for z, n := range j.zones {
+		zones[z] = n
+	}
+	half := (j.spec.Tasks + 1) / 2
+	zoneOK := func(z string) bool {
+		if j.spec.Zone != "" && z != j.spec.Zone || j.spec.Spread && zones[z] >= half {
+			return false
+		}
+		if j.spec.OneZone {
+			for o, n := range zones {
+				if n > 0 && o != z {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	for n := min(j.pending, 400); n > 0; n-- {
+		if overMax(use, j.spec.Need, t.Max) {
+			return
+		}
+		use = use.Add(j.spec.Need)
+		r := d.fit(j, zoneOK)
+		if r == nil {
+			r = d.order1(j, n, zoneOK)
+		}
+		if r == nil {
+			return
+		}
+		r.free = r.free.Sub(j.spec.Need)
+		zones[r.zone]++
+	}
+}
+
+func (d *demand) fit(j *job, zoneOK func(string) bool) *room {
+	for _, r := range d.coming {
+		if j.spec.Need.Fits(r.free) && (!r.spot || j.spec.Spot) && j.typeAllowed(r.typ) && zoneOK(r.zone) {
+			return r
+		}
+	}
+	return nil
+}
+
+// order1 orders one more machine: the one whose useful part is cheapest.
+func (d *demand) order1(j *job, n int, zoneOK func(string) bool) *room {
+	var best offer
+	bestPrice := 0.0
+	for _, t := range d.c.typeOrder {
+		fits := j.spec.Need.copies(t.Cap)
+		if fits == 0 || !j.typeAllowed(t.Name) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if !zoneOK(z) {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				of := offer{t.Name, z, spot}
+				if spot && !j.spec.Spot || d.now < d.c.refused[of] {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				price /= float64(min(fits, n))
+				if bestPrice == 0 || price < bestPrice {
+					best, bestPrice = of, price
+				}
+			}
+		}
+	}
+	if bestPrice == 0 {
+		return nil
+	}
+	return d.add(best, "tasks wait: "+j.spec.Class)
+}
+
+func (d *demand) add(of offer, why string) *room {
+	if d.orders[of] == 0 {
+		d.order = append(d.order, of)
+		d.why[of] = why
+	}
+	d.orders[of]++
+	r := &room{of, d.c.types[of.typ].Cap}
+	d.coming = append(d.coming, r)
+	return r
+}
+
+// spare keeps room for services that are expected, in two zones.
+func (d *demand) spare() {
+	c := d.c
+	if c.spareNeed == (Res{}) {
+		return
+	}
+	have := map[string]int{}
+	for z, n := range c.spare {
+		have[z] += n
+	}
+	for _, r := range d.coming {
+		if !r.spot {
+			have[r.zone] += c.spareNeed.copies(r.free)
+		}
+	}
+	good := 0
+	for _, n := range have {
+		if n >= c.cfg.Tuning.SpareTasks {
+			good++
+		}
+	}
+	for ; good < 2; good++ {
+		var best offer
+		bestPrice := 0.0
+		for _, t := range c.typeOrder {
+			n := c.spareNeed.copies(t.Cap)
+			for _, z := range t.Zones {
+				of := offer{t.Name, z, false}
+				if n == 0 || have[z] >= c.cfg.Tuning.SpareTasks || d.now < c.refused[of] {
+					continue
+				}
+				if p := t.Price / float64(min(n, c.cfg.Tuning.SpareTasks-have[z])); bestPrice == 0 || p < bestPrice {
+					best, bestPrice = of, p
+				}
+			}
+		}
+		if bestPrice == 0 {
+			return
+		}
+		r := d.add(best, "spare room for services")
+		have[r.zone] += c.spareNeed.copies(r.free)
+	}
+}
+
+// Listed takes a whole list of the cloud's machines; it is late, so a machine
+// missing from it says nothing.
+func (c *Core) Listed(now Micros, list []Listed) {
+	if !c.leading {
+		return
+	}
+	for _, l := range list {
+		if c.gone[l.Name] {
+			continue
+		}
+		m := c.machines[l.Name]
+		if m == nil {
+			if l.Failed {
+				c.out = append(c.out, Return{[]string{l.Name}, "failed"})
+				c.gone[l.Name] = true
+				continue
+			}
+			m = &machine{
+				name: l.Name, address: l.Address, typeName: l.Type, zone: l.Zone, spot: l.Spot,
+				booting: true, settled: true, seen: now - min(l.Age, now),
+			}
+			c.addMachine(m)
+			c.note("machine found in the cloud's list", "machine", m.name, "type", m.typeName, "zone", m.zone)
+		}
+		if m.address == "" {
+			m.address = l.Address
+		}
+		m.rented = now - l.Age
+		if l.Failed && !m.returning {
+			c.note("machine failed", "machine", m.name)
+			m.lost = true
+			c.clear(m, now)
+			c.settle(m)
+			c.giveBack(m, now, "failed")
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/job.go
@@ -0,0 +1,191 @@
+package core
+
+import "sort"
+
+type taskStatus uint8
+
+const (
+	taskPending taskStatus = iota
+	taskPlaced
+	taskDone
+)
+
+// job is an unfinished job and what is known of its tasks.
+type job struct {
+	spec      JobSpec
+	rec       JobRecord
+	due       Micros // steady clock; 0: none
+	submitted Micros // steady clock
+
+	status  []taskStatus
+	live    map[int]*placement // placements that hold a task
+	zones   map[string]int     // live placements by zone
+	back    []int              // tasks that became pending again
+	cursor  int                // tasks from here on were never placed
+	pending int
+	done    int
+	on      int // placements that hold, wanted or not
+
+	opened  bool // recorded: tasks may have been started
+	opening bool // the record is being written
+	held    bool // opened by a former leader: unseen tasks may be anywhere
+
+	dirty     map[int]bool // chunks whose ranges changed since they were written
+	stored    map[int]bool // chunks that may have a record
+	writing   bool         // a write of ranges or of the final record is out
+	writeFrom Micros       // not before this
+	cancelled bool
+
+	attempt   uint64 // of the gang's current start
+	stopping  bool   // the gang is being stopped
+	errors    map[string]bool
+	notBefore Micros // back-off after failures
+	failures  int
+}
+
+func newJob(rec JobRecord, submitted Micros) *job {
+	j := &job{
+		spec: rec.Spec, rec: rec, submitted: submitted,
+		status:  make([]taskStatus, rec.Spec.Tasks),
+		live:    map[int]*placement{},
+		zones:   map[string]int{},
+		dirty:   map[int]bool{},
+		stored:  map[int]bool{},
+		pending: rec.Spec.Tasks,
+	}
+	if rec.Spec.Due > 0 {
+		j.due = submitted + rec.Spec.Due
+	}
+	return j
+}
+
+// nextPending returns a pending task without taking it, or -1.
+func (j *job) nextPending() int {
+	for n := len(j.back); n > 0; n = len(j.back) {
+		if i := j.back[n-1]; j.status[i] == taskPending {
+			return i
+		}
+		j.back = j.back[:n-1]
+	}
+	for ; j.cursor < len(j.status); j.cursor++ {
+		if j.status[j.cursor] == taskPending {
+			return j.cursor
+		}
+	}
+	return -1
+}
+
+// set moves a task to a status and keeps the counts.
+func (j *job) set(i int, s taskStatus) {
+	old := j.status[i]
+	if old == s || old == taskDone {
+		return
+	}
+	if old == taskPending {
+		j.pending--
+	}
+	switch s {
+	case taskPending:
+		j.pending++
+		j.back = append(j.back, i)
+	case taskDone:
+		j.done++
+	}
+	j.status[i] = s
+}
+
+// ranges lists the finished tasks of a chunk as pairs, relative to its start.
+func (j *job) ranges(chunk, size int) []int {
+	lo := chunk * size
+	hi := min(lo+size, len(j.status))
+	var out []int
+	for i := lo; i < hi; i++ {
+		if j.status[i] != taskDone {
+			continue
+		}
+		if n := len(out); n > 0 && out[n-1] == i-lo-1 {
+			out[n-1] = i - lo
+		} else {
+			out = append(out, i-lo, i-lo)
+		}
+	}
+	return out
+}
+
+// zoneAllowed reports whether one more task may run in the zone, given where
+// the job's other tasks are.
+func (j *job) zoneAllowed(zone string) bool {
+	if j.spec.Zone != "" && j.spec.Zone != zone {
+		return false
+	}
+	if j.spec.OneZone {
+		for z, n := range j.zones {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	if j.spec.Spread && j.zones[zone] >= (j.spec.Tasks+1)/2 {
+		return false
+	}
+	return true
+}
+
+func (j *job) typeAllowed(name string) bool {
+	if j.spec.Types == nil {
+		return true
+	}
+	for _, t := range j.spec.Types {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+// running counts the tasks that run.
+func (j *job) running() int {
+	n := 0
+	for _, p := range j.live {
+		if p.shown && p.state == Running {
+			n++
+		}
+	}
+	return n
+}
+
+// before is the order in which jobs are given room: by priority, then the
+// earliest deadline, then the order of submission.
+func (j *job) before(o *job) bool {
+	if j.spec.Priority != o.spec.Priority {
+		return j.spec.Priority > o.spec.Priority
+	}
+	a, b := j.due, o.due
+	if a != b && a > 0 && b > 0 {
+		return a < b
+	}
+	if (a > 0) != (b > 0) {
+		return a > 0
+	}
+	if j.submitted != o.submitted {
+		return j.submitted < o.submitted
+	}
+	return j.spec.ID < o.spec.ID
+}
+
+// enqueue keeps the queue sorted as a job joins.
+func (c *Core) enqueue(j *job) {
+	i := sort.Search(len(c.queue), func(i int) bool { return j.before(c.queue[i]) })
+	c.queue = append(c.queue, nil)
+	copy(c.queue[i+1:], c.queue[i:])
+	c.queue[i] = j
+}
+
+func (c *Core) dequeue(j *job) {
+	for i, o := range c.queue {
+		if o == j {
+			c.queue = append(c.queue[:i], c.queue[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/machine.go
@@ -0,0 +1,384 @@
+package core
+
+// placement is one start of a task on a machine, from the decision until the
+// machine no longer knows it.
+type placement struct {
+	j       *job // nil: a task of no unfinished job
+	job     string
+	index   int
+	attempt uint64
+	m       *machine
+	need    Res
+
+	sent      bool   // a start was sent, by a beat's answer or directly
+	beatSeq   uint64 // the report in whose answer the start went out last
+	inDo      bool   // the start is in the direct command under way
+	late      bool   // a direct start went unanswered and may still arrive
+	lateToken uint64
+	shown     bool // the machine has reported it
+	state     TaskState
+	cause     Cause
+
+	unwanted  bool
+	grace     Micros
+	stopSent  Micros // 0: never
+	finalOK   bool   // its end is recorded, or needs no record
+	at        Micros // when it was decided
+	runningAt Micros
+	beatMark  bool // shown by the report being taken over
+	resend    bool // repeat the start in the answer to this beat
+}
+
+func (p *placement) holds() bool { return !(p.shown && p.state == Exited) }
+
+// onWorker reports whether the worker may be counting the task's resources.
+func (p *placement) onWorker() bool { return (p.sent || p.shown) && p.holds() }
+
+// machine is a rented machine.
+type machine struct {
+	name, address, zone string
+	typ                 *MachineType
+	typeName            string
+	spot                bool
+	session, seq        uint64
+	token               uint64 // highest it has reported
+
+	recorded, recording bool
+	settled             bool   // everything on it is known to this leader
+	lost                bool   // its lease has run out
+	booting             bool   // never heard of
+	seen                Micros // when we learnt of it
+	rented              Micros // when it was rented, by our clock
+	heard               Micros // last report
+	answered            Micros // last time a report of it was answered with 200
+	idle                Micros // since when it is without tasks
+
+	tasks  []*placement
+	used   Res // by placements that hold
+	doing  bool
+	noDo   bool // the last direct command could not be delivered: wait for a beat
+	probe  bool // an empty command is wanted
+	probed Micros
+	silent bool // a probe of a suspect went unanswered
+	dirty  bool
+
+	draining   bool
+	drainBy    Micros
+	returning  bool
+	returnFrom Micros
+	returnWhy  string
+	blocked    Micros // refused a start for want of room: not before this
+	quarantine Micros
+	failed     map[string]bool // jobs that failed here since the last success
+	images     []image         // most recently used last
+	fetching   int
+}
+
+type image struct {
+	name string
+	mb   int64
+}
+
+func (m *machine) free() Res {
+	if m.typ == nil {
+		return Res{}
+	}
+	return m.typ.Cap.Sub(m.used)
+}
+
+func (m *machine) hasImage(name string) bool {
+	for _, im := range m.images {
+		if im.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// useImage notes an image as the most recently used and drops what no longer
+// fits into the cache.
+func (m *machine) useImage(name string, mb int64) {
+	for i, im := range m.images {
+		if im.name == name {
+			m.images = append(append(m.images[:i:i], m.images[i+1:]...), im)
+			return
+		}
+	}
+	m.images = append(m.images, image{name, mb})
+	if m.typ == nil || m.typ.CacheMB == 0 {
+		return
+	}
+	var sum int64
+	for _, im := range m.images {
+		sum += im.mb
+	}
+	for len(m.images) > 1 && sum > m.typ.CacheMB {
+		sum -= m.images[0].mb
+		m.images = m.images[1:]
+	}
+}
+
+// usable reports whether tasks may be given to the machine now.
+func (c *Core) usable(m *machine, now Micros) bool {
+	return m.typ != nil && m.settled && !m.lost && !m.booting && !m.draining && !m.returning &&
+		now >= m.quarantine && now >= m.blocked && now-m.heard < c.silence()
+}
+
+// silence is how long a machine may go unheard before it is given no more
+// tasks: a report and its greatest spread, and one lost packet.
+func (c *Core) silence() Micros { return c.cfg.ReportGap*5/4 + Second }
+
+// add puts a placement on its machine and counts it.
+func (c *Core) add(p *placement) {
+	p.m.tasks = append(p.m.tasks, p)
+	if !p.holds() {
+		return
+	}
+	p.m.used = p.m.used.Add(p.need)
+	p.m.idle = 0
+	if p.j == nil {
+		return
+	}
+	t := c.team(p.j.spec.Team)
+	t.used = t.used.Add(p.need)
+	p.j.zones[p.m.zone]++
+	p.j.on++
+	if p.j.live[p.index] == nil && p.j.status[p.index] != taskDone {
+		p.j.live[p.index] = p
+		p.j.set(p.index, taskPlaced)
+	}
+}
+
+// release stops counting a placement: it has exited or is gone.
+func (c *Core) release(p *placement, now Micros) {
+	m := p.m
+	m.used = m.used.Sub(p.need)
+	c.dirty = true
+	if m.used == (Res{}) {
+		m.idle = now
+	}
+	if p.j == nil {
+		return
+	}
+	t := c.team(p.j.spec.Team)
+	t.used = t.used.Sub(p.need)
+	p.j.zones[m.zone]--
+	p.j.on--
+	if p.j.live[p.index] == p {
+		delete(p.j.live, p.index)
+		if p.j.status[p.index] == taskPlaced {
+			p.j.set(p.index, taskPending)
+		}
+	}
+}
+
+// remove takes a placement off its machine for good.
+func (c *Core) remove(p *placement, now Micros) {
+	if p.holds() {
+		c.release(p, now)
+		c.gangLost(p, now)
+	}
+	ts := p.m.tasks
+	for i, o := range ts {
+		if o == p {
+			p.m.tasks = append(ts[:i], ts[i+1:]...)
+			break
+		}
+	}
+	if p.j != nil && p.j.stopping {
+		c.gangSettle(p.j)
+	}
+}
+
+// clear drops everything on a machine: its lease is over, or it is gone.
+func (c *Core) clear(m *machine, now Micros) {
+	for len(m.tasks) > 0 {
+		c.remove(m.tasks[len(m.tasks)-1], now)
+	}
+	m.fetching = 0
+}
+
+// settle notes that all that can run on the machine is known.
+func (c *Core) settle(m *machine) {
+	if m.settled {
+		return
+	}
+	m.settled = true
+	c.unsettled--
+	c.dirty = true
+	if c.unsettled > 0 {
+		return
+	}
+	// Every place has been heard of or is over: what was not seen runs nowhere.
+	for _, j := range c.jobs {
+		c.unhold(j)
+	}
+}
+
+func (c *Core) unhold(j *job) {
+	if !j.held {
+		return
+	}
+	j.held = false
+	c.dirty = true
+	c.closeIfOver(j)
+}
+
+// absorb takes over a report that is newer than all before it.
+func (c *Core) absorb(m *machine, r *Report, beat bool, now Micros) {
+	if r.Session > m.session && m.session > 0 {
+		// Its lease ran out: the worker has killed and forgotten its tasks, and
+		// direct commands that are still under way name a session that is over.
+		c.clear(m, now)
+	}
+	newSession := r.Session != m.session
+	m.session, m.seq = r.Session, r.Seq
+	m.token = max(m.token, r.Token)
+	m.heard = now
+	m.silent = false
+	if r.Address != "" {
+		m.address = r.Address
+	}
+	if m.booting || m.lost {
+		m.booting, m.lost = false, false
+		m.idle = now
+		c.dirty = true
+	}
+	if beat {
+		m.noDo = false
+	}
+	if newSession {
+		m.dirty = true
+	}
+	if r.Notice >= 0 && !m.draining {
+		c.note("spot notice", "machine", m.name, "in_s", float64(r.Notice)/1e6)
+		c.drain(m, now, now+r.Notice)
+	}
+	for _, p := range m.tasks {
+		p.beatMark = false
+	}
+	m.fetching = 0
+	for i := range r.Tasks {
+		c.absorbTask(m, &r.Tasks[i], now)
+	}
+	c.absorbMissing(m, r, beat, now)
+	if r.Token >= c.settleToken && r.Token > 0 {
+		c.settle(m)
+	}
+}
+
+func (c *Core) absorbTask(m *machine, t *TaskReport, now Micros) {
+	var p *placement
+	for _, o := range m.tasks {
+		if o.attempt == t.Attempt && o.index == t.Index && o.job == t.Job {
+			p = o
+			break
+		}
+	}
+	if p == nil {
+		p = c.adopt(m, t, now)
+		if t.State == Exited {
+			p.shown, p.beatMark, p.state, p.cause = true, true, Exited, t.Cause
+			m.tasks = append(m.tasks, p)
+			c.exited(p, now)
+			m.dirty = true
+			return
+		}
+		c.add(p)
+	}
+	p.beatMark = true
+	wasExited := p.shown && p.state == Exited
+	if t.State != Exited {
+		if t.State == Running && p.state != Running {
+			p.runningAt = now
+			if p.j != nil {
+				m.useImage(p.j.spec.Image, p.j.spec.ImageMB)
+				delete(m.failed, p.job)
+			}
+		}
+		if t.State == Fetching {
+			m.fetching++
+		}
+		if !p.shown {
+			p.shown, p.sent = true, true
+		}
+		p.state = t.State
+		return
+	}
+	if wasExited {
+		return
+	}
+	held := p.holds()
+	p.shown, p.sent = true, true
+	p.state, p.cause = Exited, t.Cause
+	if held {
+		c.release(p, now)
+	}
+	c.exited(p, now)
+	m.dirty = true
+}
+
+// adopt makes a placement for a task that a former leader started.
+func (c *Core) adopt(m *machine, t *TaskReport, now Micros) *placement {
+	p := &placement{job: t.Job, index: t.Index, attempt: t.Attempt, m: m, sent: true, at: now}
+	j := c.jobs[t.Job]
+	if j == nil || t.Index >= len(j.status) {
+		p.unwanted, p.finalOK = true, true
+		m.dirty = true
+		return p
+	}
+	p.j, p.need = j, j.spec.Need
+	j.opened = true
+	switch {
+	case j.cancelled, j.status[t.Index] == taskDone:
+		p.unwanted = true
+	case t.State != Exited && j.live[t.Index] != nil:
+		// Two starts of one task can only come from a fault; the one that this
+		// leader knows of stays.
+		p.unwanted = true
+		c.note("task reported on two machines", "job", t.Job, "task", t.Index, "machine", m.name)
+	case j.spec.Kind == Gang && t.State != Exited:
+		j.attempt = max(j.attempt, t.Attempt)
+	}
+	if p.unwanted {
+		m.dirty = true
+	}
+	return p
+}
+
+// absorbMissing looks at placements that a newer report does not show.
+func (c *Core) absorbMissing(m *machine, r *Report, beat bool, now Micros) {
+	for i := len(m.tasks) - 1; i >= 0; i-- {
+		if i >= len(m.tasks) {
+			continue
+		}
+		p := m.tasks[i]
+		if p.beatMark || !p.sent {
+			continue
+		}
+		switch {
+		case p.shown:
+			c.remove(p, now)
+		case p.inDo:
+			// The direct command may be executed after this report was made.
+		case p.late && m.token <= p.lateToken:
+			// An unanswered direct command can still arrive while the machine
+			// accepts its token.
+			if p.unwanted {
+				c.wantRaise = true
+			} else {
+				p.resend = beat
+			}
+		case beat && r.Seq > p.beatSeq:
+			// The answer that carried the start was lost or dropped: a worker
+			// has one report in flight, so it will not be executed any more.
+			p.late = false
+			if p.unwanted {
+				c.remove(p, now)
+			} else {
+				p.sent = false
+				m.dirty = true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/place.go
@@ -0,0 +1,346 @@
+package core
+
+import "sort"
+
+// governed says whether a request on top of used stays within a guarantee.
+// Memory is not part of a quota.
+func within(used, req, lim Res) bool {
+	return used.CPU+req.CPU <= lim.CPU && used.GPU+req.GPU <= lim.GPU
+}
+
+// overMax reports whether the request would take the team past its max; a max
+// of zero is none.
+func overMax(used, req, max Res) bool {
+	return max.CPU > 0 && used.CPU+req.CPU > max.CPU || max.GPU > 0 && used.GPU+req.GPU > max.GPU
+}
+
+// teamUse is what a team's tasks use or may be using: what is placed, and
+// during takeover the tasks that may be on machines not heard of yet.
+func (c *Core) teamUse(t *team) Res {
+	use := t.used
+	if c.unsettled > 0 {
+		for _, j := range c.jobs {
+			if j.held && j.spec.Team == t.Name {
+				use = use.Add(j.spec.Need.Times(j.pending))
+			}
+		}
+	}
+	return use
+}
+
+// shape is what decides whether any task of a job can be placed now; a pass
+// does not look again for a shape that found no room.
+type shape struct {
+	need          Res
+	spot, service bool
+	team          string
+	priority      Priority
+}
+
+// schedule gives room to waiting tasks in the queue's order.
+func (c *Core) schedule(now Micros) {
+	c.countSpare(now)
+	full := map[shape]bool{}
+	for _, j := range c.queue {
+		if j.pending == 0 || j.held || j.stopping || now < j.notBefore {
+			continue
+		}
+		if j.spec.Kind == Gang {
+			c.scheduleGang(j, now)
+			continue
+		}
+		plain := j.spec.Types == nil && j.spec.Zone == "" && !j.spec.OneZone && !j.spec.Spread && j.errors == nil
+		key := shape{j.spec.Need, j.spec.Spot, j.spec.Kind == Service, j.spec.Team, j.spec.Priority}
+		if plain && full[key] {
+			continue
+		}
+		t := c.team(j.spec.Team)
+		use := c.teamUse(t)
+		for {
+			i := j.nextPending()
+			if i < 0 || overMax(use, j.spec.Need, t.Max) {
+				break
+			}
+			m := c.pick(j, now, "")
+			if m == nil {
+				var plan reclaimPlan
+				if m = c.reclaim(j, use, now, &plan); m == nil {
+					full[key] = plain
+					break
+				}
+				c.evict(&plan, j, now)
+			}
+			c.put(j, i, m, c.nextAttempt(), now)
+			use = use.Add(j.spec.Need)
+		}
+	}
+}
+
+func (c *Core) put(j *job, i int, m *machine, attempt uint64, now Micros) *placement {
+	p := &placement{j: j, job: j.spec.ID, index: i, attempt: attempt, m: m, need: j.spec.Need, at: now}
+	if c.serves(m, j) {
+		c.spare[m.zone] -= c.spareNeed.copies(m.free())
+		defer func() { c.spare[m.zone] += c.spareNeed.copies(m.free()) }()
+	}
+	c.add(p)
+	m.useImage(j.spec.Image, j.spec.ImageMB)
+	m.dirty = true
+	c.dirtyMachines = true
+	return p
+}
+
+func (c *Core) serves(m *machine, j *job) bool { return !m.spot && c.spareNeed != (Res{}) }
+
+// countSpare counts, by zone, the service tasks that could start at once.
+func (c *Core) countSpare(now Micros) {
+	c.spareNeed = Res{}
+	for _, n := range c.lastNeed {
+		c.spareNeed.CPU = max(c.spareNeed.CPU, n.res.CPU)
+		c.spareNeed.GPU = max(c.spareNeed.GPU, n.res.GPU)
+		c.spareNeed.Mem = max(c.spareNeed.Mem, n.res.Mem)
+	}
+	c.spare = map[string]int{}
+	if c.spareNeed == (Res{}) {
+		return
+	}
+	for _, m := range c.order {
+		if !m.spot && c.usable(m, now) {
+			c.spare[m.zone] += c.spareNeed.copies(m.free())
+		}
+	}
+}
+
+// allowed reports whether the job may run on the machine at all.
+func (c *Core) allowed(j *job, m *machine) bool {
+	return (!m.spot || j.spec.Spot) && j.typeAllowed(m.typeName) && j.zoneAllowed(m.zone)
+}
+
+// pick chooses the machine for one more task of a job: where it starts
+// soonest, then where it wastes least. only restricts the zone.
+func (c *Core) pick(j *job, now Micros, only string) *machine {
+	var best *machine
+	var bestCost int64
+	for _, m := range c.order {
+		if !c.usable(m, now) || only != "" && m.zone != only || j.errors[m.name] && len(j.errors) < 3 {
+			continue
+		}
+		free := m.free()
+		if !j.spec.Need.Fits(free) || !c.allowed(j, m) {
+			continue
+		}
+		if j.spec.Kind != Service && !m.spot && c.spareNeed != (Res{}) {
+			// Room for services that are expected: their start is waited for.
+			after := c.spare[m.zone] - c.spareNeed.copies(free) + c.spareNeed.copies(free.Sub(j.spec.Need))
+			if after < c.cfg.Tuning.SpareTasks {
+				continue
+			}
+		}
+		cost := c.startCost(j, m)
+		if j.spec.Spot && !m.spot {
+			cost += int64(5 * Second)
+		}
+		left := free.Sub(j.spec.Need)
+		cost += left.CPU * int64(20*Millisecond) / 1000
+		if best == nil || cost < bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	return best
+}
+
+// startCost is how long the task would wait for its image there.
+func (c *Core) startCost(j *job, m *machine) int64 {
+	if m.hasImage(j.spec.Image) || m.typ.FetchMBps == 0 {
+		return 0
+	}
+	return j.spec.ImageMB * int64(Second) / m.typ.FetchMBps * int64(1+m.fetching)
+}
+
+// reclaimPlan is a set of victims that is not acted on yet.
+type reclaimPlan struct {
+	victims []*placement
+	chosen  map[*placement]bool
+	taken   map[string]Res // by team
+	freed   map[*machine]Res
+}
+
+// reclaim looks for one machine on which stopping tasks makes room for a task
+// of the job. Within the team's min, the victims belong to teams over theirs,
+// and no such team is taken below it; beyond, they are the team's own tasks of
+// lower priority.
+func (c *Core) reclaim(j *job, use Res, now Micros, plan *reclaimPlan) *machine {
+	if j.failures > 0 && len(j.errors) >= 2 {
+		// A job that fails wherever it runs would evict borrowers on every retry.
+		return nil
+	}
+	guaranteed := within(use, j.spec.Need, c.team(j.spec.Team).Min)
+	var best *machine
+	var bestVictims []*placement
+	var bestCost int64
+	for _, m := range c.order {
+		if !c.usable(m, now) || !c.allowed(j, m) || m.typ == nil || !j.spec.Need.Fits(m.typ.Cap) || j.errors[m.name] {
+			continue
+		}
+		victims, cost := c.victims(j, m, guaranteed, now, plan)
+		if victims == nil {
+			continue
+		}
+		cost += c.startCost(j, m)
+		if best == nil || cost < bestCost {
+			best, bestVictims, bestCost = m, victims, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	if plan.chosen == nil {
+		plan.chosen, plan.taken, plan.freed = map[*placement]bool{}, map[string]Res{}, map[*machine]Res{}
+	}
+	for _, v := range bestVictims {
+		plan.victims = append(plan.victims, v)
+		plan.chosen[v] = true
+		plan.taken[v.j.spec.Team] = plan.taken[v.j.spec.Team].Add(v.need)
+		plan.freed[best] = plan.freed[best].Add(v.need)
+	}
+	return best
+}
+
+// victims chooses tasks on one machine; nil if they would not make room.
+func (c *Core) victims(j *job, m *machine, guaranteed bool, now Micros, plan *reclaimPlan) ([]*placement, int64) {
+	free := m.free().Add(plan.freed[m])
+	var cands []*placement
+	for _, p := range m.tasks {
+		if p.j == nil || !p.holds() || p.unwanted || plan.chosen[p] || p.j == j {
+			continue
+		}
+		if p.j.spec.Kind == Gang && (p.j.stopping || len(p.j.live) > 1) {
+			// Stopping one task of a gang loses all of them, on other machines too.
+			continue
+		}
+		if guaranteed && p.j.spec.Team == j.spec.Team {
+			continue
+		}
+		if !guaranteed && (p.j.spec.Team != j.spec.Team || p.j.spec.Priority >= j.spec.Priority) {
+			continue
+		}
+		cands = append(cands, p)
+	}
+	sort.SliceStable(cands, func(a, b int) bool {
+		x, y := cands[a], cands[b]
+		if x.j.spec.Priority != y.j.spec.Priority {
+			return x.j.spec.Priority < y.j.spec.Priority
+		}
+		return x.lost(now) < y.lost(now)
+	})
+	taken := map[string]Res{}
+	var out []*placement
+	var cost int64
+	for _, p := range cands {
+		if j.spec.Need.Fits(free) {
+			break
+		}
+		if guaranteed {
+			t := c.team(p.j.spec.Team)
+			gone := taken[t.Name].Add(plan.taken[t.Name]).Add(p.need)
+			left := t.used.Sub(gone)
+			if left.CPU < t.Min.CPU || left.GPU < t.Min.GPU {
+				continue
+			}
+			taken[t.Name] = taken[t.Name].Add(p.need)
+		}
+		free = free.Add(p.need)
+		out = append(out, p)
+		cost += int64(p.lost(now)) + int64(p.j.spec.Priority)*int64(60*Second)
+	}
+	if !j.spec.Need.Fits(free) {
+		return nil, 0
+	}
+	return out, cost
+}
+
+// lost is the work that is repeated if the task is stopped now.
+func (p *placement) lost(now Micros) Micros {
+	if !p.shown || p.state != Running {
+		return 0
+	}
+	if p.j != nil && p.j.spec.Checkpoint > 0 {
+		return p.j.spec.SaveCost
+	}
+	return now - p.runningAt
+}
+
+func (c *Core) evict(plan *reclaimPlan, j *job, now Micros) {
+	for _, v := range plan.victims {
+		c.note("reclaim", "for", j.spec.ID, "team", j.spec.Team, "victim", v.job, "task", v.index, "victim_team", v.j.spec.Team, "machine", v.m.name)
+		c.stopTask(v, now, 0)
+	}
+}
+
+// scheduleGang places all tasks of a gang or none of them.
+func (c *Core) scheduleGang(j *job, now Micros) {
+	if j.on > 0 || j.pending < len(j.status) {
+		return
+	}
+	t := c.team(j.spec.Team)
+	use := c.teamUse(t)
+	if overMax(use, j.spec.Need.Times(j.spec.Tasks), t.Max) {
+		return
+	}
+	zones := []string{""}
+	if j.spec.OneZone {
+		zones = c.zones()
+	}
+	for _, victims := range []bool{false, true} {
+		for _, z := range zones {
+			if c.tryGang(j, z, use, victims, now) {
+				return
+			}
+		}
+	}
+}
+
+func (c *Core) tryGang(j *job, zone string, use Res, mayEvict bool, now Micros) bool {
+	attempt := c.nextAttempt()
+	var plan reclaimPlan
+	var placed []*placement
+	for {
+		i := j.nextPending()
+		if i < 0 {
+			break
+		}
+		m := c.pick(j, now, zone)
+		if m == nil && mayEvict {
+			m = c.reclaim(j, use, now, &plan)
+			if m != nil && zone != "" && m.zone != zone {
+				m = nil
+			}
+		}
+		if m == nil {
+			for _, p := range placed {
+				c.remove(p, now)
+			}
+			j.attempt = 0
+			return false
+		}
+		placed = append(placed, c.put(j, i, m, attempt, now))
+		use = use.Add(j.spec.Need)
+	}
+	j.attempt = attempt
+	c.evict(&plan, j, now)
+	return true
+}
+
+// zones lists the zones of the catalog.
+func (c *Core) zones() []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, t := range c.typeOrder {
+		for _, z := range t.Zones {
+			if !seen[z] {
+				seen[z] = true
+				out = append(out, z)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/types.go
@@ -0,0 +1,334 @@
+// Package core decides what the scheduler does. It is pure: events and the
+// time go in through methods, actions come out of Step. It holds no socket,
+// clock, goroutine or random source, so that every decision can be replayed.
+package core
+
+// Micros is a time or a duration in whole microseconds. Times are readings of
+// the process's steady clock unless a name says wall.
+type Micros int64
+
+// Durations.
+const (
+	Millisecond Micros = 1000
+	Second      Micros = 1000 * Millisecond
+)
+
+// Seconds turns a duration of the published interfaces into Micros.
+func Seconds(s float64) Micros { return Micros(s*1e6 + 0.5) }
+
+// Kind is the shape of a job.
+type Kind uint8
+
+// The kinds of job.
+const (
+	Array Kind = iota
+	Gang
+	Service
+)
+
+// Priority orders jobs; a higher one goes first and may preempt.
+type Priority uint8
+
+// The priorities.
+const (
+	Low Priority = iota
+	Normal
+	High
+	Production
+)
+
+// Res is an amount of each resource, in thousandths.
+type Res struct{ CPU, GPU, Mem int64 }
+
+// Add returns r+o.
+func (r Res) Add(o Res) Res { return Res{r.CPU + o.CPU, r.GPU + o.GPU, r.Mem + o.Mem} }
+
+// Sub returns r-o.
+func (r Res) Sub(o Res) Res { return Res{r.CPU - o.CPU, r.GPU - o.GPU, r.Mem - o.Mem} }
+
+// Times returns n times r.
+func (r Res) Times(n int) Res {
+	return Res{r.CPU * int64(n), r.GPU * int64(n), r.Mem * int64(n)}
+}
+
+// Fits reports whether r is within o in every resource.
+func (r Res) Fits(o Res) bool { return r.CPU <= o.CPU && r.GPU <= o.GPU && r.Mem <= o.Mem }
+
+// copies says how many of r fit into o.
+func (r Res) copies(o Res) int {
+	n := int64(1 << 30)
+	for _, p := range [3][2]int64{{r.CPU, o.CPU}, {r.GPU, o.GPU}, {r.Mem, o.Mem}} {
+		if p[0] > 0 {
+			n = min(n, max(p[1], 0)/p[0])
+		}
+	}
+	return int(n)
+}
+
+// JobSpec is what a user asked for.
+type JobSpec struct {
+	ID         string
+	Class      string
+	Team       string
+	Kind       Kind
+	Priority   Priority
+	Tasks      int
+	Need       Res // of each task
+	Types      []string
+	Zone       string // "" for any
+	OneZone    bool
+	Spread     bool
+	Spot       bool
+	Image      string
+	ImageMB    int64
+	Estimate   Micros
+	Checkpoint Micros // interval; 0: the task never saves
+	SaveCost   Micros
+	Due        Micros // after submission; 0: no deadline
+}
+
+// Phase is what a user is told of a job.
+type Phase uint8
+
+// The phases that are kept. Running is not kept: it is derived.
+const (
+	Pending Phase = iota
+	Done
+	Cancelled
+)
+
+// JobRecord is a job as the state service keeps it.
+type JobRecord struct {
+	Spec      JobSpec
+	Phase     Phase
+	Submitted Micros // wall clock
+	Stamp     uint64 // revision of the record
+}
+
+// MachineType is a row of the cloud's catalog.
+type MachineType struct {
+	Name      string
+	Cap       Res
+	CacheMB   int64
+	FetchMBps int64
+	Price     float64 // an hour
+	SpotPrice float64
+	Boot      Micros
+	Zones     []string
+}
+
+// Team is an elastic quota: Min is guaranteed, Max caps use. A zero in Max
+// means no maximum for that resource.
+type Team struct {
+	Name     string
+	Min, Max Res
+}
+
+// TaskState is a task's state on its machine, as its worker reports it.
+type TaskState uint8
+
+// The task states.
+const (
+	Fetching TaskState = iota
+	Waiting
+	Running
+	Saving
+	Exited
+)
+
+// Cause says why a task exited.
+type Cause uint8
+
+// The causes of an exit.
+const (
+	CauseDone Cause = iota
+	CauseStopped
+	CausePeers
+	CauseAlone
+	CauseError
+	CauseNoRoom
+	CauseBusy
+	CauseUnknown
+)
+
+// TaskReport is a task in a worker's report.
+type TaskReport struct {
+	Job     string
+	Index   int
+	Attempt uint64
+	State   TaskState
+	Cause   Cause
+	Saved   bool
+}
+
+// Report is a worker's report.
+type Report struct {
+	Machine string
+	Address string
+	Type    string
+	Zone    string
+	Spot    bool
+	Session uint64
+	Seq     uint64
+	Token   uint64
+	Notice  Micros // -1: none
+	Tasks   []TaskReport
+}
+
+// Op is a command's verb.
+type Op uint8
+
+// The commands a worker takes.
+const (
+	Start Op = iota
+	Stop
+	Forget
+)
+
+// Command is a command to a worker.
+type Command struct {
+	Op      Op
+	Job     string
+	Index   int
+	Attempt uint64
+	Grace   Micros
+}
+
+// Config is what the core knows from the settings.
+type Config struct {
+	Teams     []Team
+	Lease     Micros // a worker's lease
+	ReportGap Micros
+	GangPeers Micros
+	GangWait  Micros
+	ChunkSize int // tasks in one record of finished ranges
+	Tuning    Tuning
+}
+
+// Tuning is what operators may set; see docs/SETTINGS.md.
+type Tuning struct {
+	Idle         Micros // an idle machine is returned after this
+	RefusalPause Micros // an offer that was refused rests this long
+	Quarantine   Micros // a machine that fails starts rests this long
+	Suspect      Micros // a silent machine is probed after this
+	SpareTasks   int    // service tasks that room is kept for, per zone
+}
+
+// Action is something the core wants done. The concrete types follow.
+type Action interface{ action() }
+
+// SendCommands is a direct command list to a worker; its result comes back
+// through Commanded.
+type SendCommands struct {
+	Machine  string
+	Address  string
+	Token    uint64
+	Session  uint64
+	Commands []Command
+}
+
+// Write is a change of the leader's records; it is conditional on the
+// leader's key, and on the job's stamp where IfJob is set. Its result comes
+// back through Written.
+type Write struct {
+	ID      uint64
+	Puts    []Put
+	Drops   []string
+	IfJob   string // a job's id, "" for none
+	IfStamp uint64
+	Urgent  bool
+}
+
+// Put is one record to write; Value is one of the record types.
+type Put struct {
+	Key   string
+	Value any
+}
+
+// Rent asks the cloud for machines; its result comes back through Rented.
+type Rent struct {
+	Request string
+	Type    string
+	Zone    string
+	Spot    bool
+	Count   int
+	Reason  string
+}
+
+// Return gives machines back; its result comes back through Returned.
+type Return struct {
+	Machines []string
+	Reason   string
+}
+
+// RaiseToken asks for a new token for the current term.
+type RaiseToken struct{}
+
+// Note is something an operator wants to read in the log.
+type Note struct {
+	Text string
+	Args []any
+}
+
+func (SendCommands) action() {}
+func (Write) action()        {}
+func (Rent) action()         {}
+func (Return) action()       {}
+func (RaiseToken) action()   {}
+func (Note) action()         {}
+
+// Records of the leader's bookkeeping, as they are kept.
+
+// MachineRecord says that a machine may have been given tasks.
+type MachineRecord struct {
+	Name    string
+	Address string
+	Type    string
+	Zone    string
+	Spot    bool
+	Session uint64
+}
+
+// RentRecord is a rental request; Machines is empty until it was answered.
+type RentRecord struct {
+	Request  string
+	Type     string
+	Zone     string
+	Spot     bool
+	Count    int
+	Machines []string
+}
+
+// RangeRecord holds finished tasks of one chunk of a job, as pairs of first
+// and last, relative to the chunk's first task.
+type RangeRecord struct {
+	Job    string
+	Chunk  int
+	Ranges []int
+}
+
+// JobDone is the final record of a job.
+type JobDone struct{ Record JobRecord }
+
+// OpenRecord says that tasks of a job may have been started.
+type OpenRecord struct{ Job string }
+
+// Snapshot is all that a new leader reads before it acts.
+type Snapshot struct {
+	Machines []MachineRecord
+	Rents    []RentRecord
+	Ranges   []RangeRecord
+	Open     []string
+}
+
+// Listed is a machine in the cloud's list.
+type Listed struct {
+	Name    string
+	Address string
+	Type    string
+	Zone    string
+	Spot    bool
+	Booting bool
+	Failed  bool
+	Age     Micros
+}
--- /dev/null
+++ b/internal/httpapi/httpapi.go
@@ -0,0 +1,167 @@
+// Package httpapi serves users, workers and health checks over HTTP.
+package httpapi
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/wire"
+)
+
+// Answer is what a request is answered with.
+type Answer struct {
+	Status     int
+	Body       any           // encoded unless Raw is set
+	Raw        []byte        // an encoded body
+	RetryAfter time.Duration // with 429 and 503
+}
+
+// Unavailable tells a user when to come back.
+func Unavailable() Answer {
+	return Answer{Status: http.StatusServiceUnavailable, RetryAfter: time.Second}
+}
+
+// Service is what answers the requests; every method returns by itself before
+// its context ends or soon after.
+type Service interface {
+	// Submit takes a submission. spec is nil if it is malformed, and id then
+	// tells which job it may be a retry of.
+	Submit(ctx context.Context, id string, spec *core.JobSpec) Answer
+	Poll(ctx context.Context, id string) Answer
+	Cancel(ctx context.Context, id string) Answer
+	Report(ctx context.Context, r *core.Report) Answer
+	// Fresh is asked right before a worker's 200 is written.
+	Fresh() bool
+	Healthy() bool
+}
+
+// Users wait 5 s for a submission and 2 s for a poll, workers 4 s.
+const (
+	submitDeadline = 3 * time.Second
+	pollDeadline   = 1500 * time.Millisecond
+	beatDeadline   = 2 * time.Second
+)
+
+// Handler returns the HTTP handler for a service.
+func Handler(s Service) http.Handler {
+	h := &handler{s}
+	mux := http.NewServeMux()
+	mux.HandleFunc(wire.HealthPath, h.health)
+	mux.HandleFunc(wire.ReportPath, h.report)
+	mux.HandleFunc(wire.JobsPath, h.submit)
+	mux.HandleFunc(wire.JobsPath+"/", h.job)
+	return mux
+}
+
+type handler struct{ s Service }
+
+func (h *handler) health(w http.ResponseWriter, _ *http.Request) {
+	if h.s.Healthy() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// body reads a request's body; ok is false if it was too long or cut short,
+// and then the request has been answered.
+func body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+	if err == nil {
+		return b, true
+	}
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		w.WriteHeader(http.StatusBadRequest)
+	}
+	return nil, false
+}
+
+func (h *handler) submit(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	b, ok := body(w, r)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitDeadline)
+	defer cancel()
+	spec, err := wire.ParseSubmission(b)
+	if err == nil {
+		write(w, h.s.Submit(ctx, spec.ID, &spec))
+		return
+	}
+	id := wire.SubmissionID(b)
+	if id == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	write(w, h.s.Submit(ctx, id, nil))
+}
+
+func (h *handler) job(w http.ResponseWriter, r *http.Request) {
+	id, end, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, wire.JobsPath+"/"), "/")
+	switch {
+	case !wire.ValidID(id):
+		w.WriteHeader(http.StatusNotFound)
+	case end == "" && r.Method == http.MethodGet:
+		ctx, cancel := context.WithTimeout(r.Context(), pollDeadline)
+		defer cancel()
+		write(w, h.s.Poll(ctx, id))
+	case end == wire.CancelEnd && r.Method == http.MethodPost:
+		ctx, cancel := context.WithTimeout(r.Context(), submitDeadline)
+		defer cancel()
+		write(w, h.s.Cancel(ctx, id))
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (h *handler) report(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 16*wire.MaxBody))
+	if err != nil {
+		return
+	}
+	rep, err := wire.ParseReport(b)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), beatDeadline)
+	defer cancel()
+	a := h.s.Report(ctx, rep)
+	if a.Status == http.StatusOK && !h.s.Fresh() {
+		// The time between the decision and this line is the processor's to
+		// take: a leader whose lease is over must not answer.
+		a = Unavailable()
+	}
+	write(w, a)
+}
+
+func write(w http.ResponseWriter, a Answer) {
+	b := a.Raw
+	if b == nil && a.Body != nil {
+		var err error
+		if b, err = wire.Marshal(a.Body); err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+	}
+	if a.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((a.RetryAfter+time.Second-1)/time.Second)))
+	}
+	if b != nil {
+		w.Header().Set("Content-Type", "application/msgpack")
+		w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/internal/node/commit.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"errors"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/statestore"
+	"aspenstall/internal/wire"
+)
+
+// item is one change that succeeds or fails by itself, whatever it shares a
+// transaction with.
+type item struct {
+	conds []wire.Cond
+	ops   []wire.Write
+	size  int
+	done  func(revision uint64, err error)
+	alone bool // was in a transaction that failed: tried again by itself
+}
+
+// committer groups changes into transactions within the service's limits.
+// What users wait for goes concurrently and first; the leader's bookkeeping
+// goes in order, one transaction at a time.
+type committer struct {
+	n         *Node
+	urgent    []*item
+	later     []*item
+	urgentOut int
+	laterOut  bool
+}
+
+const (
+	maxUrgentOut = 4
+	maxQueued    = 1000
+	maxTxnBytes  = 40 << 10 // encoded; the limit of 64 KiB is counted as JSON
+)
+
+// add queues an item; false if the queue is full.
+func (c *committer) add(it *item, urgent bool) bool {
+	for i := range it.ops {
+		it.size += len(it.ops[i].Value)*3/2 + len(it.ops[i].Put) + len(it.ops[i].Delete) + 40
+	}
+	if urgent {
+		if len(c.urgent) >= maxQueued {
+			return false
+		}
+		c.urgent = append(c.urgent, it)
+	} else {
+		c.later = append(c.later, it)
+	}
+	c.pump()
+	return true
+}
+
+func (c *committer) pump() {
+	for c.urgentOut < maxUrgentOut && len(c.urgent) > 0 {
+		c.urgentOut++
+		c.send(c.batch(&c.urgent), func() { c.urgentOut-- })
+	}
+	if !c.laterOut && len(c.later) > 0 && len(c.urgent) == 0 {
+		c.laterOut = true
+		c.send(c.batch(&c.later), func() { c.laterOut = false })
+	}
+}
+
+// batch takes items that fit into one transaction.
+func (c *committer) batch(queue *[]*item) []*item {
+	limit := c.n.cfg.Params.State.TxnOps
+	var out []*item
+	ops, conds, size := 0, 0, 0
+	for len(*queue) > 0 {
+		it := (*queue)[0]
+		if len(out) > 0 && (it.alone || out[0].alone || ops+len(it.ops) > limit || conds+len(it.conds) > 4*limit || size+it.size > maxTxnBytes) {
+			break
+		}
+		out = append(out, it)
+		*queue = (*queue)[1:]
+		ops += len(it.ops)
+		conds += len(it.conds)
+		size += it.size
+	}
+	if len(*queue) == 0 {
+		*queue = nil
+	}
+	return out
+}
+
+func (c *committer) send(items []*item, finished func()) {
+	txn := &wire.Txn{If: []wire.Cond{}}
+	seen := map[wire.Cond]bool{}
+	for _, it := range items {
+		for _, cond := range it.conds {
+			if !seen[cond] {
+				seen[cond] = true
+				txn.If = append(txn.If, cond)
+			}
+		}
+		txn.Then = append(txn.Then, it.ops...)
+	}
+	go func() {
+		rev, err := c.n.store.Commit(c.n.ctx, txn)
+		c.n.post(func() {
+			finished()
+			if len(items) > 1 && (errors.Is(err, statestore.ErrConflict) || errors.Is(err, statestore.ErrInvalid)) {
+				// One of them is at fault: its neighbours are not to suffer.
+				for _, it := range items {
+					it.alone = true
+				}
+				c.urgent = append(append([]*item(nil), items...), c.urgent...)
+				c.pump()
+				return
+			}
+			for _, it := range items {
+				it.done(rev, err)
+			}
+			c.pump()
+		})
+	}()
+}
+
+// bookkeeping queues a write of the core's. All are conditional on the
+// leader's key, so that nothing of a term is executed after the next began.
+func (c *committer) bookkeeping(t *term, w core.Write) {
+	n := c.n
+	it := &item{conds: []wire.Cond{{Key: leaderKey, Version: t.stamp}}}
+	fail := func() { n.post(func() { n.ifTerm(t, func() { n.core.Written(n.now(), w.ID, false) }) }) }
+	for _, p := range w.Puts {
+		key := p.Key
+		if d, ok := p.Value.(core.JobDone); ok {
+			key = jobPrefix + d.Record.Spec.ID
+		}
+		b, err := wire.EncodeRecord(p.Value)
+		if err != nil {
+			n.log.Error("encode record", "err", err)
+			fail()
+			return
+		}
+		it.ops = append(it.ops, wire.Write{Put: key, Value: b})
+	}
+	for _, k := range w.Drops {
+		it.ops = append(it.ops, wire.Write{Delete: k})
+	}
+	// A job with many chunks has more keys to drop than fit: what is left over
+	// is dropped by a write of its own.
+	if limit := n.cfg.Params.State.TxnOps; len(it.ops) > limit {
+		rest := it.ops[limit:]
+		it.ops = it.ops[:limit:limit]
+		defer func() {
+			for len(rest) > 0 {
+				k := min(limit, len(rest))
+				c.add(&item{conds: it.conds[:1], ops: rest[:k], done: func(uint64, error) {}}, false)
+				rest = rest[k:]
+			}
+		}()
+	}
+	if w.IfJob != "" {
+		it.conds = append(it.conds, wire.Cond{Key: jobPrefix + w.IfJob, Version: w.IfStamp})
+	}
+	it.done = func(rev uint64, err error) {
+		if err != nil {
+			n.log.Debug("write failed", "err", err, "job", w.IfJob)
+		}
+		n.ifTerm(t, func() { n.core.Written(n.now(), w.ID, err == nil) })
+		if err == nil && w.IfJob != "" {
+			n.wroteFinal(w, rev)
+		}
+	}
+	if !c.add(it, w.Urgent) {
+		fail()
+	}
+}
+
+// wroteFinal notes the final record of a job, so that it can be told without
+// waiting for the watch.
+func (n *Node) wroteFinal(w core.Write, rev uint64) {
+	for _, p := range w.Puts {
+		if d, ok := p.Value.(core.JobDone); ok {
+			d.Record.Stamp = rev
+			n.learnJob(d.Record)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,213 @@
+// Package node is one controller: a goroutine that owns all state, and around
+// it the sockets, timers and clients that feed it and do what the core wants.
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"aspenstall/internal/cloud"
+	"aspenstall/internal/config"
+	"aspenstall/internal/core"
+	"aspenstall/internal/statestore"
+	"aspenstall/internal/wire"
+	"aspenstall/internal/worker"
+)
+
+// Keys that every node watches.
+const (
+	controlPrefix = "c/"
+	leaderKey     = "c/leader"
+	catalogKey    = "c/catalog"
+	jobPrefix     = "c/job/"
+)
+
+// Node is a controller. All fields below the line belong to the goroutine that
+// runs Run; others reach them by posting a function to it.
+type Node struct {
+	cfg      *config.Platform
+	settings config.Settings
+	log      *slog.Logger
+	store    *statestore.Client
+	cloud    *cloud.Client
+	workers  *worker.Client
+	started  time.Time
+	events   chan func()
+
+	actUntil atomic.Int64 // micros: this node leads and may act until then
+	serving  atomic.Bool  // the view is there and users can be answered
+
+	// ----
+	core   *core.Core
+	view   view
+	commit committer
+	term   *term
+	kick   chan struct{} // tells the elector that the view changed
+	ctx    context.Context
+
+	syncing bool
+	waiting []func(ok bool)
+
+	catalog []core.MachineType
+}
+
+// New returns a node that is not running yet.
+func New(p *config.Platform, s config.Settings, log *slog.Logger) *Node {
+	conns := max(p.Params.Limits.MaxConnections/20, 16)
+	n := &Node{
+		cfg: p, settings: s, log: log,
+		store:   statestore.New(p.Services.State, p.Params.State.RPS, p.Params.State.WriteRPS, min(conns, 16)),
+		cloud:   cloud.New(p.Services.Cloud, p.Params.Cloud.RPS),
+		workers: worker.New(max(p.Params.Limits.MaxConnections/4, 64)),
+		started: time.Now(),
+		events:  make(chan func(), 1024),
+		core:    core.New(config.Core(p, s)),
+		kick:    make(chan struct{}, 1),
+	}
+	n.view.jobs = map[string]core.JobRecord{}
+	n.commit.n = n
+	return n
+}
+
+// now reads the steady clock.
+func (n *Node) now() core.Micros { return core.Micros(time.Since(n.started) / time.Microsecond) }
+
+func wall() core.Micros { return core.Micros(time.Now().UnixMicro()) }
+
+// post runs f on the owning goroutine.
+func (n *Node) post(f func()) {
+	select {
+	case n.events <- f:
+	case <-n.ctx.Done():
+	}
+}
+
+// call runs f on the owning goroutine and waits for the answer that f, or
+// something f started, gives; zero is returned if ctx ends first.
+func call[T any](ctx context.Context, n *Node, f func(reply func(T))) (T, bool) {
+	out := make(chan T, 1)
+	var zero T
+	select {
+	case n.events <- func() {
+		f(func(v T) {
+			select {
+			case out <- v:
+			default:
+			}
+		})
+	}:
+	case <-ctx.Done():
+		return zero, false
+	}
+	select {
+	case v := <-out:
+		return v, true
+	case <-ctx.Done():
+		return zero, false
+	}
+}
+
+// Run runs the node until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	n.ctx = ctx
+	go n.watch(ctx)
+	go n.elect(ctx)
+	const step = 200 * time.Millisecond
+	timer := time.NewTimer(step)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-n.events:
+			f()
+			for i := 0; i < 256; i++ {
+				select {
+				case f := <-n.events:
+					f()
+					continue
+				default:
+				}
+				break
+			}
+		case <-timer.C:
+			timer.Reset(step)
+			n.commit.pump()
+		}
+		n.act()
+	}
+}
+
+// mayAct reports whether this node leads and its lease is certainly alive.
+func (n *Node) mayAct() bool { return n.now() < core.Micros(n.actUntil.Load()) }
+
+// act lets the core decide and carries out what it wants.
+func (n *Node) act() {
+	if n.term == nil || !n.mayAct() {
+		return
+	}
+	for _, a := range n.core.Step(n.now()) {
+		n.run(a)
+	}
+}
+
+func (n *Node) run(a core.Action) {
+	t := n.term
+	switch a := a.(type) {
+	case core.Note:
+		n.log.Info(a.Text, a.Args...)
+	case core.Write:
+		n.commit.bookkeeping(t, a)
+	case core.RaiseToken:
+		t.raise()
+	case core.SendCommands:
+		go func() {
+			if !n.mayAct() {
+				n.post(func() { n.ifTerm(t, func() { n.core.Commanded(n.now(), a.Machine, a.Token, core.NotSent, nil) }) })
+				return
+			}
+			o, r := n.workers.Send(n.ctx, a)
+			n.post(func() { n.ifTerm(t, func() { n.core.Commanded(n.now(), a.Machine, a.Token, o, r) }) })
+		}()
+	case core.Rent:
+		go n.rent(t, a)
+	case core.Return:
+		n.log.Info("returning machines", "machines", a.Machines, "reason", a.Reason)
+		go func() {
+			err := n.cloud.Return(n.ctx, a.Machines)
+			if err != nil {
+				n.log.Info("return failed", "machines", a.Machines, "err", err)
+			}
+			n.post(func() { n.ifTerm(t, func() { n.core.Returned(n.now(), a.Machines, err == nil) }) })
+		}()
+	}
+}
+
+// ifTerm runs f if the term is still the same one: results of an earlier term
+// mean nothing to a later one.
+func (n *Node) ifTerm(t *term, f func()) {
+	if n.term == t {
+		f()
+	}
+}
+
+func (n *Node) rent(t *term, a core.Rent) {
+	var names []string
+	outcome := core.RentUnknown
+	if n.mayAct() {
+		var err error
+		names, err = n.cloud.Rent(n.ctx, wire.RentRequest{Request: a.Request, Type: a.Type, Zone: a.Zone, Spot: a.Spot, Count: a.Count})
+		switch {
+		case err == nil:
+			outcome = core.RentGranted
+		case errors.Is(err, cloud.ErrNoCapacity):
+			outcome = core.RentRefused
+		default:
+			n.log.Info("rental failed", "request", a.Request, "err", err)
+		}
+	}
+	n.post(func() { n.ifTerm(t, func() { n.core.Rented(n.now(), a.Request, outcome, names) }) })
+}
--- /dev/null
+++ b/internal/node/service.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/httpapi"
+	"aspenstall/internal/statestore"
+	"aspenstall/internal/wire"
+)
+
+// answer runs f on the owning goroutine and waits for its answer; whoever
+// waits too long is told to come back.
+func (n *Node) answer(ctx context.Context, f func(reply func(httpapi.Answer))) httpapi.Answer {
+	a, ok := call(ctx, n, f)
+	if !ok {
+		return httpapi.Unavailable()
+	}
+	return a
+}
+
+// state is the answer for a job that is known.
+func (n *Node) state(rec core.JobRecord) httpapi.Answer {
+	s := wire.JobState{ID: rec.Spec.ID, State: wire.PhaseName(rec.Phase)}
+	switch rec.Phase {
+	case core.Done:
+		s.Done = rec.Spec.Tasks
+	case core.Pending:
+		done, running, _ := n.core.Counts(rec.Spec.ID)
+		s.Done, s.Running = done, running
+		if running > 0 {
+			s.State = wire.StateRunning
+		}
+	}
+	return httpapi.Answer{Status: http.StatusOK, Body: &s}
+}
+
+// lookup answers with the job's record, or calls unknown if it is certain that
+// there is none. A final state is told from memory; anything else only once
+// the view is known to be current, since another node may have told more.
+func (n *Node) lookup(id string, reply func(httpapi.Answer), unknown func()) {
+	if rec, ok := n.view.jobs[id]; ok && rec.Phase != core.Pending {
+		reply(n.state(rec))
+		return
+	}
+	n.whenFresh(func(ok bool) {
+		rec, known := n.view.jobs[id]
+		switch {
+		case known && rec.Phase != core.Pending:
+			reply(n.state(rec))
+		case !ok:
+			reply(httpapi.Unavailable())
+		case known:
+			reply(n.state(rec))
+		default:
+			unknown()
+		}
+	})
+}
+
+// Submit takes a submission.
+func (n *Node) Submit(ctx context.Context, id string, spec *core.JobSpec) httpapi.Answer {
+	return n.answer(ctx, func(reply func(httpapi.Answer)) {
+		refuse := func(status int) func() {
+			return func() { reply(httpapi.Answer{Status: status}) }
+		}
+		switch _, known := n.view.jobs[id]; {
+		case known:
+			n.lookup(id, reply, refuse(http.StatusServiceUnavailable))
+		case spec == nil:
+			n.lookup(id, reply, refuse(http.StatusBadRequest))
+		case !n.view.ready || len(n.catalog) == 0:
+			reply(httpapi.Unavailable())
+		case !n.canRun(spec):
+			n.lookup(id, reply, refuse(http.StatusUnprocessableEntity))
+		default:
+			n.create(spec, reply)
+		}
+	})
+}
+
+func (n *Node) create(spec *core.JobSpec, reply func(httpapi.Answer)) {
+	rec := core.JobRecord{Spec: *spec, Submitted: wall()}
+	b, err := wire.EncodeJob(&rec)
+	if err != nil {
+		n.log.Error("encode job", "err", err)
+		reply(httpapi.Answer{Status: http.StatusInternalServerError})
+		return
+	}
+	key := jobPrefix + spec.ID
+	it := &item{
+		conds: []wire.Cond{{Key: key}},
+		ops:   []wire.Write{{Put: key, Value: b}},
+		done: func(rev uint64, err error) {
+			switch {
+			case err == nil:
+				rec.Stamp = rev
+				n.learnJob(rec)
+				reply(httpapi.Answer{Status: http.StatusCreated, Body: &wire.Accepted{ID: spec.ID, State: wire.StatePending}})
+			case errors.Is(err, statestore.ErrConflict):
+				n.lookup(spec.ID, reply, func() { reply(httpapi.Unavailable()) })
+			case errors.Is(err, statestore.ErrInvalid):
+				n.log.Info("submission refused by the state service", "job", spec.ID, "err", err)
+				reply(httpapi.Answer{Status: http.StatusBadRequest})
+			default:
+				// Not executed, or not known: a retry finds out.
+				reply(httpapi.Unavailable())
+			}
+		},
+	}
+	if !n.commit.add(it, true) {
+		reply(httpapi.Unavailable())
+	}
+}
+
+// canRun reports whether a job could ever run here.
+func (n *Node) canRun(s *core.JobSpec) bool {
+	if len(n.cfg.Params.Teams) == 0 {
+		return false
+	}
+	team := -1
+	for i := range n.cfg.Params.Teams {
+		if n.cfg.Params.Teams[i].Name == s.Team {
+			team = i
+		}
+	}
+	if team < 0 {
+		return false
+	}
+	t := &n.cfg.Params.Teams[team]
+	all := s.Need
+	if s.Kind != core.Array {
+		all = s.Need.Times(s.Tasks)
+	}
+	if t.CPUsMax > 0 && float64(all.CPU) > t.CPUsMax*1000 || t.GPUsMax > 0 && float64(all.GPU) > t.GPUsMax*1000 {
+		return false
+	}
+	for i := range n.catalog {
+		if !s.Need.Fits(n.catalog[i].Cap) {
+			continue
+		}
+		if s.Types == nil {
+			return true
+		}
+		for _, name := range s.Types {
+			if name == n.catalog[i].Name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Poll answers a user's question about a job.
+func (n *Node) Poll(ctx context.Context, id string) httpapi.Answer {
+	return n.answer(ctx, func(reply func(httpapi.Answer)) {
+		n.lookup(id, reply, func() { reply(httpapi.Answer{Status: http.StatusNotFound}) })
+	})
+}
+
+// Cancel cancels a job unless it is done.
+func (n *Node) Cancel(ctx context.Context, id string) httpapi.Answer {
+	return n.answer(ctx, func(reply func(httpapi.Answer)) { n.cancel(id, 3, reply) })
+}
+
+func (n *Node) cancel(id string, tries int, reply func(httpapi.Answer)) {
+	rec, ok := n.view.jobs[id]
+	if !ok {
+		n.lookup(id, func(httpapi.Answer) { n.cancelKnown(id, tries, reply) }, func() {
+			reply(httpapi.Answer{Status: http.StatusNotFound})
+		})
+		return
+	}
+	if rec.Phase != core.Pending {
+		reply(n.state(rec))
+		return
+	}
+	n.cancelKnown(id, tries, reply)
+}
+
+func (n *Node) cancelKnown(id string, tries int, reply func(httpapi.Answer)) {
+	rec, ok := n.view.jobs[id]
+	if !ok {
+		reply(httpapi.Unavailable())
+		return
+	}
+	if rec.Phase != core.Pending {
+		reply(n.state(rec))
+		return
+	}
+	stamp := rec.Stamp
+	rec.Phase = core.Cancelled
+	b, err := wire.EncodeJob(&rec)
+	if err != nil {
+		n.log.Error("encode job", "err", err)
+		reply(httpapi.Answer{Status: http.StatusInternalServerError})
+		return
+	}
+	key := jobPrefix + id
+	it := &item{
+		conds: []wire.Cond{{Key: key, Version: stamp}},
+		ops:   []wire.Write{{Put: key, Value: b}},
+		done: func(rev uint64, err error) {
+			switch {
+			case err == nil:
+				rec.Stamp = rev
+				n.learnJob(rec)
+				reply(n.state(rec))
+			case errors.Is(err, statestore.ErrConflict) && tries > 0:
+				// Done, or cancelled through another node: read what it is now.
+				n.whenFresh(func(ok bool) {
+					if !ok {
+						reply(httpapi.Unavailable())
+						return
+					}
+					n.cancel(id, tries-1, reply)
+				})
+			default:
+				reply(httpapi.Unavailable())
+			}
+		},
+	}
+	if !n.commit.add(it, true) {
+		reply(httpapi.Unavailable())
+	}
+}
+
+// Report answers a worker.
+func (n *Node) Report(ctx context.Context, r *core.Report) httpapi.Answer {
+	return n.answer(ctx, func(reply func(httpapi.Answer)) {
+		if n.term == nil || !n.mayAct() {
+			if n.view.leader == "" || n.view.leader == n.cfg.Member {
+				reply(httpapi.Unavailable())
+				return
+			}
+			reply(httpapi.Answer{Status: http.StatusMisdirectedRequest, Body: &wire.Redirect{Node: n.view.leader}})
+			return
+		}
+		cmds, token, ok := n.core.Beat(n.now(), r)
+		if !ok {
+			reply(httpapi.Unavailable())
+			return
+		}
+		b, err := wire.Commands(token, 0, cmds)
+		if err != nil {
+			n.log.Error("encode commands", "err", err)
+			reply(httpapi.Unavailable())
+			return
+		}
+		reply(httpapi.Answer{Status: http.StatusOK, Raw: b})
+	})
+}
+
+// Fresh reports whether this node may still act as leader.
+func (n *Node) Fresh() bool { return n.mayAct() }
+
+// Healthy reports whether this node can take requests.
+func (n *Node) Healthy() bool { return n.serving.Load() }
--- /dev/null
+++ b/internal/node/view.go
@@ -0,0 +1,206 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/statestore"
+	"aspenstall/internal/wire"
+)
+
+// view is what this node knows of the records that every node watches.
+type view struct {
+	ready    bool
+	revision uint64 // every change up to here is in
+	jobs     map[string]core.JobRecord
+
+	leader      string // member name; "" for none
+	leaderStamp uint64
+	catalogSeen uint64
+}
+
+// watch keeps the view up to date.
+func (n *Node) watch(ctx context.Context) {
+	const wait = 10 * time.Second
+	pause := 100 * time.Millisecond
+	relist := true
+	var since uint64
+	for ctx.Err() == nil {
+		var err error
+		if relist {
+			var entries []wire.Entry
+			var rev uint64
+			entries, rev, err = n.store.List(ctx, controlPrefix)
+			if err == nil {
+				n.post(func() { n.applyList(entries, rev) })
+				since, relist = rev, false
+			}
+		} else {
+			var ch *wire.Changes
+			ch, err = n.store.Changes(ctx, controlPrefix, since, wait)
+			if err == nil {
+				n.post(func() { n.apply(ch) })
+				since = ch.Revision
+			}
+			relist = errors.Is(err, statestore.ErrTooOld)
+		}
+		if err == nil {
+			pause = 100 * time.Millisecond
+			continue
+		}
+		n.log.Debug("watch", "err", err)
+		sleep(ctx, pause)
+		pause = min(2*pause, time.Second)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// applyList takes over a whole list. Jobs are never deleted, and the leader's
+// key may have been: its absence in the list counts.
+func (n *Node) applyList(entries []wire.Entry, rev uint64) {
+	leader := false
+	for i := range entries {
+		e := &entries[i]
+		leader = leader || e.Key == leaderKey
+		n.applyPut(e.Key, e.Value, e.Version)
+	}
+	if !leader && n.view.leaderStamp < rev {
+		n.setLeader("", rev)
+	}
+	n.view.revision = max(n.view.revision, rev)
+	n.view.ready = true
+	n.serving.Store(true)
+	n.wakeElector()
+}
+
+func (n *Node) apply(ch *wire.Changes) {
+	for i := range ch.Events {
+		e := &ch.Events[i]
+		if e.Put != "" {
+			n.applyPut(e.Put, e.Value, e.Version)
+		} else if e.Delete == leaderKey && e.Version > n.view.leaderStamp {
+			n.setLeader("", e.Version)
+		}
+	}
+	n.view.revision = max(n.view.revision, ch.Revision)
+}
+
+// applyPut takes over one record unless a newer one is known: two reads may
+// overlap and come in either order.
+func (n *Node) applyPut(key string, value []byte, stamp uint64) {
+	switch {
+	case key == leaderKey:
+		if stamp < n.view.leaderStamp {
+			return
+		}
+		var l wire.Leader
+		if err := wire.Unmarshal(value, &l); err != nil {
+			n.log.Error("leader record", "err", err)
+			return
+		}
+		n.setLeader(l.Node, stamp)
+	case key == catalogKey:
+		if stamp > n.view.catalogSeen {
+			n.view.catalogSeen = stamp
+			var rec wire.CatalogRecord
+			if err := wire.Unmarshal(value, &rec); err == nil && n.catalog == nil {
+				n.setCatalog(rec.Raw)
+			}
+		}
+	case strings.HasPrefix(key, jobPrefix):
+		id := key[len(jobPrefix):]
+		if old, ok := n.view.jobs[id]; ok && old.Stamp >= stamp {
+			return
+		}
+		rec, err := wire.DecodeJob(id, value, stamp)
+		if err != nil {
+			n.log.Error("job record", "err", err)
+			return
+		}
+		n.learnJob(rec)
+	}
+}
+
+// learnJob notes a job's record, read or written by this node.
+func (n *Node) learnJob(rec core.JobRecord) {
+	id := rec.Spec.ID
+	if old, ok := n.view.jobs[id]; ok && old.Stamp >= rec.Stamp {
+		return
+	}
+	n.core.Job(n.now(), wall(), rec)
+	n.view.jobs[id] = rec
+}
+
+func (n *Node) setLeader(name string, stamp uint64) {
+	if name != n.view.leader {
+		n.log.Info("leader", "node", name, "revision", stamp)
+	}
+	n.view.leader, n.view.leaderStamp = name, stamp
+	if t := n.term; t != nil && name == n.cfg.Member && stamp > t.stamp {
+		// A rewrite of our own whose answer was lost.
+		t.raised(stamp)
+	}
+	n.wakeElector()
+}
+
+func (n *Node) wakeElector() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
+// whenFresh calls f once the view is known to hold every change made before
+// this call, or with false if that could not be found out. One read of the
+// changes, begun after the call, serves everybody who waits at that moment. A
+// long watch would prove nothing: it is silent while other keys change.
+func (n *Node) whenFresh(f func(ok bool)) {
+	if len(n.waiting) >= 2000 {
+		f(false)
+		return
+	}
+	n.waiting = append(n.waiting, f)
+	n.sync()
+}
+
+func (n *Node) sync() {
+	if n.syncing || len(n.waiting) == 0 {
+		return
+	}
+	waiting := n.waiting
+	n.waiting = nil
+	if !n.view.ready {
+		for _, f := range waiting {
+			f(false)
+		}
+		return
+	}
+	n.syncing = true
+	since := n.view.revision
+	go func() {
+		ch, err := n.store.Changes(n.ctx, controlPrefix, since, 0)
+		n.post(func() {
+			n.syncing = false
+			if err == nil {
+				n.apply(ch)
+			} else {
+				n.log.Debug("sync", "err", err)
+			}
+			for _, f := range waiting {
+				f(err == nil)
+			}
+			n.sync()
+		})
+	}()
+}
--- /dev/null
+++ b/internal/statestore/statestore.go
@@ -0,0 +1,191 @@
+// Package statestore is the client of the state service.
+package statestore
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"aspenstall/internal/wire"
+)
+
+// Errors that callers tell apart. Any other error means that there was no
+// answer: the request may have been executed, or may be later.
+var (
+	// ErrConflict: a condition of a transaction did not hold.
+	ErrConflict = errors.New("condition failed")
+	// ErrNotExecuted: the service refused, for load or an outage.
+	ErrNotExecuted = errors.New("state service refused")
+	// ErrNotFound: no such key or lease.
+	ErrNotFound = errors.New("not found")
+	// ErrTooOld: the watch asks for changes that are no longer kept.
+	ErrTooOld = errors.New("revision too old")
+	// ErrInvalid: the service found the request malformed.
+	ErrInvalid = errors.New("malformed request")
+)
+
+// Deadlines: an answer usually takes less than 10 ms, sometimes a few hundred.
+const (
+	requestTimeout = 1500 * time.Millisecond
+	pageSize       = 500
+	maxAnswer      = 64 << 20
+)
+
+// Client talks to the state service.
+type Client struct {
+	base   string
+	http   *http.Client
+	reads  *rate.Limiter
+	writes *rate.Limiter
+}
+
+// New returns a client for the service at addr that keeps to a share of its
+// rates: the other nodes need theirs.
+func New(addr string, rps, writeRPS float64, conns int) *Client {
+	const share = 0.7
+	lim := func(r float64) *rate.Limiter {
+		if r <= 0 {
+			return rate.NewLimiter(rate.Inf, 1)
+		}
+		return rate.NewLimiter(rate.Limit(r*share), max(int(r*share), 12))
+	}
+	d := &net.Dialer{Timeout: time.Second}
+	return &Client{
+		base: "http://" + addr,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: d.DialContext, MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns,
+			IdleConnTimeout: 90 * time.Second, DisableCompression: true,
+		}},
+		reads: lim(rps), writes: lim(writeRPS),
+	}
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in, out any, writes int, timeout time.Duration) error {
+	// A request over the budget is not sent: waiting here would hide it from
+	// the caller, who can put it off or answer its user.
+	now := time.Now()
+	if writes > 0 && !c.writes.AllowN(now, writes) || !c.reads.AllowN(now, 1) {
+		return fmt.Errorf("own rate budget: %w", ErrNotExecuted)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		b, err := wire.Marshal(in)
+		if err != nil {
+			return errors.Join(ErrInvalid, err)
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return errors.Join(ErrInvalid, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		if out == nil {
+			return nil
+		}
+		return wire.Unmarshal(b, out)
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusGone:
+		return ErrTooOld
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fmt.Errorf("status %d: %w", resp.StatusCode, ErrNotExecuted)
+	case http.StatusBadRequest:
+		var r wire.TxnResult
+		_ = wire.Unmarshal(b, &r)
+		return fmt.Errorf("%s: %w", r.Error, ErrInvalid)
+	}
+	return fmt.Errorf("%s %s: status %d", method, path, resp.StatusCode)
+}
+
+// List reads all keys with the prefix, and the revision of the first page:
+// every later change is found by a watch from there.
+func (c *Client) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
+	var all []wire.Entry
+	var revision uint64
+	for since, first := "", true; ; first = false {
+		q := "?starts=" + url.QueryEscape(prefix) + "&limit=" + strconv.Itoa(pageSize)
+		if since != "" {
+			q += "&since=" + url.QueryEscape(since)
+		}
+		var page wire.Entries
+		if err := c.do(ctx, http.MethodGet, wire.KeysPath+q, nil, &page, 0, 2*requestTimeout); err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+		}
+		if first {
+			revision = page.Revision
+		}
+		all = append(all, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return all, revision, nil
+		}
+		since = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Get reads one key.
+func (c *Client) Get(ctx context.Context, key string) (*wire.Entry, error) {
+	var e wire.Entry
+	if err := c.do(ctx, http.MethodGet, wire.KeysPath+"/"+key, nil, &e, 0, requestTimeout); err != nil {
+		return nil, fmt.Errorf("get %s: %w", key, err)
+	}
+	return &e, nil
+}
+
+// Commit runs a transaction and returns its revision.
+func (c *Client) Commit(ctx context.Context, t *wire.Txn) (uint64, error) {
+	var r wire.TxnResult
+	err := c.do(ctx, http.MethodPost, wire.CommitPath, t, &r, len(t.Then), requestTimeout)
+	return r.Revision, err
+}
+
+// Grant obtains a lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var l wire.Lease
+	err := c.do(ctx, http.MethodPost, wire.LeasesPath, &wire.LeaseRequest{TTL: ttl.Milliseconds()}, &l, 0, requestTimeout)
+	return l.ID, err
+}
+
+// Renew renews a lease; ErrNotFound means that it is over.
+func (c *Client) Renew(ctx context.Context, id uint64) error {
+	return c.do(ctx, http.MethodPost, fmt.Sprintf("%s/%d/%s", wire.LeasesPath, id, wire.RenewEnd), nil, nil, 0, requestTimeout)
+}
+
+// Revoke ends a lease and removes its keys.
+func (c *Client) Revoke(ctx context.Context, id uint64) error {
+	return c.do(ctx, http.MethodDelete, fmt.Sprintf("%s/%d", wire.LeasesPath, id), nil, nil, 0, requestTimeout)
+}
+
+// Changes returns what changed under the prefix after the revision, waiting
+// up to wait for a change.
+func (c *Client) Changes(ctx context.Context, prefix string, since uint64, wait time.Duration) (*wire.Changes, error) {
+	var r wire.Changes
+	path := fmt.Sprintf("%s?starts=%s&since=%d&wait_ms=%d", wire.ChangesPath, url.QueryEscape(prefix), since, wait.Milliseconds())
+	if err := c.do(ctx, http.MethodGet, path, nil, &r, 0, wait+requestTimeout); err != nil {
+		return nil, err
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/internal/wire/records.go
@@ -0,0 +1,144 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"aspenstall/internal/core"
+)
+
+// Our own records in the state service. Fields have short names: a record is
+// written for every job.
+
+type jobRecord struct {
+	Phase     uint8    `msgpack:"p"`
+	Submitted int64    `msgpack:"at"`
+	Class     string   `msgpack:"cl,omitempty"`
+	Team      string   `msgpack:"te,omitempty"`
+	Kind      uint8    `msgpack:"k,omitempty"`
+	Priority  uint8    `msgpack:"pr,omitempty"`
+	Tasks     int      `msgpack:"n"`
+	CPU       int64    `msgpack:"c,omitempty"`
+	GPU       int64    `msgpack:"g,omitempty"`
+	Mem       int64    `msgpack:"m,omitempty"`
+	Types     []string `msgpack:"ty"`
+	Zone      string   `msgpack:"z,omitempty"`
+	OneZone   bool     `msgpack:"oz,omitempty"`
+	Spread    bool     `msgpack:"sd,omitempty"`
+	Spot      bool     `msgpack:"sp,omitempty"`
+	Image     string   `msgpack:"im,omitempty"`
+	ImageMB   int64    `msgpack:"mb,omitempty"`
+	Estimate  int64    `msgpack:"es,omitempty"`
+	Check     int64    `msgpack:"ck,omitempty"`
+	SaveCost  int64    `msgpack:"sc,omitempty"`
+	Due       int64    `msgpack:"du,omitempty"`
+}
+
+// EncodeJob encodes a job record.
+func EncodeJob(r *core.JobRecord) ([]byte, error) {
+	s := &r.Spec
+	w := jobRecord{
+		Phase: uint8(r.Phase), Submitted: int64(r.Submitted), Class: s.Class, Team: s.Team,
+		Kind: uint8(s.Kind), Priority: uint8(s.Priority), Tasks: s.Tasks,
+		CPU: s.Need.CPU, GPU: s.Need.GPU, Mem: s.Need.Mem, Types: s.Types, Zone: s.Zone,
+		OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, Image: s.Image, ImageMB: s.ImageMB,
+		Estimate: int64(s.Estimate), Check: int64(s.Checkpoint), SaveCost: int64(s.SaveCost), Due: int64(s.Due),
+	}
+	return Marshal(&w)
+}
+
+// DecodeJob decodes the record of the job with the given id.
+func DecodeJob(id string, b []byte, stamp uint64) (core.JobRecord, error) {
+	var w jobRecord
+	if err := Unmarshal(b, &w); err != nil {
+		return core.JobRecord{}, fmt.Errorf("job %s: %w", id, err)
+	}
+	return core.JobRecord{
+		Phase: core.Phase(w.Phase), Submitted: core.Micros(w.Submitted), Stamp: stamp,
+		Spec: core.JobSpec{
+			ID: id, Class: w.Class, Team: w.Team, Kind: core.Kind(w.Kind), Priority: core.Priority(w.Priority),
+			Tasks: w.Tasks, Need: core.Res{CPU: w.CPU, GPU: w.GPU, Mem: w.Mem}, Types: w.Types, Zone: w.Zone,
+			OneZone: w.OneZone, Spread: w.Spread, Spot: w.Spot, Image: w.Image, ImageMB: w.ImageMB,
+			Estimate: core.Micros(w.Estimate), Checkpoint: core.Micros(w.Check), SaveCost: core.Micros(w.SaveCost), Due: core.Micros(w.Due),
+		},
+	}, nil
+}
+
+type machineRecord struct {
+	Name    string `msgpack:"name"`
+	Address string `msgpack:"addr"`
+	Type    string `msgpack:"type"`
+	Zone    string `msgpack:"zone"`
+	Spot    bool   `msgpack:"spot"`
+	Session uint64 `msgpack:"session"`
+}
+
+type rentRecord struct {
+	Request  string   `msgpack:"req"`
+	Type     string   `msgpack:"type"`
+	Zone     string   `msgpack:"zone"`
+	Spot     bool     `msgpack:"spot"`
+	Count    int      `msgpack:"count"`
+	Machines []string `msgpack:"names"`
+}
+
+type rangeRecord struct {
+	Job    string `msgpack:"job"`
+	Chunk  int    `msgpack:"chunk"`
+	Ranges []int  `msgpack:"r"`
+}
+
+type openRecord struct {
+	Job string `msgpack:"job"`
+}
+
+// Leader is the leader's record.
+type Leader struct {
+	Node string `msgpack:"node"`
+	Nth  uint64 `msgpack:"nth"` // raised tokens, so that a rewrite differs
+}
+
+// EncodeRecord encodes one of the core's records.
+func EncodeRecord(v any) ([]byte, error) {
+	switch r := v.(type) {
+	case core.MachineRecord:
+		return Marshal((*machineRecord)(&r))
+	case core.RentRecord:
+		return Marshal((*rentRecord)(&r))
+	case core.RangeRecord:
+		return Marshal((*rangeRecord)(&r))
+	case core.OpenRecord:
+		return Marshal((*openRecord)(&r))
+	case core.JobDone:
+		return EncodeJob(&r.Record)
+	}
+	return nil, fmt.Errorf("no encoding for %T", v)
+}
+
+// DecodeMachine decodes a machine's record.
+func DecodeMachine(b []byte) (core.MachineRecord, error) {
+	var w machineRecord
+	err := Unmarshal(b, &w)
+	return core.MachineRecord(w), err
+}
+
+// DecodeRent decodes a rental's record.
+func DecodeRent(b []byte) (core.RentRecord, error) {
+	var w rentRecord
+	err := Unmarshal(b, &w)
+	return core.RentRecord(w), err
+}
+
+// DecodeRanges decodes a record of finished tasks.
+func DecodeRanges(b []byte) (core.RangeRecord, error) {
+	var w rangeRecord
+	err := Unmarshal(b, &w)
+	return core.RangeRecord(w), err
+}
+
+// CatalogRecord is the catalog as kept for nodes that cannot ask the cloud: it
+// is the cloud's own answer.
+type CatalogRecord struct {
+	Raw msgpack.RawMessage `msgpack:"raw"`
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,341 @@
+// Package wire holds the published field names and their MessagePack form.
+// Nothing outside it knows them; the rest of the program speaks of jobs, teams,
+// tasks, machines, attempts and leases.
+package wire
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"aspenstall/internal/core"
+)
+
+// Paths of the interfaces.
+const (
+	JobsPath          = "/v2/runs"
+	CancelEnd         = "withdraw"
+	HealthPath        = "/up"
+	ReportPath        = "/agent/beat"
+	CommandsPath      = "/do"
+	StatusPath        = "/inspect"
+	CatalogPath       = "/catalog"
+	MachinesPath      = "/machines"
+	MachineReturnPath = "/machines/return"
+	KeysPath          = "/keys"
+	CommitPath        = "/commit"
+	LeasesPath        = "/leases"
+	RenewEnd          = "renew"
+	ChangesPath       = "/changes"
+)
+
+// MaxBody is the largest body that users and workers send or take.
+const MaxBody = 64 << 10
+
+// Marshal encodes a body. Integers take their shortest form.
+func Marshal(v any) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(e)
+	e.Reset(&b)
+	e.UseCompactInts(true)
+	if err := e.Encode(v); err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// Unmarshal decodes a body.
+func Unmarshal(b []byte, v any) error {
+	if err := msgpack.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	return nil
+}
+
+// JobState answers users.
+type JobState struct {
+	ID      string `msgpack:"uid"`
+	State   string `msgpack:"phase"`
+	Done    int    `msgpack:"done"`
+	Running int    `msgpack:"running"`
+}
+
+// Accepted answers a submission or a cancellation.
+type Accepted struct {
+	ID    string `msgpack:"uid"`
+	State string `msgpack:"phase"`
+}
+
+// States of a job as users are told.
+const (
+	StatePending   = "pending"
+	StateRunning   = "running"
+	StateDone      = "done"
+	StateCancelled = "aborted"
+)
+
+// PhaseName is the word for a phase that is kept.
+func PhaseName(p core.Phase) string {
+	return [...]string{StatePending, StateDone, StateCancelled}[p]
+}
+
+type taskReport struct {
+	Task    string `msgpack:"lot"`
+	Attempt uint64 `msgpack:"try"`
+	State   string `msgpack:"phase"`
+	Why     string `msgpack:"cause"`
+	Saved   bool   `msgpack:"kept"`
+}
+
+type report struct {
+	Machine string       `msgpack:"stall"`
+	Address string       `msgpack:"address"`
+	Type    string       `msgpack:"breed"`
+	Zone    string       `msgpack:"paddock"`
+	Spot    bool         `msgpack:"loaners"`
+	Session uint64       `msgpack:"tenure"`
+	Seq     uint64       `msgpack:"tick"`
+	Token   uint64       `msgpack:"epoch"`
+	Notice  *float64     `msgpack:"recall_s"`
+	Tasks   []taskReport `msgpack:"lots"`
+}
+
+type command struct {
+	Op      string   `msgpack:"verb"`
+	Task    string   `msgpack:"lot"`
+	Attempt uint64   `msgpack:"try"`
+	Grace   *float64 `msgpack:"wind_down_s,omitempty"`
+}
+
+type commands struct {
+	Token    uint64    `msgpack:"epoch"`
+	Session  uint64    `msgpack:"tenure,omitempty"`
+	Commands []command `msgpack:"orders"`
+}
+
+// Redirect tells a worker which node to report to.
+type Redirect struct {
+	Node string `msgpack:"foreman,omitempty"`
+}
+
+var taskStates = map[string]core.TaskState{
+	"fetching": core.Fetching, "gathering": core.Waiting, "running": core.Running,
+	"flushing": core.Saving, "exited": core.Exited,
+}
+
+var causes = map[string]core.Cause{
+	"done": core.CauseDone, "halted": core.CauseStopped, "mates_gone": core.CausePeers,
+	"alone": core.CauseAlone, "error": core.CauseError, "no_room": core.CauseNoRoom,
+	"in_use": core.CauseBusy, "no_such": core.CauseUnknown,
+}
+
+var ops = [...]string{core.Start: "start", core.Stop: "halt", core.Forget: "reap"}
+
+// TaskName is a task's published name.
+func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
+func parseTask(s string) (string, int, error) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return "", 0, fmt.Errorf("task name %q", s)
+	}
+	n, err := strconv.Atoi(s[i+1:])
+	if err != nil || n < 0 {
+		return "", 0, fmt.Errorf("task name %q", s)
+	}
+	return s[:i], n, nil
+}
+
+// ParseReport reads a worker's report.
+func ParseReport(b []byte) (*core.Report, error) {
+	var w report
+	if err := Unmarshal(b, &w); err != nil {
+		return nil, err
+	}
+	if w.Machine == "" || w.Session == 0 {
+		return nil, fmt.Errorf("report without machine or session")
+	}
+	r := &core.Report{
+		Machine: w.Machine, Address: w.Address, Type: w.Type, Zone: w.Zone, Spot: w.Spot,
+		Session: w.Session, Seq: w.Seq, Token: w.Token, Notice: -1,
+		Tasks: make([]core.TaskReport, 0, len(w.Tasks)),
+	}
+	if w.Notice != nil {
+		r.Notice = core.Seconds(max(*w.Notice, 0))
+	}
+	for _, t := range w.Tasks {
+		job, index, err := parseTask(t.Task)
+		if err != nil {
+			return nil, err
+		}
+		state, ok := taskStates[t.State]
+		if !ok {
+			return nil, fmt.Errorf("task %s: unknown state %q", t.Task, t.State)
+		}
+		cause, ok := causes[t.Why]
+		if !ok {
+			cause = core.CauseError
+		}
+		r.Tasks = append(r.Tasks, core.TaskReport{Job: job, Index: index, Attempt: t.Attempt, State: state, Cause: cause, Saved: t.Saved})
+	}
+	return r, nil
+}
+
+// Commands encodes commands for a worker; session is 0 in the answer to a report.
+func Commands(token, session uint64, cmds []core.Command) ([]byte, error) {
+	w := commands{Token: token, Session: session, Commands: make([]command, len(cmds))}
+	for i, c := range cmds {
+		w.Commands[i] = command{Op: ops[c.Op], Task: TaskName(c.Job, c.Index), Attempt: c.Attempt}
+		if c.Op == core.Stop {
+			g := float64(c.Grace) / 1e6
+			w.Commands[i].Grace = &g
+		}
+	}
+	return Marshal(&w)
+}
+
+type machineType struct {
+	Name      string   `msgpack:"label"`
+	CPUs      float64  `msgpack:"cores"`
+	GPUs      float64  `msgpack:"gpus"`
+	MemGB     float64  `msgpack:"ram_gb"`
+	CacheGB   float64  `msgpack:"local_gb"`
+	FetchGBps float64  `msgpack:"fetch_gb_per_s"`
+	Price     float64  `msgpack:"rate"`
+	SpotPrice float64  `msgpack:"low_price"`
+	BootS     float64  `msgpack:"ready_s"`
+	Zones     []string `msgpack:"paddocks"`
+}
+
+// ParseCatalog reads the cloud's machine types.
+func ParseCatalog(b []byte) ([]core.MachineType, error) {
+	var w struct {
+		Types []machineType `msgpack:"breeds"`
+	}
+	if err := Unmarshal(b, &w); err != nil {
+		return nil, err
+	}
+	out := make([]core.MachineType, 0, len(w.Types))
+	for _, t := range w.Types {
+		out = append(out, core.MachineType{
+			Name: t.Name, Cap: core.Res{CPU: floor(t.CPUs), GPU: floor(t.GPUs), Mem: floor(t.MemGB)},
+			CacheMB: floor(t.CacheGB), FetchMBps: floor(t.FetchGBps),
+			Price: t.Price, SpotPrice: t.SpotPrice, Boot: core.Seconds(t.BootS), Zones: t.Zones,
+		})
+	}
+	return out, nil
+}
+
+// RentRequest asks the cloud for machines.
+type RentRequest struct {
+	Request string `msgpack:"hire"`
+	Type    string `msgpack:"breed"`
+	Zone    string `msgpack:"paddock"`
+	Spot    bool   `msgpack:"loaners"`
+	Count   int    `msgpack:"count"`
+}
+
+// MachineNames answers a rental, or asks for a return.
+type MachineNames struct {
+	Machines []string `msgpack:"stalls"`
+}
+
+type listedMachine struct {
+	ID      string  `msgpack:"uid"`
+	Address string  `msgpack:"address"`
+	Type    string  `msgpack:"breed"`
+	Zone    string  `msgpack:"paddock"`
+	Spot    bool    `msgpack:"loaners"`
+	State   string  `msgpack:"phase"`
+	AgeS    float64 `msgpack:"age_s"`
+}
+
+// ParseMachines reads a page of the cloud's machine list.
+func ParseMachines(b []byte) (list []core.Listed, more bool, err error) {
+	var w struct {
+		Machines []listedMachine `msgpack:"stalls"`
+		More     bool            `msgpack:"more"`
+	}
+	if err := Unmarshal(b, &w); err != nil {
+		return nil, false, err
+	}
+	for _, m := range w.Machines {
+		list = append(list, core.Listed{
+			Name: m.ID, Address: m.Address, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			Booting: m.State == "booting", Failed: m.State == "failed", Age: core.Seconds(m.AgeS),
+		})
+	}
+	return list, w.More, nil
+}
+
+// State service messages. Values stay encoded until somebody needs them.
+
+// Entry is a key with its value.
+type Entry struct {
+	Key     string             `msgpack:"path"`
+	Value   msgpack.RawMessage `msgpack:"value"`
+	Version uint64             `msgpack:"stamp"`
+	Lease   uint64             `msgpack:"tether"`
+}
+
+// Entries is a page of keys.
+type Entries struct {
+	Items    []Entry `msgpack:"entries"`
+	More     bool    `msgpack:"more"`
+	Revision uint64  `msgpack:"ledger"`
+}
+
+// Change is an event of a watch: a write, or a deletion.
+type Change struct {
+	Put     string             `msgpack:"write"`
+	Delete  string             `msgpack:"drop"`
+	Value   msgpack.RawMessage `msgpack:"value"`
+	Version uint64             `msgpack:"stamp"`
+}
+
+// Changes is the answer to a watch.
+type Changes struct {
+	Revision uint64   `msgpack:"ledger"`
+	Events   []Change `msgpack:"news"`
+}
+
+// Cond is a condition of a transaction: the key has this version, 0 for none.
+type Cond struct {
+	Key     string `msgpack:"path"`
+	Version uint64 `msgpack:"stamp"`
+}
+
+// Write is a put or a delete.
+type Write struct {
+	Put    string             `msgpack:"write,omitempty"`
+	Delete string             `msgpack:"drop,omitempty"`
+	Value  msgpack.RawMessage `msgpack:"value,omitempty"`
+	Lease  uint64             `msgpack:"tether,omitempty"`
+}
+
+// Txn is a transaction.
+type Txn struct {
+	If   []Cond  `msgpack:"if"`
+	Then []Write `msgpack:"writes"`
+}
+
+// TxnResult is its answer.
+type TxnResult struct {
+	Revision uint64   `msgpack:"ledger"`
+	Failed   []string `msgpack:"failed"`
+	Error    string   `msgpack:"error"`
+}
+
+// LeaseRequest asks for a lease.
+type LeaseRequest struct {
+	TTL int64 `msgpack:"ttl_ms"`
+}
+
+// Lease is the answer.
+type Lease struct {
+	ID uint64 `msgpack:"tether"`
+}
--- /dev/null
+++ b/internal/worker/worker.go
@@ -0,0 +1,75 @@
+// Package worker sends commands straight to workers.
+package worker
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/wire"
+)
+
+const (
+	dialTimeout    = time.Second
+	requestTimeout = 2 * time.Second
+	maxAnswer      = 4 << 20
+)
+
+// Client sends commands to workers.
+type Client struct{ http *http.Client }
+
+// New returns a client that keeps at most conns connections, idle ones included.
+func New(conns int) *Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &Client{http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
+		DialContext: d.DialContext, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: conns,
+		IdleConnTimeout: 60 * time.Second, DisableCompression: true,
+	}}}
+}
+
+// Send sends commands. The report is the worker's after them, and nil without
+// an answer.
+func (c *Client) Send(ctx context.Context, s core.SendCommands) (core.Outcome, *core.Report) {
+	b, err := wire.Commands(s.Token, s.Session, s.Commands)
+	if err != nil {
+		return core.NotSent, nil
+	}
+	// The transport sends a POST a second time only where nothing of the first
+	// was written, so an error after that means "possibly executed".
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address+wire.CommandsPath, bytes.NewReader(b))
+	if err != nil {
+		return core.NotSent, nil
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return core.NotSent, nil
+		}
+		return core.Unanswered, nil
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return core.Unanswered, nil
+	}
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusConflict:
+		r, err := wire.ParseReport(body)
+		if err != nil {
+			return core.Unanswered, nil
+		}
+		if resp.StatusCode == http.StatusOK {
+			return core.Executed, r
+		}
+		return core.Refused, r
+	case http.StatusBadRequest:
+		return core.NotSent, nil
+	}
+	return core.Unanswered, nil
+}
