--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -144,7 +144,7 @@
 
 func (n *Node) setLeader(name string, stamp uint64) {
 	if name != n.view.leader {
-		n.log.Info("leader", "node", name, "revision", stamp)
+		n.log.Info("leader", "leader", name, "revision", stamp)
 	}
 	n.view.leader, n.view.leaderStamp = name, stamp
 	if t := n.term; t != nil && name == n.cfg.Member && stamp > t.stamp {
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Format, vet, build as deployed, test.
+set -euo pipefail
+unformatted=$(gofmt -l cmd internal)
+if [ -n "$unformatted" ]; then
+  echo "not formatted: $unformatted" >&2
+  exit 1
+fi
+go vet ./...
+build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/service.toml)
+[ -n "$build" ]
+bash -c "$build"
+go test ./...
