--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,16 +43,30 @@
 	refused       map[offer]Micros
 	spare         map[string]int // service tasks that could start at once, by zone
 	spareNeed     Res
-	lastNeed      map[string]need // of service classes, for spare room
+	lastNeed      map[string]*arrivals // of service classes, for spare room
 	writes        map[uint64]func(now Micros, ok bool)
 	writeID       uint64
 	requests      uint64
 	out           []Action
 }
 
-type need struct {
-	res   Res
-	types []string
+// arrivals is what has been seen of a class of services, to keep room for the
+// next ones.
+type arrivals struct {
+	need  Res
+	first Micros
+	last  Micros
+	count int
+}
+
+// expected reports whether more of the class is to be expected: three times
+// the usual pause has not passed yet.
+func (a *arrivals) expected(now Micros) bool {
+	pause := 10 * Second
+	if a.count > 1 {
+		pause = max(pause, (a.last-a.first)/Micros(a.count-1))
+	}
+	return now-a.last < 3*pause
 }
 
 type rent struct {
@@ -103,7 +117,7 @@
 	c.rents = map[string]*rent{}
 	c.unsettled = 0
 	c.refused = map[offer]Micros{}
-	c.lastNeed = map[string]need{}
+	c.lastNeed = map[string]*arrivals{}
 	c.writes = map[uint64]func(Micros, bool){}
 	c.out = nil
 	c.wantRaise, c.raising = false, 0
@@ -224,8 +238,20 @@
 	c.enqueue(j)
 	c.dirty = true
 	if rec.Spec.Kind == Service {
-		c.lastNeed[rec.Spec.Class] = need{rec.Spec.Need, rec.Spec.Types}
+		c.arrived(j)
+	}
+}
+
+func (c *Core) arrived(j *job) {
+	a := c.lastNeed[j.spec.Class]
+	if a == nil {
+		a = &arrivals{first: j.submitted}
+		c.lastNeed[j.spec.Class] = a
 	}
+	a.need = j.spec.Need
+	a.first = min(a.first, j.submitted)
+	a.last = max(a.last, j.submitted)
+	a.count++
 }
 
 func (c *Core) cancel(j *job, now Micros) {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -252,11 +252,14 @@
 		}
 	}
 	d := &demand{c: c, now: now, coming: coming, orders: map[offer]int{}, why: map[offer]string{}}
+	d.forecast()
 	for _, j := range c.queue {
 		if j.pending == 0 || j.held || j.failures > 0 && len(j.errors) >= 3 {
 			continue
 		}
-		d.job(j)
+		if !d.inTime(j) {
+			d.job(j)
+		}
 	}
 	d.spare()
 	for _, of := range d.order {
@@ -295,6 +298,46 @@
 	orders map[offer]int
 	order  []offer
 	why    map[offer]string
+	cpus   int64   // of machines that are up, for jobs with a deadline
+	work   float64 // on them and ahead in the queue, in CPU time
+}
+
+// forecast works out how much of the machines that are up is there for jobs
+// with a deadline, and how much work is on them.
+func (d *demand) forecast() {
+	for _, m := range d.c.order {
+		if !d.c.usable(m, d.now) {
+			continue
+		}
+		d.cpus += m.typ.Cap.CPU
+		for _, p := range m.tasks {
+			if p.j == nil || !p.holds() {
+				continue
+			}
+			if p.j.due == 0 {
+				d.cpus -= p.need.CPU
+				continue
+			}
+			left := p.j.spec.Estimate
+			if p.shown && p.state == Running {
+				left -= d.now - p.runningAt
+			}
+			d.work += float64(p.need.CPU) * float64(max(left, Second))
+		}
+	}
+}
+
+// inTime reports whether a job's waiting tasks would be done by its deadline
+// on the machines there are, behind the work that goes first. A machine that
+// is rented now costs money from now on and helps only once it is up.
+func (d *demand) inTime(j *job) bool {
+	if j.due == 0 || j.spec.Kind == Service || d.cpus <= 0 {
+		return false
+	}
+	d.work += float64(j.spec.Need.CPU) * float64(j.spec.Estimate) * float64(j.pending)
+	wait := Micros(d.work / float64(d.cpus))
+	// Estimates are often wrong by half.
+	return d.now+wait+j.spec.Estimate*3/2+5*Second <= j.due
 }
 
 // job covers a job's waiting tasks.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -94,10 +94,13 @@
 // countSpare counts, by zone, the service tasks that could start at once.
 func (c *Core) countSpare(now Micros) {
 	c.spareNeed = Res{}
-	for _, n := range c.lastNeed {
-		c.spareNeed.CPU = max(c.spareNeed.CPU, n.res.CPU)
-		c.spareNeed.GPU = max(c.spareNeed.GPU, n.res.GPU)
-		c.spareNeed.Mem = max(c.spareNeed.Mem, n.res.Mem)
+	for _, a := range c.lastNeed {
+		if !a.expected(now) {
+			continue
+		}
+		c.spareNeed.CPU = max(c.spareNeed.CPU, a.need.CPU)
+		c.spareNeed.GPU = max(c.spareNeed.GPU, a.need.GPU)
+		c.spareNeed.Mem = max(c.spareNeed.Mem, a.need.Mem)
 	}
 	c.spare = map[string]int{}
 	if c.spareNeed == (Res{}) {
