No dear machines for spare room, idle machines go back after 10 s

Cause: spare room was rented from the next dearer type whenever a cheap one was refused, so eagles stood nearly empty.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,7 +97,7 @@
 // DefaultSettings are what the program runs with without a settings file.
 func DefaultSettings() Settings {
 	return Settings{
-		LeaderLeaseS: 3, IdleReturnS: 20, RefusalPauseS: 15, QuarantineS: 120,
+		LeaderLeaseS: 3, IdleReturnS: 10, RefusalPauseS: 15, QuarantineS: 120,
 		SuspectS: 7, SpareTasks: 3, ListEveryS: 10,
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,6 +36,7 @@
 	dirtyMachines bool // some machine is to be told something
 	flushWanted   bool // some job has finished tasks to be written
 	placeAt       Micros
+	summaryAt     Micros
 	wantRaise     bool
 	raising       Micros
 	fleetAt       Micros
@@ -96,7 +97,7 @@
 	return t
 }
 
-func (c *Core) note(text string, args ...any) { c.out = append(c.out, Note{text, args}) }
+func (c *Core) note(text string, args ...any) { c.out = append(c.out, Note{Text: text, Args: args}) }
 
 // Leading reports whether a term is under way.
 func (c *Core) Leading() bool { return c.leading }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -28,6 +28,42 @@
 	c.returns(now)
 	c.pursueRents(now)
 	c.rentForDemand(now)
+	if now >= c.summaryAt {
+		c.summaryAt = now + 10*Second
+		c.summary(now)
+	}
+}
+
+// summary tells an operator how full the fleet is.
+func (c *Core) summary(now Micros) {
+	var up, booting, idle int
+	var cpus, used [2]int64
+	for _, m := range c.order {
+		k := 0
+		if m.spot {
+			k = 1
+		}
+		switch {
+		case m.booting:
+			booting++
+		case m.typ != nil:
+			up++
+			if m.used == (Res{}) {
+				idle++
+			}
+			cpus[k] += m.typ.Cap.CPU
+			used[k] += m.used.CPU
+		}
+	}
+	waiting := 0
+	for _, j := range c.queue {
+		waiting += j.pending
+	}
+	c.out = append(c.out, Note{Text: "fleet", Debug: true, Args: []any{
+		"up", up, "booting", booting, "idle", idle, "ordinary_cpus", cpus[0] / 1000, "used", used[0] / 1000,
+		"spot_cpus", cpus[1] / 1000, "spot_used", used[1] / 1000, "jobs", len(c.queue), "tasks_waiting", waiting,
+		"spare", c.spare,
+	}})
 }
 
 // returns gives back machines that are lost, drained, overdue or idle.
@@ -450,23 +486,37 @@
 			have[r.zone] += c.spareNeed.copies(r.free)
 		}
 	}
-	good := 0
+	want := c.cfg.Tuning.SpareTasks
+	good, cheapest := 0, 0.0
 	for _, n := range have {
-		if n >= c.cfg.Tuning.SpareTasks {
+		if n >= want {
 			good++
 		}
 	}
+	price := func(t *MachineType, missing int) float64 {
+		return t.Price / float64(min(c.spareNeed.copies(t.Cap), missing))
+	}
+	for _, t := range c.typeOrder {
+		if c.spareNeed.Fits(t.Cap) {
+			if p := price(t, want); cheapest == 0 || p < cheapest {
+				cheapest = p
+			}
+		}
+	}
 	for ; good < 2; good++ {
 		var best offer
 		bestPrice := 0.0
 		for _, t := range c.typeOrder {
-			n := c.spareNeed.copies(t.Cap)
 			for _, z := range t.Zones {
 				of := offer{t.Name, z, false}
-				if n == 0 || have[z] >= c.cfg.Tuning.SpareTasks || d.now < c.refused[of] {
+				if !c.spareNeed.Fits(t.Cap) || have[z] >= want || d.now < c.refused[of] {
 					continue
 				}
-				if p := t.Price / float64(min(n, c.cfg.Tuning.SpareTasks-have[z])); bestPrice == 0 || p < bestPrice {
+				// Room that may never be used is not worth a machine that is
+				// dear for its size; it is tried again when the cheap ones are
+				// no longer refused.
+				p := price(t, want-have[z])
+				if p <= spareAtMost*cheapest && (bestPrice == 0 || p < bestPrice) {
 					best, bestPrice = of, p
 				}
 			}
@@ -479,6 +529,9 @@
 	}
 }
 
+// spareAtMost is how many times the cheapest price spare room may cost.
+const spareAtMost = 2.0
+
 // Listed takes a whole list of the cloud's machines; it is late, so a machine
 // missing from it says nothing.
 func (c *Core) Listed(now Micros, list []Listed) {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -266,8 +266,9 @@
 
 // Note is something an operator wants to read in the log.
 type Note struct {
-	Text string
-	Args []any
+	Text  string
+	Args  []any
+	Debug bool
 }
 
 func (SendCommands) action() {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,7 +158,11 @@
 	t := n.term
 	switch a := a.(type) {
 	case core.Note:
-		n.log.Info(a.Text, a.Args...)
+		level := slog.LevelInfo
+		if a.Debug {
+			level = slog.LevelDebug
+		}
+		n.log.Log(n.ctx, level, a.Text, a.Args...)
 	case core.Write:
 		n.commit.bookkeeping(t, a)
 	case core.RaiseToken:
