--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -328,19 +328,24 @@
 
 // demand is one computation of what to rent.
 type demand struct {
-	c      *Core
-	now    Micros
-	coming []*room
-	orders map[offer]int
-	order  []offer
-	why    map[offer]string
-	cpus   int64   // of machines that are up, for jobs with a deadline
-	work   float64 // on them and ahead in the queue, in CPU time
+	c          *Core
+	now        Micros
+	coming     []*room
+	orders     map[offer]int
+	order      []offer
+	why        map[offer]string
+	cpus       int64 // of machines that are up or coming, for jobs with a deadline
+	comingCPUs int64
+	boot       Micros  // of the slowest that is coming
+	work       float64 // on them and ahead in the queue, in CPU time
 }
 
 // forecast works out how much of the machines that are up is there for jobs
 // with a deadline, and how much work is on them.
 func (d *demand) forecast() {
+	for _, r := range d.coming {
+		d.expect(r)
+	}
 	for _, m := range d.c.order {
 		if !d.c.usable(m, d.now) {
 			continue
@@ -363,6 +368,14 @@
 	}
 }
 
+// expect counts a machine that is coming.
+func (d *demand) expect(r *room) {
+	t := d.c.types[r.typ]
+	d.cpus += t.Cap.CPU
+	d.comingCPUs += t.Cap.CPU
+	d.boot = max(d.boot, t.Boot)
+}
+
 // inTime reports whether a job's waiting tasks would be done by its deadline
 // on the machines there are, behind the work that goes first. A machine that
 // is rented now costs money from now on and helps only once it is up.
@@ -372,6 +385,7 @@
 	}
 	d.work += float64(j.spec.Need.CPU) * float64(j.spec.Estimate) * float64(j.pending)
 	wait := Micros(d.work / float64(d.cpus))
+	wait += Micros(float64(d.boot) * float64(d.comingCPUs) / float64(d.cpus))
 	// Estimates are often wrong by half.
 	return d.now+wait+j.spec.Estimate*3/2+5*Second <= j.due
 }
@@ -468,6 +482,7 @@
 	d.orders[of]++
 	r := &room{of, d.c.types[of.typ].Cap}
 	d.coming = append(d.coming, r)
+	d.expect(r)
 	return r
 }
 
