Peers over gRPC: who reaches the state service, and how far jobs have come

A node that alone misses the state service turns unhealthy, so users go elsewhere; in an outage of all, nobody does.

--- a/cmd/aspenstall/main.go
+++ b/cmd/aspenstall/main.go
@@ -19,6 +19,7 @@
 	"aspenstall/internal/config"
 	"aspenstall/internal/httpapi"
 	"aspenstall/internal/node"
+	"aspenstall/internal/peer"
 )
 
 var version = "0.1.0"
@@ -26,6 +27,8 @@
 // exitConfig is the exit code for a settings file that can't be used.
 const exitConfig = 2
 
+const maxPeerConns = 32
+
 type cli struct {
 	Config   string   `help:"The platform's settings (JSON)." type:"path" placeholder:"FILE"`
 	Settings string   `help:"The operators' settings (an S-expression)." type:"path" placeholder:"FILE"`
@@ -96,6 +99,15 @@
 	if m := p.Params.Limits.MaxConnections; m > 0 {
 		l = netutil.LimitListener(l, max(m*6/10, 8))
 	}
+	pl, err := net.Listen("tcp", p.ClusterListen)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := peer.Serve(netutil.LimitListener(pl, maxPeerConns), n); err != nil {
+			log.Error("peers are not served", "err", err)
+		}
+	}()
 	srv := &http.Server{
 		Handler:           httpapi.Handler(n),
 		ReadHeaderTimeout: 10 * time.Second,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -899,6 +899,15 @@
 	return j.done, j.running(), true
 }
 
+// Jobs lists the unfinished jobs.
+func (c *Core) Jobs() []string {
+	out := make([]string, 0, len(c.queue))
+	for _, j := range c.queue {
+		out = append(out, j.spec.ID)
+	}
+	return out
+}
+
 // Catalog takes the cloud's current machine types.
 func (c *Core) Catalog(types []MachineType) {
 	c.types = map[string]*MachineType{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"aspenstall/internal/cloud"
 	"aspenstall/internal/config"
 	"aspenstall/internal/core"
+	"aspenstall/internal/peer"
 	"aspenstall/internal/statestore"
 	"aspenstall/internal/wire"
 	"aspenstall/internal/worker"
@@ -52,6 +53,10 @@
 	waiting []func(ok bool)
 
 	catalog []core.MachineType
+
+	stateHeard time.Time // last answer of the state service
+	peers      map[string]peerState
+	counts     map[string]peer.Counts // what the leader said of jobs
 }
 
 // New returns a node that is not running yet.
@@ -69,6 +74,8 @@
 	}
 	n.view.jobs = map[string]core.JobRecord{}
 	n.commit.n = n
+	n.peers = map[string]peerState{}
+	n.counts = map[string]peer.Counts{}
 	return n
 }
 
@@ -115,6 +122,9 @@
 	n.ctx = ctx
 	go n.watch(ctx)
 	go n.elect(ctx)
+	for _, p := range n.cfg.Peers {
+		go n.tellPeers(ctx, p)
+	}
 	const step = 200 * time.Millisecond
 	timer := time.NewTimer(step)
 	defer timer.Stop()
@@ -136,6 +146,7 @@
 		case <-timer.C:
 			timer.Reset(step)
 			n.commit.pump()
+			n.judgeHealth()
 		}
 		n.act()
 	}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -28,7 +28,11 @@
 	case core.Done:
 		s.Done = rec.Spec.Tasks
 	case core.Pending:
-		done, running, _ := n.core.Counts(rec.Spec.ID)
+		done, running, ok := n.core.Counts(rec.Spec.ID)
+		if !ok {
+			k := n.counts[rec.Spec.ID]
+			done, running = k.Done, k.Running
+		}
 		s.Done, s.Running = done, running
 		if running > 0 {
 			s.State = wire.StateRunning
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -24,7 +24,7 @@
 
 // watch keeps the view up to date.
 func (n *Node) watch(ctx context.Context) {
-	const wait = 10 * time.Second
+	const wait = time.Second // silence beyond it shows that the service is not reached
 	pause := 100 * time.Millisecond
 	relist := true
 	var since uint64
@@ -79,8 +79,9 @@
 		n.setLeader("", rev)
 	}
 	n.view.revision = max(n.view.revision, rev)
+	n.stateHeard = time.Now()
 	n.view.ready = true
-	n.serving.Store(true)
+	n.judgeHealth()
 	n.wakeElector()
 }
 
@@ -94,6 +95,7 @@
 		}
 	}
 	n.view.revision = max(n.view.revision, ch.Revision)
+	n.stateHeard = time.Now()
 }
 
 // applyPut takes over one record unless a newer one is known: two reads may
@@ -140,6 +142,9 @@
 	}
 	n.core.Job(n.now(), wall(), rec)
 	n.view.jobs[id] = rec
+	if rec.Phase != core.Pending {
+		delete(n.counts, id)
+	}
 }
 
 func (n *Node) setLeader(name string, stamp uint64) {
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,99 @@
+// Package peer is what controllers tell each other, over gRPC: whether they
+// reach the state service, and from the leader how far jobs have come.
+//
+// Messages are MessagePack rather than protocol buffers: one encoding in the
+// program, and no generated code.
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding"
+)
+
+// Status is what a node says of itself.
+type Status struct {
+	Node    string   `msgpack:"n"`
+	StateOK bool     `msgpack:"s"` // it reaches the state service
+	Token   uint64   `msgpack:"t"` // of its term; 0: it does not lead
+	Counts  []Counts `msgpack:"c"` // from the leader: what changed
+}
+
+// Counts is how far a job has come.
+type Counts struct {
+	Job     string `msgpack:"j"`
+	Done    int    `msgpack:"d"`
+	Running int    `msgpack:"r"`
+}
+
+const (
+	serviceName = "aspenstall.Peer"
+	tellMethod  = "/" + serviceName + "/Tell"
+	codecName   = "msgpack"
+	callTimeout = time.Second
+)
+
+type codec struct{}
+
+func (codec) Marshal(v any) ([]byte, error)   { return msgpack.Marshal(v) }
+func (codec) Unmarshal(b []byte, v any) error { return msgpack.Unmarshal(b, v) }
+func (codec) Name() string                    { return codecName }
+func init()                                   { encoding.RegisterCodec(codec{}) }
+
+// Handler answers a peer's status with this node's own.
+type Handler interface {
+	Told(ctx context.Context, s *Status) (*Status, error)
+}
+
+// Serve answers peers on l until it fails.
+func Serve(l net.Listener, h Handler) error {
+	s := grpc.NewServer(grpc.ConnectionTimeout(5*time.Second), grpc.MaxConcurrentStreams(16))
+	s.RegisterService(&grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*Handler)(nil),
+		Methods: []grpc.MethodDesc{{
+			MethodName: "Tell",
+			Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+				var in Status
+				if err := dec(&in); err != nil {
+					return nil, err
+				}
+				return srv.(Handler).Told(ctx, &in)
+			},
+		}},
+	}, h)
+	return s.Serve(l)
+}
+
+// Client tells one peer.
+type Client struct{ conn *grpc.ClientConn }
+
+// Dial returns a client for the peer at addr, an IP address and port; the
+// connection is made when it is first used.
+func Dial(addr string) (*Client, error) {
+	c, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName)),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithNoProxy())
+	if err != nil {
+		return nil, err
+	}
+	return &Client{c}, nil
+}
+
+// Tell tells the peer this node's status and returns the peer's.
+func (c *Client) Tell(ctx context.Context, s *Status) (*Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var out Status
+	if err := c.conn.Invoke(ctx, tellMethod, s, &out); err != nil {
+		return nil, err
+	}
+	return &out, nil
+}
