--- a/cmd/aspenstall/main.go
+++ b/cmd/aspenstall/main.go
@@ -18,6 +18,7 @@
 
 	"aspenstall/internal/config"
 	"aspenstall/internal/httpapi"
+	"aspenstall/internal/netdial"
 	"aspenstall/internal/node"
 	"aspenstall/internal/peer"
 )
@@ -91,7 +92,7 @@
 	}
 	log := logger(p.Member)
 	ctx := context.Background()
-	n := node.New(p, s, log)
+	n := node.New(p, s, log, netdial.TCP(time.Second))
 	l, err := net.Listen("tcp", p.Listen)
 	if err != nil {
 		return err
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -7,13 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"aspenstall/internal/core"
+	"aspenstall/internal/netdial"
 	"aspenstall/internal/wire"
 )
 
@@ -34,17 +34,16 @@
 }
 
 // New returns a client for the cloud at addr that keeps to a share of rps.
-func New(addr string, rps float64) *Client {
+func New(addr string, rps float64, dial netdial.Func) *Client {
 	lim := rate.NewLimiter(rate.Inf, 1)
 	if rps > 0 {
 		lim = rate.NewLimiter(rate.Limit(rps*0.8), max(int(rps), 1))
 	}
-	d := &net.Dialer{Timeout: 2 * time.Second}
 	return &Client{
 		base:  "http://" + addr,
 		limit: lim,
 		http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
-			DialContext: d.DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 4, DisableCompression: true,
+			DialContext: dial, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 4, DisableCompression: true,
 		}},
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"aspenstall/internal/cloud"
 	"aspenstall/internal/config"
 	"aspenstall/internal/core"
+	"aspenstall/internal/netdial"
 	"aspenstall/internal/peer"
 	"aspenstall/internal/statestore"
 	"aspenstall/internal/wire"
@@ -60,13 +61,13 @@
 }
 
 // New returns a node that is not running yet.
-func New(p *config.Platform, s config.Settings, log *slog.Logger) *Node {
+func New(p *config.Platform, s config.Settings, log *slog.Logger, dial netdial.Func) *Node {
 	conns := max(p.Params.Limits.MaxConnections/20, 16)
 	n := &Node{
 		cfg: p, settings: s, log: log,
-		store:   statestore.New(p.Services.State, p.Params.State.RPS, p.Params.State.WriteRPS, min(conns, 16)),
-		cloud:   cloud.New(p.Services.Cloud, p.Params.Cloud.RPS),
-		workers: worker.New(max(p.Params.Limits.MaxConnections/4, 64)),
+		store:   statestore.New(p.Services.State, p.Params.State.RPS, p.Params.State.WriteRPS, min(conns, 16), dial),
+		cloud:   cloud.New(p.Services.Cloud, p.Params.Cloud.RPS, dial),
+		workers: worker.New(max(p.Params.Limits.MaxConnections/4, 64), dial),
 		started: time.Now(),
 		events:  make(chan func(), 1024),
 		core:    core.New(config.Core(p, s)),
--- /dev/null
+++ b/internal/standin/checker.go
@@ -0,0 +1,179 @@
+package standin
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// checker watches the rules of the protocol from outside: it knows only what
+// users were told and what is on which machine.
+type checker struct {
+	w      *World
+	mu     sync.Mutex
+	on     map[string]*Worker // tasks on machines
+	at     map[string]*Spec
+	use    map[string][2]float64 // by team
+	doneT  map[string]map[int]bool
+	known  map[string]bool
+	last   map[string]string // the last final state a user was told
+	cancel map[string]time.Time
+	broken []string
+	starts int
+}
+
+func newChecker(w *World) *checker {
+	return &checker{
+		w: w, on: map[string]*Worker{}, at: map[string]*Spec{}, use: map[string][2]float64{},
+		doneT: map[string]map[int]bool{}, known: map[string]bool{}, last: map[string]string{},
+		cancel: map[string]time.Time{},
+	}
+}
+
+func (c *checker) fail(format string, args ...any) {
+	if len(c.broken) < 20 {
+		c.broken = append(c.broken, fmt.Sprintf(format, args...))
+	}
+}
+
+func (c *checker) list() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.broken...)
+}
+
+func (c *checker) started(t *lot, k *Worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starts++
+	job, _, _ := strings.Cut(t.Task, "/")
+	s := t.spec
+	if o := c.on[t.Task]; o != nil {
+		c.fail("ran_twice: %s starts on %s while on %s", t.Task, k.name, o.name)
+	}
+	zone := 0
+	for task, o := range c.on {
+		if strings.HasPrefix(task, job+"/") && task != t.Task {
+			if s.OneZone && o.zone != k.zone {
+				c.fail("wrong_place: %s in %s, %s in %s", t.Task, k.zone, task, o.zone)
+			}
+			if o.zone == k.zone {
+				zone++
+			}
+		}
+	}
+	if s.Spread && zone+1 > (s.Tasks+1)/2 {
+		c.fail("wrong_place: %s is one too many in %s", t.Task, k.zone)
+	}
+	if z, ok := s.Zone.(string); ok && z != k.zone || k.spot && !s.Spot {
+		c.fail("wrong_place: %s on %s", t.Task, k.name)
+	}
+	if types, ok := s.Types.([]string); ok {
+		good := false
+		for _, n := range types {
+			good = good || n == k.typ.Name
+		}
+		if !good {
+			c.fail("wrong_place: %s on a %s", t.Task, k.typ.Name)
+		}
+	}
+	if at, ok := c.cancel[job]; ok && time.Since(at) > c.w.cancelIn {
+		c.fail("ran_cancelled: %s starts", t.Task)
+	}
+	c.on[t.Task], c.at[t.Task] = k, s
+	u := c.use[s.Team]
+	u[0], u[1] = u[0]+s.CPUs, u[1]+s.GPUs
+	c.use[s.Team] = u
+	for _, team := range c.w.platform.Params.Teams {
+		if team.Name == s.Team && (team.CPUsMax > 0 && u[0] > team.CPUsMax || team.GPUsMax > 0 && u[1] > team.GPUsMax) {
+			c.fail("quota: %s uses %v", s.Team, u)
+		}
+	}
+}
+
+func (c *checker) left(t *lot, k *Worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.on[t.Task] == k {
+		delete(c.on, t.Task)
+	}
+	u := c.use[t.spec.Team]
+	u[0], u[1] = u[0]-t.spec.CPUs, u[1]-t.spec.GPUs
+	c.use[t.spec.Team] = u
+}
+
+func (c *checker) done(t *lot) {
+	job, index, _ := strings.Cut(t.Task, "/")
+	i, _ := strconv.Atoi(index)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.doneT[job] == nil {
+		c.doneT[job] = map[int]bool{}
+	}
+	c.doneT[job][i] = true
+}
+
+func (c *checker) accepted(id string) {
+	c.mu.Lock()
+	c.known[id] = true
+	c.mu.Unlock()
+}
+
+func (c *checker) refused(id string, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known[id] {
+		c.fail("forgotten: %s was accepted and its retry answered %d", id, status)
+	}
+}
+
+func (c *checker) told(id, state string) {
+	spec := c.w.spec(id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case state == "unknown" && c.known[id]:
+		c.fail("forgotten: %s", id)
+	case state != "unknown" && spec == nil:
+		c.fail("invented: %s is %s", id, state)
+	}
+	if l := c.last[id]; l != "" && l != state {
+		c.fail("went_back: %s was %s, now %s", id, l, state)
+	}
+	switch state {
+	case "done":
+		if len(c.doneT[id]) < spec.Tasks {
+			c.fail("not_done: %s, %d of %d tasks", id, len(c.doneT[id]), spec.Tasks)
+		}
+		c.last[id] = state
+	case "aborted":
+		if c.last[id] == "" {
+			c.cancel[id] = time.Now()
+		}
+		c.last[id] = state
+	}
+}
+
+// watch looks for tasks of cancelled jobs that are still on machines.
+func (c *checker) watch() {
+	for c.w.ctx.Err() == nil {
+		time.Sleep(time.Second)
+		c.mu.Lock()
+		for task := range c.on {
+			job, _, _ := strings.Cut(task, "/")
+			if at, ok := c.cancel[job]; ok && time.Since(at) > c.w.cancelIn {
+				c.fail("ran_cancelled: %s is still there", task)
+			}
+		}
+		c.mu.Unlock()
+	}
+}
+
+// Starts counts the tasks that were started.
+func (w *World) Starts() int {
+	w.check.mu.Lock()
+	defer w.check.mu.Unlock()
+	return w.check.starts
+}
--- /dev/null
+++ b/internal/standin/faults.go
@@ -0,0 +1,71 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+)
+
+// Faults makes a stand-in's answers go wrong, by chance from a fixed seed.
+type Faults struct {
+	mu   sync.Mutex
+	rand *rand.Rand
+
+	LoseRequest float64 // closed without having been executed
+	LoseAnswer  float64 // executed, and closed without an answer
+	Late        float64 // given up, and executed LateBy later
+	LateBy      time.Duration
+	Delay       time.Duration // up to this much before it is executed
+	Down        bool          // 503 to everybody
+	Refuse      map[string]bool
+}
+
+// NewFaults returns faults with a seed.
+func NewFaults(seed uint64) *Faults {
+	return &Faults{rand: rand.New(rand.NewPCG(seed, 1)), Refuse: map[string]bool{}}
+}
+
+// Set changes the faults.
+func (f *Faults) Set(change func(*Faults)) {
+	f.mu.Lock()
+	change(f)
+	f.mu.Unlock()
+}
+
+// Wrap puts the faults before a handler.
+func (f *Faults) Wrap(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		down := f.Down || f.Refuse[r.RemoteAddr]
+		dice := f.rand.Float64()
+		delay := time.Duration(f.rand.Float64() * float64(f.Delay))
+		loseReq, loseAns, late, lateBy := f.LoseRequest, f.LoseAnswer, f.Late, f.LateBy
+		f.mu.Unlock()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		switch {
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case dice < loseReq:
+			panic(http.ErrAbortHandler)
+		case dice < loseReq+loseAns:
+			h.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		case dice < loseReq+loseAns+late:
+			b := readBody(r)
+			go func() {
+				time.Sleep(lateBy)
+				again := r.Clone(r.Context())
+				again.Body = b()
+				defer func() { _ = recover() }() // whoever it was for may be gone
+				h.ServeHTTP(httptest.NewRecorder(), again)
+			}()
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,233 @@
+package standin
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"aspenstall/internal/wire"
+)
+
+// readBody reads a body once and returns a maker of copies.
+func readBody(r *http.Request) func() io.ReadCloser {
+	b, _ := io.ReadAll(r.Body)
+	return func() io.ReadCloser { return io.NopCloser(bytes.NewReader(b)) }
+}
+
+func respond(w http.ResponseWriter, status int, v any) {
+	w.WriteHeader(status)
+	if v != nil {
+		b, err := wire.Marshal(v)
+		if err == nil {
+			_, _ = w.Write(b)
+		}
+	}
+}
+
+// State is a stand-in for the state service.
+type State struct {
+	mu      sync.Mutex
+	rev     uint64
+	keys    map[string]wire.Entry
+	log     []wire.Change
+	leases  map[uint64]*stateLease
+	nextID  uint64
+	changed chan struct{}
+	TxnOps  int
+}
+
+type stateLease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// NewState returns an empty state service.
+func NewState(txnOps int) *State {
+	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), TxnOps: txnOps}
+}
+
+// expire ends leases whose time is over; s.mu is held.
+func (s *State) expire() {
+	for id, l := range s.leases {
+		if time.Now().After(l.until) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *State) end(id uint64) {
+	delete(s.leases, id)
+	var gone []string
+	for k, e := range s.keys {
+		if e.Lease == id {
+			gone = append(gone, k)
+		}
+	}
+	sort.Strings(gone)
+	if len(gone) == 0 {
+		return
+	}
+	s.rev++
+	for _, k := range gone {
+		delete(s.keys, k)
+		s.log = append(s.log, wire.Change{Delete: k, Version: s.rev})
+	}
+	s.wake()
+}
+
+func (s *State) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Renewed gives every lease its full time again, as after an outage.
+func (s *State) Renewed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.until = time.Now().Add(l.ttl)
+	}
+}
+
+// ServeHTTP serves the published interface.
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	q := r.URL.Query()
+	switch p := r.URL.Path; {
+	case p == wire.KeysPath:
+		limit, _ := strconv.Atoi(q.Get("limit"))
+		var names []string
+		for k := range s.keys {
+			if strings.HasPrefix(k, q.Get("starts")) && k > q.Get("since") {
+				names = append(names, k)
+			}
+		}
+		sort.Strings(names)
+		out := wire.Entries{Revision: s.rev, Items: []wire.Entry{}}
+		for i, k := range names {
+			if limit > 0 && i == limit {
+				out.More = true
+				break
+			}
+			out.Items = append(out.Items, s.keys[k])
+		}
+		respond(w, http.StatusOK, &out)
+	case strings.HasPrefix(p, wire.KeysPath+"/"):
+		if e, ok := s.keys[strings.TrimPrefix(p, wire.KeysPath+"/")]; ok {
+			respond(w, http.StatusOK, &e)
+			return
+		}
+		w.WriteHeader(http.StatusNotFound)
+	case p == wire.CommitPath:
+		var t wire.Txn
+		if wire.Unmarshal(b, &t) != nil || len(t.Then) > s.TxnOps || len(t.If) > 4*s.TxnOps {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		s.commit(w, &t)
+	case p == wire.LeasesPath:
+		var l wire.LeaseRequest
+		_ = wire.Unmarshal(b, &l)
+		s.nextID++
+		ttl := time.Duration(l.TTL) * time.Millisecond
+		id := s.nextID
+		s.leases[id] = &stateLease{ttl, time.Now().Add(ttl)}
+		respond(w, http.StatusOK, &wire.Lease{ID: id})
+	case strings.HasPrefix(p, wire.LeasesPath+"/"):
+		id, _ := strconv.ParseUint(strings.Split(strings.TrimPrefix(p, wire.LeasesPath+"/"), "/")[0], 10, 64)
+		l := s.leases[id]
+		if l == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		if r.Method == http.MethodDelete {
+			s.end(id)
+		} else {
+			l.until = time.Now().Add(l.ttl)
+		}
+	case p == wire.ChangesPath:
+		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+		wait, _ := strconv.Atoi(q.Get("wait_ms"))
+		s.changes(w, r, q.Get("starts"), since, time.Duration(wait)*time.Millisecond)
+	default:
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+func (s *State) commit(w http.ResponseWriter, t *wire.Txn) {
+	for _, op := range t.Then {
+		if op.Lease != 0 && s.leases[op.Lease] == nil {
+			respond(w, http.StatusBadRequest, &wire.TxnResult{Error: "no such lease"})
+			return
+		}
+	}
+	var failed []string
+	for _, c := range t.If {
+		if s.keys[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		respond(w, http.StatusConflict, &wire.TxnResult{Revision: s.rev, Failed: failed})
+		return
+	}
+	if len(t.Then) > 0 {
+		s.rev++
+		for _, op := range t.Then {
+			if op.Put != "" {
+				v := append(msgpack.RawMessage(nil), op.Value...)
+				s.keys[op.Put] = wire.Entry{Key: op.Put, Value: v, Version: s.rev, Lease: op.Lease}
+				s.log = append(s.log, wire.Change{Put: op.Put, Value: v, Version: s.rev})
+			} else if _, ok := s.keys[op.Delete]; ok {
+				delete(s.keys, op.Delete)
+				s.log = append(s.log, wire.Change{Delete: op.Delete, Version: s.rev})
+			}
+		}
+		s.wake()
+	}
+	respond(w, http.StatusOK, &wire.TxnResult{Revision: s.rev})
+}
+
+// changes waits for a change; s.mu is held, and let go meanwhile.
+func (s *State) changes(w http.ResponseWriter, r *http.Request, prefix string, since uint64, wait time.Duration) {
+	end := time.Now().Add(wait)
+	for {
+		out := wire.Changes{Revision: s.rev, Events: []wire.Change{}}
+		for i := range s.log {
+			e := &s.log[i]
+			if e.Version > since && strings.HasPrefix(e.Put+e.Delete, prefix) {
+				out.Events = append(out.Events, *e)
+			}
+		}
+		left := time.Until(end)
+		if len(out.Events) > 0 || left <= 0 {
+			respond(w, http.StatusOK, &out)
+			return
+		}
+		// Leases end while nobody asks: look at least once a second.
+		changed := s.changed
+		s.mu.Unlock()
+		t := time.NewTimer(min(left, time.Second))
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-r.Context().Done():
+		}
+		t.Stop()
+		s.mu.Lock()
+		s.expire()
+		if r.Context().Err() != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,417 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"aspenstall/internal/wire"
+)
+
+// The field names stand here again, apart from package wire: a mistake there
+// must not be repeated by the side that checks it.
+
+type lot struct {
+	Task    string `msgpack:"lot"`
+	Attempt uint64 `msgpack:"try"`
+	State   string `msgpack:"phase"`
+	Why     string `msgpack:"cause,omitempty"`
+	Saved   bool   `msgpack:"kept,omitempty"`
+
+	spec      *Spec
+	placed    bool // has its image, so it is on its machine
+	timer     *time.Timer
+	runningAt time.Time
+}
+
+type beat struct {
+	Machine string   `msgpack:"stall"`
+	Address string   `msgpack:"address"`
+	Type    string   `msgpack:"breed"`
+	Zone    string   `msgpack:"paddock"`
+	Spot    bool     `msgpack:"loaners"`
+	Session uint64   `msgpack:"tenure"`
+	Seq     uint64   `msgpack:"tick"`
+	Token   uint64   `msgpack:"epoch"`
+	Notice  *float64 `msgpack:"recall_s"`
+	Tasks   []*lot   `msgpack:"lots"`
+}
+
+type order struct {
+	Op      string  `msgpack:"verb"`
+	Task    string  `msgpack:"lot"`
+	Attempt uint64  `msgpack:"try"`
+	Grace   float64 `msgpack:"wind_down_s"`
+}
+
+type orders struct {
+	Token    uint64  `msgpack:"epoch"`
+	Session  uint64  `msgpack:"tenure"`
+	Commands []order `msgpack:"orders"`
+}
+
+// Worker is a stand-in for a worker.
+type Worker struct {
+	w    *World
+	name string
+	at   string
+	typ  *MachineType
+	zone string
+	spot bool
+
+	mu       sync.Mutex
+	session  uint64
+	seq      uint64
+	token    uint64
+	notice   *float64
+	tasks    []*lot
+	images   map[string]bool
+	answered time.Time
+	dead     bool
+	Sick     bool // every task it starts fails
+	wake     chan struct{}
+	stop     context.CancelFunc
+	close    func() error
+}
+
+// startWorker starts a machine's worker.
+func (w *World) startWorker(m *stall, t *MachineType) *Worker {
+	ctx, cancel := context.WithCancel(w.ctx)
+	k := &Worker{
+		w: w, name: m.ID, at: m.Address, typ: t, zone: m.Zone, spot: m.Spot, session: 1,
+		images: map[string]bool{}, answered: time.Now(), wake: make(chan struct{}, 1), stop: cancel,
+	}
+	l := w.Net.Serve(k.at, w.WorkerFaults.Wrap(k))
+	k.close = l.Close
+	go k.report(ctx)
+	go k.keepLease(ctx)
+	return k
+}
+
+// Name is the machine's name.
+func (k *Worker) Name() string { return k.name }
+
+// Die ends the machine and everything on it.
+func (k *Worker) Die() {
+	k.mu.Lock()
+	k.dead = true
+	k.forgetAll()
+	k.mu.Unlock()
+	k.stop()
+	_ = k.close()
+	go k.w.Net.Drop(k.at)
+}
+
+// SetNotice lets the worker report that the cloud takes the machine away.
+func (k *Worker) SetNotice(seconds float64) {
+	k.mu.Lock()
+	k.notice = &seconds
+	k.mu.Unlock()
+	k.poke()
+}
+
+// SetSick makes every task that starts here fail.
+func (k *Worker) SetSick() {
+	k.mu.Lock()
+	k.Sick = true
+	k.mu.Unlock()
+}
+
+func (k *Worker) poke() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// forgetAll kills all tasks; k.mu is held.
+func (k *Worker) forgetAll() {
+	for _, t := range k.tasks {
+		if t.timer != nil {
+			t.timer.Stop()
+		}
+		k.leave(t)
+	}
+	k.tasks = nil
+}
+
+// leave tells the checker that a task is not on the machine any more.
+func (k *Worker) leave(t *lot) {
+	if t.placed {
+		t.placed = false
+		k.w.check.left(t, k)
+	}
+}
+
+func (k *Worker) keepLease(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
+		k.mu.Lock()
+		if time.Since(k.answered) > k.w.lease && !k.dead {
+			k.forgetAll()
+			k.session++
+			k.answered = time.Now()
+			k.poke()
+		}
+		k.mu.Unlock()
+	}
+}
+
+// snapshot is the current report; k.mu is held.
+func (k *Worker) snapshot() []byte {
+	k.seq++
+	b, _ := wire.Marshal(&beat{
+		Machine: k.name, Address: k.at, Type: k.typ.Name, Zone: k.zone, Spot: k.spot,
+		Session: k.session, Seq: k.seq, Token: k.token, Notice: k.notice, Tasks: k.tasks,
+	})
+	return b
+}
+
+// report sends reports to one node after the other until one takes them.
+func (k *Worker) report(ctx context.Context) {
+	client := k.w.Net.Client(k.at)
+	cur := 0
+	for ctx.Err() == nil {
+		nodes := k.w.nodeAddrs()
+		k.mu.Lock()
+		body := k.snapshot()
+		session := k.session
+		k.mu.Unlock()
+		sent := time.Now()
+		status, answer := k.post(ctx, client, nodes[cur%len(nodes)], body)
+		pause := k.w.reportGap
+		switch status {
+		case http.StatusOK:
+			var o orders
+			if wire.Unmarshal(answer, &o) == nil {
+				k.mu.Lock()
+				if session == k.session && o.Token >= k.token && o.Token > 0 {
+					k.token = o.Token
+					k.answered = sent
+					k.execute(o.Commands)
+				}
+				k.mu.Unlock()
+			}
+		case http.StatusMisdirectedRequest:
+			var r struct {
+				Node string `msgpack:"foreman"`
+			}
+			_ = wire.Unmarshal(answer, &r)
+			cur++
+			pause = time.Second
+			for i := range nodes {
+				if k.w.Nodes[i].Name == r.Node && i != (cur-1)%len(nodes) {
+					cur, pause = i, 100*time.Millisecond
+				}
+			}
+		default:
+			cur++
+			pause = time.Second
+		}
+		if time.Since(sent) < 500*time.Millisecond {
+			pause = max(pause, 100*time.Millisecond)
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-k.wake:
+			time.Sleep(max(0, 500*time.Millisecond-time.Since(sent)))
+		}
+		t.Stop()
+	}
+}
+
+func (k *Worker) post(ctx context.Context, c *http.Client, at string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+wire.ReportPath, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, b
+}
+
+// ServeHTTP serves direct commands.
+func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b, _ := io.ReadAll(r.Body)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.dead {
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusOK
+	if r.URL.Path == wire.CommandsPath {
+		var o orders
+		if wire.Unmarshal(b, &o) != nil || o.Token == 0 || o.Session == 0 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		if o.Token < k.token || o.Session != k.session {
+			status = http.StatusConflict
+		} else {
+			if o.Token > k.token {
+				k.token = o.Token
+				k.poke()
+			}
+			k.execute(o.Commands)
+		}
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(k.snapshot())
+}
+
+func (k *Worker) find(task string, attempt uint64) *lot {
+	for _, t := range k.tasks {
+		if t.Task == task && t.Attempt == attempt {
+			return t
+		}
+	}
+	return nil
+}
+
+// execute carries out commands in their order; k.mu is held.
+func (k *Worker) execute(cmds []order) {
+	for _, o := range cmds {
+		t := k.find(o.Task, o.Attempt)
+		switch {
+		case o.Op == "start" && t == nil:
+			k.begin(o.Task, o.Attempt)
+		case o.Op == "halt" && t != nil && t.State != "exited":
+			if t.timer != nil {
+				t.timer.Stop()
+			}
+			if t.State == "running" && t.spec.CheckpointS > 0 && o.Grace >= t.spec.SaveS {
+				t.State = "flushing"
+				t.timer = time.AfterFunc(time.Duration(t.spec.SaveS*float64(time.Second)), func() { k.end(t, "halted", true) })
+			} else if t.State != "flushing" || o.Grace == 0 {
+				k.exit(t, "halted", false)
+			}
+		case o.Op == "reap" && t != nil && t.State == "exited":
+			for i := range k.tasks {
+				if k.tasks[i] == t {
+					k.tasks = append(k.tasks[:i:i], k.tasks[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+}
+
+func (k *Worker) exit(t *lot, why string, saved bool) {
+	t.State, t.Why, t.Saved = "exited", why, saved
+	if why == "done" {
+		k.w.check.done(t)
+	}
+	k.leave(t)
+	k.w.gangLeft(t, why)
+	k.poke()
+}
+
+// end ends a task from a timer.
+func (k *Worker) end(t *lot, why string, saved bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if t.State != "exited" && k.find(t.Task, t.Attempt) == t {
+		k.exit(t, why, saved)
+	}
+}
+
+func (k *Worker) begin(task string, attempt uint64) {
+	job, index, _ := strings.Cut(task, "/")
+	spec := k.w.spec(job)
+	t := &lot{Task: task, Attempt: attempt, State: "exited", spec: spec}
+	var cpus, gpus, mem float64
+	busy := false
+	for _, o := range k.tasks {
+		if o.State != "exited" {
+			cpus, gpus, mem = cpus+o.spec.CPUs, gpus+o.spec.GPUs, mem+o.spec.MemGB
+			busy = busy || o.Task == task
+		}
+	}
+	k.tasks = append(k.tasks, t)
+	i, err := strconv.Atoi(index)
+	switch {
+	case spec == nil || err != nil || i >= spec.Tasks:
+		t.Why = "no_such"
+	case busy:
+		t.Why = "in_use"
+	case cpus+spec.CPUs > k.typ.CPUs || gpus+spec.GPUs > k.typ.GPUs || mem+spec.MemGB > k.typ.MemGB:
+		t.Why = "no_room"
+	default:
+		t.State = "fetching"
+		fetch := time.Duration(0)
+		if !k.images[spec.Image] {
+			fetch = time.Duration(spec.ImageGB / k.typ.FetchGBps * float64(time.Second))
+		}
+		t.timer = time.AfterFunc(fetch, func() { k.fetched(t) })
+	}
+	k.poke()
+}
+
+func (k *Worker) fetched(t *lot) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if t.State != "fetching" || k.dead || k.find(t.Task, t.Attempt) != t {
+		return
+	}
+	k.images[t.spec.Image] = true
+	t.placed = true
+	k.w.check.started(t, k)
+	switch {
+	case k.Sick || t.spec.Broken:
+		k.exit(t, "error", false)
+	case t.spec.Shape == "ensemble":
+		t.State = "gathering"
+		t.timer = time.AfterFunc(k.w.gangWait, func() { k.end(t, "alone", false) })
+		k.w.gangJoin(t, k)
+	default:
+		k.run(t)
+	}
+	k.poke()
+}
+
+// run lets a task run; k.mu is held.
+func (k *Worker) run(t *lot) {
+	t.State, t.runningAt = "running", time.Now()
+	if t.spec.Shape == "standing" {
+		return
+	}
+	t.timer = time.AfterFunc(time.Duration(t.spec.RunS*float64(time.Second)), func() { k.end(t, "done", false) })
+}
+
+// Running lists the tasks on the machine.
+func (k *Worker) Running() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []string
+	for _, t := range k.tasks {
+		if t.placed {
+			out = append(out, t.Task)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Addr is the worker's address.
+func (k *Worker) Addr() string { return k.at }
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,335 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"aspenstall/internal/config"
+	"aspenstall/internal/httpapi"
+	"aspenstall/internal/node"
+	"aspenstall/internal/wire"
+)
+
+// Spec is a job as a user of the stand-in world submits it.
+type Spec struct {
+	ID          string  `msgpack:"uid"`
+	Class       string  `msgpack:"herd"`
+	Team        string  `msgpack:"crew"`
+	Shape       string  `msgpack:"shape"`
+	Urgency     string  `msgpack:"urgency"`
+	Tasks       int     `msgpack:"lots"`
+	CPUs        float64 `msgpack:"cores"`
+	GPUs        float64 `msgpack:"gpus"`
+	MemGB       float64 `msgpack:"ram_gb"`
+	Image       string  `msgpack:"bundle"`
+	ImageGB     float64 `msgpack:"image_gb"`
+	Types       any     `msgpack:"breeds"`
+	Zone        any     `msgpack:"paddock"`
+	OneZone     bool    `msgpack:"together"`
+	Spread      bool    `msgpack:"scatter"`
+	Spot        bool    `msgpack:"loaners"`
+	EstimateS   float64 `msgpack:"expect_s"`
+	CheckpointS float64 `msgpack:"pin_every_s"`
+	SaveS       float64 `msgpack:"pin_cost_s"`
+	DueS        any     `msgpack:"due_s"`
+
+	RunS   float64 `msgpack:"-"`
+	Broken bool    `msgpack:"-"` // fails on every machine
+}
+
+// Node is a controller of the world.
+type Node struct {
+	Name   string
+	addr   string
+	cancel context.CancelFunc
+	l      net.Listener
+}
+
+// World is a deployment of stand-ins round real controllers.
+type World struct {
+	Net          *Net
+	State        *State
+	StateFaults  *Faults
+	Cloud        *Cloud
+	CloudFaults  *Faults
+	WorkerFaults *Faults
+	Nodes        []*Node
+	Log          *slog.Logger
+
+	ctx                           context.Context
+	cancel                        context.CancelFunc
+	platform                      config.Platform
+	lease, reportGap              time.Duration
+	gangWait, gangPeers, cancelIn time.Duration
+
+	mu    sync.Mutex
+	specs map[string]*Spec
+	gangs map[string]*gang
+	check *checker
+	users int
+}
+
+type gang struct {
+	ready   map[*lot]*Worker
+	running bool
+	over    bool
+}
+
+// Addresses of the services.
+const (
+	stateAddr = "10.2.0.1:2379"
+	cloudAddr = "10.2.0.2:8443"
+)
+
+// NewWorld starts services and nodes. It must be called in a bubble of fake
+// time, and closed there.
+func NewWorld(seed uint64, p config.Platform, types []MachineType) *World {
+	ctx, cancel := context.WithCancel(context.Background())
+	sec := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	w := &World{
+		Net: NewNet(), State: NewState(p.Params.State.TxnOps), StateFaults: NewFaults(seed),
+		CloudFaults: NewFaults(seed + 1), WorkerFaults: NewFaults(seed + 2),
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), ctx: ctx, cancel: cancel, platform: p,
+		lease: sec(p.Params.Workers.LeaseS), reportGap: sec(p.Params.Workers.ReportS),
+		gangWait: sec(p.Params.Workers.GangWaitS), gangPeers: sec(p.Params.Workers.GangPeerS),
+		cancelIn: sec(p.Params.Workers.CancelS),
+		specs:    map[string]*Spec{}, gangs: map[string]*gang{},
+	}
+	w.check = newChecker(w)
+	w.Cloud = &Cloud{w: w, Types: types, Capacity: 100, machines: map[string]*stall{}, requests: map[string][]string{}}
+	w.Net.Serve(stateAddr, w.StateFaults.Wrap(w.State))
+	w.Net.Serve(cloudAddr, w.CloudFaults.Wrap(w.Cloud))
+	for i := range 3 {
+		w.Nodes = append(w.Nodes, &Node{Name: fmt.Sprintf("node-%d", i), addr: fmt.Sprintf("10.0.0.%d:8080", i+1)})
+	}
+	go w.check.watch()
+	return w
+}
+
+// StartNode starts a node's process.
+func (w *World) StartNode(i int) {
+	n := w.Nodes[i]
+	p := w.platform
+	p.Member, p.Listen = n.Name, n.addr
+	p.Services.State, p.Services.Cloud = stateAddr, cloudAddr
+	ctx, cancel := context.WithCancel(w.ctx)
+	nd := node.New(&p, config.DefaultSettings(), w.Log.With("node", n.Name), w.Net.Dialer(n.addr))
+	n.cancel = cancel
+	go nd.Run(ctx)
+	n.l = w.Net.Serve(n.addr, httpapi.Handler(nd))
+}
+
+// Kill ends a node's process without a word.
+func (w *World) Kill(i int) {
+	n := w.Nodes[i]
+	if n.cancel == nil {
+		return
+	}
+	n.cancel()
+	n.cancel = nil
+	_ = n.l.Close()
+	w.Net.Drop(n.addr)
+}
+
+// Close ends everything.
+func (w *World) Close() {
+	for i := range w.Nodes {
+		w.Kill(i)
+	}
+	for _, k := range w.Cloud.Workers() {
+		k.Die()
+	}
+	w.cancel()
+	w.Net.Close()
+	// Timers and retries that are under way end by themselves; a bubble of
+	// fake time must not be left before.
+	time.Sleep(5 * time.Minute)
+}
+
+// NodeAddr is a node's address.
+func (w *World) NodeAddr(i int) string { return w.Nodes[i].addr }
+
+// StateAddr is the state service's address.
+func (w *World) StateAddr() string { return stateAddr }
+
+func (w *World) nodeAddrs() []string {
+	out := make([]string, len(w.Nodes))
+	for i, n := range w.Nodes {
+		out[i] = n.addr
+	}
+	return out
+}
+
+func (w *World) spec(id string) *Spec {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.specs[id]
+}
+
+// gangJoin lets a gang run once all its tasks wait; the worker's lock is held.
+func (w *World) gangJoin(t *lot, k *Worker) {
+	job, _, _ := strings.Cut(t.Task, "/")
+	key := fmt.Sprintf("%s#%d", job, t.Attempt)
+	w.mu.Lock()
+	g := w.gangs[key]
+	if g == nil {
+		g = &gang{ready: map[*lot]*Worker{}}
+		w.gangs[key] = g
+	}
+	g.ready[t] = k
+	full := len(g.ready) == t.spec.Tasks && !g.running
+	if full {
+		g.running = true
+	}
+	w.mu.Unlock()
+	if !full {
+		return
+	}
+	go func() {
+		for t, k := range g.ready {
+			k.mu.Lock()
+			if t.State == "gathering" {
+				t.timer.Stop()
+				k.run(t)
+			}
+			k.mu.Unlock()
+			k.poke()
+		}
+	}()
+}
+
+// gangLeft lets the rest of a gang notice that a task has left.
+func (w *World) gangLeft(t *lot, why string) {
+	if t.spec == nil || t.spec.Shape != "ensemble" || why == "done" {
+		return
+	}
+	job, _, _ := strings.Cut(t.Task, "/")
+	w.mu.Lock()
+	g := w.gangs[fmt.Sprintf("%s#%d", job, t.Attempt)]
+	tell := g != nil && g.running && !g.over
+	if g != nil {
+		delete(g.ready, t)
+		g.over = g.over || tell
+	}
+	var rest []*lot
+	var on []*Worker
+	if tell {
+		for o, k := range g.ready {
+			rest, on = append(rest, o), append(on, k)
+		}
+	}
+	w.mu.Unlock()
+	for i := range rest {
+		time.AfterFunc(w.gangPeers/2, func() { on[i].end(rest[i], "mates_gone", false) })
+	}
+}
+
+// request sends one request of a user's and returns status and body.
+func (w *World) request(method, at, path string, body []byte, timeout time.Duration) (int, []byte) {
+	ctx, cancel := context.WithTimeout(w.ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	req.Close = true
+	resp, err := w.Net.Client("user").Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, b
+}
+
+// next is the node that the load balancer chooses.
+func (w *World) next() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.users++
+	return w.Nodes[w.users%len(w.Nodes)].addr
+}
+
+// Post submits a body once to a node and returns the status.
+func (w *World) Post(i int, body any) int {
+	b, _ := wire.Marshal(body)
+	status, _ := w.request(http.MethodPost, w.Nodes[i].addr, wire.JobsPath, b, 5*time.Second)
+	return status
+}
+
+// Submit submits a job as a user does, with retries, and reports whether it
+// was accepted.
+func (w *World) Submit(s Spec) bool {
+	w.mu.Lock()
+	w.specs[s.ID] = &s
+	w.mu.Unlock()
+	b, _ := wire.Marshal(&s)
+	for end := time.Now().Add(60 * time.Second); time.Now().Before(end) && w.ctx.Err() == nil; {
+		status, _ := w.request(http.MethodPost, w.next(), wire.JobsPath, b, 5*time.Second)
+		switch status {
+		case http.StatusOK, http.StatusCreated:
+			w.check.accepted(s.ID)
+			return true
+		case http.StatusBadRequest, http.StatusUnprocessableEntity:
+			w.check.refused(s.ID, status)
+			return false
+		}
+		time.Sleep(time.Second)
+	}
+	return false
+}
+
+// Poll asks once and returns what the user is told; "" for no answer.
+func (w *World) Poll(id string) string {
+	status, b := w.request(http.MethodGet, w.next(), wire.JobsPath+"/"+id, nil, 2*time.Second)
+	var s wire.JobState
+	if status == http.StatusOK && wire.Unmarshal(b, &s) == nil {
+		w.check.told(id, s.State)
+		return s.State
+	}
+	if status == http.StatusNotFound {
+		w.check.told(id, "unknown")
+		return "unknown"
+	}
+	return ""
+}
+
+// Await polls until the job is in the state, and reports whether it came there.
+func (w *World) Await(id, state string, within time.Duration) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); {
+		if w.Poll(id) == state {
+			return true
+		}
+		time.Sleep(time.Second)
+	}
+	return false
+}
+
+// Cancel cancels a job as a user does and returns its state, "" if it could
+// not be cancelled.
+func (w *World) Cancel(id string) string {
+	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); {
+		status, b := w.request(http.MethodPost, w.next(), wire.JobsPath+"/"+id+"/"+wire.CancelEnd, nil, 5*time.Second)
+		var s wire.JobState
+		if status == http.StatusOK && wire.Unmarshal(b, &s) == nil {
+			w.check.told(id, s.State)
+			return s.State
+		}
+		time.Sleep(time.Second)
+	}
+	return ""
+}
+
+// Broken lists the rules that were broken.
+func (w *World) Broken() []string { return w.check.list() }
--- /dev/null
+++ b/internal/standin/world_test.go
@@ -0,0 +1,248 @@
+package standin_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"aspenstall/internal/config"
+	"aspenstall/internal/standin"
+)
+
+func platform() config.Platform {
+	var p config.Platform
+	p.Params.Teams = append(p.Params.Teams, struct {
+		Name    string  `json:"name"`
+		CPUs    float64 `json:"cpus"`
+		CPUsMax float64 `json:"cpus_max"`
+		GPUs    float64 `json:"gpus"`
+		GPUsMax float64 `json:"gpus_max"`
+	}{Name: "blue", CPUs: 16, CPUsMax: 40}, struct {
+		Name    string  `json:"name"`
+		CPUs    float64 `json:"cpus"`
+		CPUsMax float64 `json:"cpus_max"`
+		GPUs    float64 `json:"gpus"`
+		GPUsMax float64 `json:"gpus_max"`
+	}{Name: "green", CPUs: 8, CPUsMax: 24, GPUs: 1, GPUsMax: 2})
+	p.Params.Workers.ReportS, p.Params.Workers.LeaseS = 3, 16
+	p.Params.Workers.GangWaitS, p.Params.Workers.GangPeerS, p.Params.Workers.CancelS = 30, 8, 40
+	p.Params.State.RPS, p.Params.State.WriteRPS, p.Params.State.ValueKB, p.Params.State.TxnOps = 200, 100, 4, 12
+	p.Params.Cloud.RPS, p.Params.Cloud.ListLagS = 4, 4
+	p.Params.Limits.MaxConnections = 500
+	return p
+}
+
+var machineTypes = []standin.MachineType{
+	{Name: "s4", CPUs: 4, MemGB: 16, CacheGB: 40, FetchGBps: 0.5, Price: 0.2, SpotPrice: 0.07, BootS: 15, Zones: []string{"a", "b", "c"}},
+	{Name: "g16", CPUs: 16, GPUs: 2, MemGB: 64, CacheGB: 40, FetchGBps: 1, Price: 0.9, SpotPrice: 0.3, BootS: 20, Zones: []string{"a", "b"}},
+}
+
+func array(id, tasks int, run float64) standin.Spec {
+	return standin.Spec{
+		ID: fmt.Sprintf("job-%06d", id), Class: "sweep", Team: "blue", Shape: "batch", Urgency: "standard",
+		Tasks: tasks, CPUs: 2, MemGB: 2, Image: "im1", ImageGB: 1, Spot: true, EstimateS: run, DueS: 120.0, RunS: run,
+	}
+}
+
+func service(id, tasks int) standin.Spec {
+	return standin.Spec{
+		ID: fmt.Sprintf("job-%06d", id), Class: "web", Team: "green", Shape: "standing", Urgency: "production",
+		Tasks: tasks, CPUs: 2, MemGB: 4, Image: "im2", ImageGB: 0.5, Spread: true,
+	}
+}
+
+func gang(id, tasks int, run float64) standin.Spec {
+	return standin.Spec{
+		ID: fmt.Sprintf("job-%06d", id), Class: "train", Team: "blue", Shape: "ensemble", Urgency: "high",
+		Tasks: tasks, CPUs: 4, MemGB: 4, Image: "im3", ImageGB: 1, OneZone: true, Spot: true,
+		EstimateS: run, CheckpointS: 5, SaveS: 1, RunS: run,
+	}
+}
+
+// TestDays plays whole days against the real controllers under fake time and
+// looks for broken rules and for work that does not get done.
+func TestDays(t *testing.T) {
+	type act struct {
+		at time.Duration
+		do func(w *standin.World)
+	}
+	kill := func(i int) func(*standin.World) { return func(w *standin.World) { w.Kill(i) } }
+	start := func(i int) func(*standin.World) { return func(w *standin.World) { w.StartNode(i) } }
+	killAll := func(w *standin.World) {
+		for i := range 3 {
+			w.Kill(i)
+		}
+	}
+	startAll := func(w *standin.World) {
+		for i := range 3 {
+			w.StartNode(i)
+		}
+	}
+	s := time.Second
+	for _, day := range []struct {
+		name  string
+		seed  uint64
+		setup func(w *standin.World)
+		acts  []act
+	}{
+		{name: "quiet", seed: 1},
+		{name: "answers lost", seed: 2, setup: func(w *standin.World) {
+			w.StateFaults.LoseAnswer, w.StateFaults.LoseRequest = 0.05, 0.05
+			w.WorkerFaults.LoseAnswer, w.WorkerFaults.LoseRequest = 0.2, 0.1
+			w.CloudFaults.LoseAnswer = 0.2
+		}},
+		{name: "late commands and transactions", seed: 3, setup: func(w *standin.World) {
+			w.StateFaults.Late, w.StateFaults.LateBy = 0.03, 9*time.Second
+			w.WorkerFaults.Late, w.WorkerFaults.LateBy = 0.3, 20*time.Second
+			w.CloudFaults.Late, w.CloudFaults.LateBy = 0.2, 30*time.Second
+		}},
+		{name: "slow services", seed: 4, setup: func(w *standin.World) {
+			w.StateFaults.Delay, w.WorkerFaults.Delay = 300*time.Millisecond, time.Second
+		}},
+		{name: "controllers crash", seed: 5, acts: []act{
+			{30 * s, kill(0)}, {35 * s, start(0)}, {50 * s, kill(1)}, {51 * s, kill(2)}, {60 * s, start(1)}, {62 * s, start(2)},
+			{80 * s, killAll}, {85 * s, startAll},
+		}},
+		{name: "machines die", seed: 6, acts: []act{
+			{40 * s, func(w *standin.World) { w.Cloud.Workers()[0].Die() }},
+			{55 * s, func(w *standin.World) { w.Cloud.Workers()[1].Die() }},
+			{70 * s, func(w *standin.World) { w.Cloud.Workers()[0].SetNotice(5) }},
+		}},
+		{name: "state outages", seed: 7, acts: []act{
+			{40 * s, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
+			{52 * s, func(w *standin.World) {
+				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+				w.State.Renewed()
+			}},
+			{70 * s, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
+			{75 * s, killAll}, {78 * s, startAll},
+			{100 * s, func(w *standin.World) {
+				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+				w.State.Renewed()
+			}},
+		}},
+		{name: "cut from the state service and from workers", seed: 8, acts: []act{
+			{40 * s, func(w *standin.World) { cutNode(w, 0, w.StateAddr(), true) }},
+			{60 * s, func(w *standin.World) { cutNode(w, 0, w.StateAddr(), false); cutNode(w, 1, w.StateAddr(), true) }},
+			{75 * s, func(w *standin.World) { cutNode(w, 1, w.StateAddr(), false) }},
+			{80 * s, func(w *standin.World) { cutWorkers(w, 2, true) }},
+			{110 * s, func(w *standin.World) { cutWorkers(w, 2, false) }},
+		}},
+		{name: "partitioned machines", seed: 9, acts: []act{
+			{40 * s, func(w *standin.World) { isolate(w, w.Cloud.Workers()[0], true) }},
+			{52 * s, func(w *standin.World) {
+				if ks := w.Cloud.Workers(); len(ks) > 0 {
+					isolate(w, ks[0], false)
+				}
+			}},
+		}},
+		{name: "a faulty machine", seed: 10, acts: []act{
+			{30 * s, func(w *standin.World) { w.Cloud.Workers()[0].SetSick() }},
+		}},
+		{name: "all at once", seed: 11, setup: func(w *standin.World) {
+			w.StateFaults.LoseAnswer, w.StateFaults.Late, w.StateFaults.LateBy = 0.02, 0.02, 8*time.Second
+			w.WorkerFaults.LoseAnswer, w.WorkerFaults.Late, w.WorkerFaults.LateBy = 0.1, 0.1, 25*time.Second
+		}, acts: []act{
+			{35 * s, kill(0)}, {45 * s, start(0)}, {47 * s, func(w *standin.World) { w.Cloud.Workers()[0].Die() }},
+			{60 * s, killAll}, {63 * s, startAll}, {90 * s, kill(1)}, {91 * s, start(1)},
+		}},
+	} {
+		t.Run(day.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := standin.NewWorld(day.seed, platform(), machineTypes)
+				defer w.Close()
+				if day.setup != nil {
+					day.setup(w)
+				}
+				startAll(w)
+				r := rand.New(rand.NewPCG(day.seed, 7))
+				var users sync.WaitGroup
+				user := func(after time.Duration, f func()) {
+					users.Go(func() { time.Sleep(after); f() })
+				}
+				for _, a := range day.acts {
+					user(a.at, func() { a.do(w) })
+				}
+				var mu sync.Mutex
+				var undone []string
+				must := func(id, state string) {
+					if !w.Await(id, state, 400*s) {
+						mu.Lock()
+						undone = append(undone, id+" is not "+state)
+						mu.Unlock()
+					}
+				}
+				for i := range 12 {
+					job := array(100+i, 1+r.IntN(12), 5+10*r.Float64())
+					cancelled := i%5 == 4
+					if i%3 == 1 {
+						job.Team, job.Urgency = "green", "idle"
+					}
+					user(time.Duration(r.IntN(100))*s, func() {
+						if !w.Submit(job) {
+							return
+						}
+						if cancelled {
+							time.Sleep(6 * s)
+							w.Cancel(job.ID)
+							return
+						}
+						must(job.ID, "done")
+					})
+				}
+				for i := range 4 {
+					job := gang(200+i, 2+r.IntN(3), 8)
+					user(time.Duration(r.IntN(100))*s, func() {
+						if w.Submit(job) {
+							must(job.ID, "done")
+						}
+					})
+				}
+				for i := range 4 {
+					job := service(300+i, 1+i%3)
+					user(time.Duration(r.IntN(60))*s, func() {
+						if !w.Submit(job) {
+							return
+						}
+						must(job.ID, "running")
+						time.Sleep(60 * s)
+						w.Cancel(job.ID)
+					})
+				}
+				user(50*s, func() {
+					if got := w.Poll("job-999999"); got != "unknown" && got != "" {
+						t.Errorf("a job that nobody submitted is %q", got)
+					}
+				})
+				users.Wait()
+				time.Sleep(60 * s) // what is late arrives, what is cancelled must be gone
+				for _, b := range w.Broken() {
+					t.Error(b)
+				}
+				for _, u := range undone {
+					t.Error(u)
+				}
+				if w.Starts() == 0 {
+					t.Error("nothing ran")
+				}
+			})
+		})
+	}
+}
+
+func cutNode(w *standin.World, i int, other string, cut bool) { w.Net.Cut(w.NodeAddr(i), other, cut) }
+
+func cutWorkers(w *standin.World, i int, cut bool) {
+	for _, k := range w.Cloud.Workers() {
+		w.Net.Cut(w.NodeAddr(i), k.Addr(), cut)
+	}
+}
+
+func isolate(w *standin.World, k *standin.Worker, cut bool) {
+	for i := range 3 {
+		w.Net.Cut(w.NodeAddr(i), k.Addr(), cut)
+	}
+}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +14,7 @@
 
 	"golang.org/x/time/rate"
 
+	"aspenstall/internal/netdial"
 	"aspenstall/internal/wire"
 )
 
@@ -50,7 +50,7 @@
 
 // New returns a client for the service at addr that keeps to a share of its
 // rates: the other nodes need theirs.
-func New(addr string, rps, writeRPS float64, conns int) *Client {
+func New(addr string, rps, writeRPS float64, conns int, dial netdial.Func) *Client {
 	const share = 0.7
 	lim := func(r float64) *rate.Limiter {
 		if r <= 0 {
@@ -58,11 +58,10 @@
 		}
 		return rate.NewLimiter(rate.Limit(r*share), max(int(r*share), 12))
 	}
-	d := &net.Dialer{Timeout: time.Second}
 	return &Client{
 		base: "http://" + addr,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext: d.DialContext, MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns,
+			DialContext: dial, MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns,
 			IdleConnTimeout: 90 * time.Second, DisableCompression: true,
 		}},
 		reads: lim(rps), writes: lim(writeRPS),
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"aspenstall/internal/core"
+	"aspenstall/internal/netdial"
 	"aspenstall/internal/wire"
 )
 
 const (
-	dialTimeout    = time.Second
 	requestTimeout = 2 * time.Second
 	maxAnswer      = 4 << 20
 )
@@ -24,10 +24,9 @@
 type Client struct{ http *http.Client }
 
 // New returns a client that keeps at most conns connections, idle ones included.
-func New(conns int) *Client {
-	d := &net.Dialer{Timeout: dialTimeout}
+func New(conns int, dial netdial.Func) *Client {
 	return &Client{http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
-		DialContext: d.DialContext, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: conns,
+		DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: conns,
 		IdleConnTimeout: 60 * time.Second, DisableCompression: true,
 	}}}
 }
