--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -558,7 +558,7 @@
 		return nil
 	}
 	if len(m.tasks) > 0 && !m.recorded {
-		c.record(m)
+		c.record(m, now)
 	}
 	var on Res
 	for _, p := range m.tasks {
@@ -593,7 +593,7 @@
 		if p.inDo || p.shown || p.unwanted || p.sent && !(beat && p.resend) {
 			continue
 		}
-		if !m.recorded || p.j == nil || !c.open(p.j) {
+		if !m.recorded || p.j == nil || !c.open(p.j, now) {
 			continue
 		}
 		if !p.sent {
@@ -622,19 +622,26 @@
 	return Command{Op: op, Job: p.job, Index: p.index, Attempt: p.attempt}
 }
 
+// writeRetry keeps a write that fails at once, as all do in an outage of the
+// state service, from being tried again at once.
+const writeRetry = Second / 2
+
 // open reports whether it is recorded that tasks of the job may run, and sees
 // to it where it is not.
-func (c *Core) open(j *job) bool {
+func (c *Core) open(j *job, now Micros) bool {
 	if j.opened {
 		return true
 	}
-	if j.opening {
+	if j.opening || now < j.openFrom {
 		return false
 	}
 	j.opening = true
 	c.write(Write{Puts: []Put{{OpenPrefix + j.spec.ID, OpenRecord{j.spec.ID}}}, Urgent: true}, func(now Micros, ok bool) {
 		j.opening = false
 		j.opened = j.opened || ok
+		if !ok {
+			j.openFrom = now + writeRetry
+		}
 		for _, p := range j.live {
 			p.m.dirty = true
 		}
@@ -645,8 +652,8 @@
 
 // record sees to it that the machine is in the state service before it is
 // given its first task.
-func (c *Core) record(m *machine) {
-	if m.recording || m.address == "" {
+func (c *Core) record(m *machine, now Micros) {
+	if m.recording || m.address == "" || now < m.recordFrom {
 		return
 	}
 	m.recording = true
@@ -654,6 +661,9 @@
 	c.write(Write{Puts: []Put{{MachinePrefix + m.name, rec}}, Urgent: true}, func(now Micros, ok bool) {
 		m.recording = false
 		m.recorded = m.recorded || ok
+		if !ok {
+			m.recordFrom = now + writeRetry
+		}
 		m.dirty = true
 		c.dirtyMachines = true
 		c.settleRents(m.name)
@@ -843,7 +853,7 @@
 		}
 		// Refused, because the job was cancelled first, or not known: the
 		// record comes through the watch, and trying again is harmless.
-		j.writeFrom = now + Second/2
+		j.writeFrom = now + writeRetry
 		c.flushWanted = true
 	})
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -26,9 +26,10 @@
 	done    int
 	on      int // placements that hold, wanted or not
 
-	opened  bool // recorded: tasks may have been started
-	opening bool // the record is being written
-	held    bool // opened by a former leader: unseen tasks may be anywhere
+	opened   bool   // recorded: tasks may have been started
+	openFrom Micros // not tried before this
+	opening  bool   // the record is being written
+	held     bool   // opened by a former leader: unseen tasks may be anywhere
 
 	dirty     map[int]bool // chunks whose ranges changed since they were written
 	stored    map[int]bool // chunks that may have a record
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -44,6 +44,7 @@
 	token               uint64 // highest it has reported
 
 	recorded, recording bool
+	recordFrom          Micros // not tried before this
 	settled             bool   // everything on it is known to this leader
 	lost                bool   // its lease has run out
 	booting             bool   // never heard of
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -65,8 +65,7 @@
 func (n *Node) endFormer(ctx context.Context) error {
 	e, err := n.store.Get(ctx, leaderKey)
 	if errors.Is(err, statestore.ErrNotFound) {
-		n.refresh(ctx)
-		return nil
+		return n.refreshed(ctx)
 	}
 	if err != nil {
 		return err
@@ -79,7 +78,15 @@
 	if err := n.store.Revoke(ctx, e.Lease); err != nil && !errors.Is(err, statestore.ErrNotFound) {
 		return err
 	}
-	n.refresh(ctx)
+	return n.refreshed(ctx)
+}
+
+// refreshed is refresh for the elector, which tries again after an error: a
+// view that stays behind would leave it waiting for news that came already.
+func (n *Node) refreshed(ctx context.Context) error {
+	if !n.refresh(ctx) {
+		return errors.New("the view could not be brought up to date")
+	}
 	return nil
 }
 
@@ -112,8 +119,7 @@
 	})
 	if errors.Is(err, statestore.ErrConflict) {
 		_ = n.store.Revoke(ctx, lease)
-		n.refresh(ctx)
-		return nil
+		return n.refreshed(ctx)
 	}
 	if err != nil {
 		return fmt.Errorf("leader's key: %w", err)
@@ -134,8 +140,7 @@
 		}
 		reply(true)
 	})
-	n.refresh(ctx)
-	return nil
+	return n.refreshed(ctx)
 }
 
 // hold renews the term's lease until it is over.
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"aspenstall/internal/netdial"
 )
@@ -101,8 +102,12 @@
 		l, cut := n.listeners[to], n.cut[[2]string{from, to}]
 		n.mu.Unlock()
 		if cut {
-			<-ctx.Done()
-			return fail(ctx.Err())
+			// Silence; the dialler gives up by itself.
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Second):
+			}
+			return fail(context.DeadlineExceeded)
 		}
 		if l == nil {
 			return fail(errRefused)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -206,29 +206,33 @@
 	}()
 }
 
-// gangLeft lets the rest of a gang notice that a task has left.
+// gangLeft lets the rest of a gang notice that a task has left. The tasks of a
+// gang complete together: if one is done, all are.
 func (w *World) gangLeft(t *lot, why string) {
-	if t.spec == nil || t.spec.Shape != "ensemble" || why == "done" {
+	if t.spec == nil || t.spec.Shape != "ensemble" {
 		return
 	}
 	job, _, _ := strings.Cut(t.Task, "/")
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	g := w.gangs[fmt.Sprintf("%s#%d", job, t.Attempt)]
-	tell := g != nil && g.running && !g.over
-	if g != nil {
-		delete(g.ready, t)
-		g.over = g.over || tell
+	if g == nil {
+		return
 	}
-	var rest []*lot
-	var on []*Worker
-	if tell {
-		for o, k := range g.ready {
-			rest, on = append(rest, o), append(on, k)
+	delete(g.ready, t)
+	if !g.running || g.over {
+		return
+	}
+	g.over = true
+	after, with := w.gangPeers/2, "mates_gone"
+	if why == "done" {
+		after, with = 0, "done"
+		for i := range t.spec.Tasks {
+			w.check.done(&lot{Task: wire.TaskName(job, i)})
 		}
 	}
-	w.mu.Unlock()
-	for i := range rest {
-		time.AfterFunc(w.gangPeers/2, func() { on[i].end(rest[i], "mates_gone", false) })
+	for o, k := range g.ready {
+		time.AfterFunc(after, func() { k.end(o, with, false) })
 	}
 }
 
