--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const goodPlatform = `{"member":"n0","area":"a","listen":"10.0.0.1:1","cluster_listen":"10.0.0.1:2",
+"known":[{"member":"n1","area":"b","endpoint":"10.0.0.2:2"}],"services":{"cloud":"10.2.0.2:3","state":"10.2.0.1:4"},
+"new_field":{"x":1},"params":{"teams":[{"name":"blue","cpus":4.0,"cpus_max":8.0}],
+"workers":{"report_s":3.0,"lease_s":16.0},"state":{"rps":10,"write_rps":5,"value_kb":4.0,"txn_ops":12}}}`
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// verdict compares an error with what it is to say; "" for none.
+func verdict(t *testing.T, err error, path, want string) {
+	t.Helper()
+	switch {
+	case want == "" && err != nil:
+		t.Errorf("got %v", err)
+	case want == "":
+	case err == nil:
+		t.Error("got no error")
+	case !strings.HasPrefix(err.Error(), path) || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n"):
+		t.Errorf("got %q, want one line that names the file and %q", err, want)
+	}
+}
+
+func TestPlatform(t *testing.T) {
+	for _, c := range []struct{ name, from, to, want string }{
+		{"good, with unknown fields", "", "", ""},
+		{"not JSON", "{", "(", "invalid character"},
+		{"wrong type", `"txn_ops":12`, `"txn_ops":"many"`, "params.state.txn_ops"},
+		{"no member", `"member":"n0"`, `"member":""`, "member: missing"},
+		{"name for an address", "10.2.0.1:4", "state:4", "services.state"},
+		{"peer without port", "10.0.0.2:2", "10.0.0.2", "known[0].endpoint"},
+		{"guarantee over limit", `"cpus":4.0`, `"cpus":9.0`, "params.teams[0]"},
+		{"no lease", `"lease_s":16.0`, `"lease_s":0`, "params.workers.lease_s"},
+		{"no value size", `"value_kb":4.0`, `"value_kb":-1`, "params.state.value_kb"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			path := file(t, strings.Replace(goodPlatform, c.from, c.to, 1))
+			_, err := LoadPlatform(path)
+			verdict(t, err, path, c.want)
+		})
+	}
+	if _, err := LoadPlatform("/no/such/file"); err == nil {
+		t.Error("a missing file is taken")
+	}
+}
+
+func TestSettings(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"some", "{:spare-tasks 2 ; room\n :idle-return-s 15.5}", ""},
+		{"empty map", "{}", ""},
+		{"whole number for seconds", "{:suspect-s 5}", ""},
+		{"misspelt", "{:spare-task 2}", ":spare-task: no such setting"},
+		{"out of range", "{:leader-lease-s 0.1}", ":leader-lease-s: want 1 to 60"},
+		{"wrong type", "{:spare-tasks \"two\"}", "string"},
+		{"not a map", "(1 2)", "cannot"},
+		{"two expressions", "{} {}", "more than one"},
+		{"unclosed", "{:spare-tasks 2", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			path := file(t, c.text)
+			s, err := LoadSettings(path)
+			if c.name == "unclosed" {
+				if err == nil {
+					t.Error("got no error")
+				}
+				return
+			}
+			verdict(t, err, path, c.want)
+			if c.name == "some" && (s.SpareTasks != 2 || s.IdleReturnS != 15.5 || s.SuspectS != DefaultSettings().SuspectS) {
+				t.Errorf("got %+v", s)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,759 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+)
+
+// world is a core with a clock and with workers that do what they are told, so
+// that a case reads as what happens and what is to follow.
+type world struct {
+	t     *testing.T
+	c     *Core
+	now   Micros
+	sent  []SendCommands
+	rents []Rent
+	backs []Return
+	puts  map[string]any // what was written
+	drops map[string]bool
+	notes []string
+	raise int
+	// failWrites makes writes fail, as in an outage.
+	failWrites bool
+}
+
+var testTypes = []MachineType{
+	{Name: "m", Cap: Res{8000, 0, 32000}, CacheMB: 50000, FetchMBps: 1000, Price: 1, SpotPrice: 0.4, Boot: 20 * Second, Zones: []string{"a", "b"}},
+	{Name: "g", Cap: Res{8000, 2000, 32000}, CacheMB: 50000, FetchMBps: 1000, Price: 3, SpotPrice: 1, Boot: 20 * Second, Zones: []string{"a"}},
+}
+
+func newWorld(t *testing.T, teams ...Team) *world {
+	c := New(Config{
+		Teams: teams, Lease: 16 * Second, ReportGap: 3 * Second, GangPeers: 8 * Second, GangWait: 30 * Second, ChunkSize: 16,
+		Tuning: Tuning{Idle: 10 * Second, RefusalPause: 15 * Second, Quarantine: 60 * Second, Suspect: 7 * Second, SpareTasks: 0},
+	})
+	w := &world{t: t, c: c, now: Second, puts: map[string]any{}, drops: map[string]bool{}}
+	c.Catalog(testTypes)
+	return w
+}
+
+func (w *world) begin(token uint64, jobs []JobRecord, snap Snapshot) {
+	w.c.Begin(w.now, w.now, token, jobs, snap)
+	w.step()
+}
+
+// step lets the core act until it wants nothing more.
+func (w *world) step() {
+	for range 20 {
+		acts := w.c.Step(w.now)
+		if len(acts) == 0 {
+			return
+		}
+		for _, a := range acts {
+			switch a := a.(type) {
+			case SendCommands:
+				w.sent = append(w.sent, a)
+			case Rent:
+				w.rents = append(w.rents, a)
+			case Return:
+				w.backs = append(w.backs, a)
+			case RaiseToken:
+				w.raise++
+			case Note:
+				w.notes = append(w.notes, a.Text)
+			case Write:
+				if !w.failWrites {
+					for _, p := range a.Puts {
+						w.puts[p.Key] = p.Value
+					}
+					for _, k := range a.Drops {
+						w.drops[k] = true
+					}
+				}
+				w.c.Written(w.now, a.ID, !w.failWrites)
+			}
+		}
+	}
+}
+
+func (w *world) pass(d Micros) {
+	w.now += d
+	w.step()
+}
+
+func (w *world) submit(s JobSpec) {
+	if s.Need == (Res{}) {
+		s.Need = Res{2000, 0, 2000}
+	}
+	if s.Image == "" {
+		s.Image = "im"
+	}
+	if s.Team == "" {
+		s.Team = "blue"
+	}
+	w.c.Job(w.now, w.now, JobRecord{Spec: s, Submitted: w.now, Stamp: 5})
+	w.step()
+}
+
+func (w *world) cancel(id string) {
+	rec := w.c.jobs[id].rec
+	rec.Phase = Cancelled
+	w.c.Job(w.now, w.now, rec)
+	w.step()
+}
+
+// fake is a worker as the core sees it.
+type fake struct {
+	w     *world
+	r     Report
+	cmds  []Command // from the answer to the last beat
+	lossy bool      // direct commands go unanswered
+}
+
+func (w *world) machine(name, zone string) *fake {
+	return &fake{w: w, r: Report{Machine: name, Address: name + ":1", Type: "m", Zone: zone, Session: 1, Token: w.c.token, Notice: -1}}
+}
+
+// beat reports and executes the commands of the answer.
+func (f *fake) beat() *fake {
+	f.r.Seq++
+	r := f.r
+	r.Tasks = append([]TaskReport(nil), f.r.Tasks...)
+	cmds, token, ok := f.w.c.Beat(f.w.now, &r)
+	if !ok {
+		f.w.t.Fatal("beat refused")
+	}
+	f.r.Token = max(f.r.Token, token)
+	f.cmds = cmds
+	f.execute(cmds)
+	f.w.step()
+	f.direct()
+	return f
+}
+
+func (f *fake) execute(cmds []Command) {
+	for _, c := range cmds {
+		i := f.index(c.Job, c.Index, c.Attempt)
+		switch {
+		case c.Op == Start && i < 0:
+			f.r.Tasks = append(f.r.Tasks, TaskReport{Job: c.Job, Index: c.Index, Attempt: c.Attempt, State: Running})
+		case c.Op == Stop && i >= 0:
+			f.exit(i, CauseStopped)
+		case c.Op == Forget && i >= 0:
+			f.r.Tasks = append(f.r.Tasks[:i], f.r.Tasks[i+1:]...)
+		}
+	}
+}
+
+func (f *fake) index(job string, index int, attempt uint64) int {
+	for i, t := range f.r.Tasks {
+		if t.Job == job && t.Index == index && t.Attempt == attempt {
+			return i
+		}
+	}
+	return -1
+}
+
+func (f *fake) exit(i int, why Cause) { f.r.Tasks[i].State, f.r.Tasks[i].Cause = Exited, why }
+
+// direct executes the direct commands that were sent to the worker.
+func (f *fake) direct() {
+	w := f.w
+	for n := 0; n < len(w.sent); n++ {
+		s := w.sent[n]
+		if s.Machine != f.r.Machine {
+			continue
+		}
+		w.sent = append(w.sent[:n], w.sent[n+1:]...)
+		n--
+		if f.lossy {
+			w.c.Commanded(w.now, s.Machine, s.Token, Unanswered, nil)
+			continue
+		}
+		f.r.Token = max(f.r.Token, s.Token)
+		f.execute(s.Commands)
+		f.r.Seq++
+		r := f.r
+		r.Tasks = append([]TaskReport(nil), f.r.Tasks...)
+		w.c.Commanded(w.now, s.Machine, s.Token, Executed, &r)
+		w.step()
+		n = -1
+	}
+}
+
+func (f *fake) live() string {
+	out := ""
+	for _, t := range f.r.Tasks {
+		if t.State != Exited {
+			out += fmt.Sprintf("%s/%d ", t.Job, t.Index)
+		}
+	}
+	return out
+}
+
+func (w *world) want(what string, got, want any) {
+	w.t.Helper()
+	if got != want {
+		w.t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+var blue = Team{Name: "blue", Min: Res{CPU: 4000}, Max: Res{CPU: 12000}}
+var green = Team{Name: "green", Min: Res{CPU: 8000}, Max: Res{CPU: 16000}}
+
+// TestQuota: max caps what is placed, unused min is lent, and reclaim takes
+// victims on one machine from teams over their min, none pushed below its own.
+func TestQuota(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		machines int
+		first    JobSpec // runs already
+		then     JobSpec
+		first1   int // tasks of the first that run in the end
+		then1    int
+	}{
+		{"max caps a team", 3, JobSpec{ID: "job-1", Tasks: 9}, JobSpec{ID: "job-2", Team: "green", Tasks: 1}, 6, 1},
+		{"unused min is lent", 1, JobSpec{ID: "job-1", Tasks: 4}, JobSpec{ID: "job-2", Tasks: 1}, 4, 0},
+		{"reclaim within min, down to the lender's min", 1, JobSpec{ID: "job-1", Tasks: 4}, JobSpec{ID: "job-2", Team: "green", Tasks: 4}, 2, 2},
+		{"beyond min others are left alone", 2, JobSpec{ID: "job-1", Tasks: 6},
+			JobSpec{ID: "job-2", Team: "green", Tasks: 3, Need: Res{6000, 0, 1000}}, 5, 1},
+		{"beyond min, own lower priorities", 1, JobSpec{ID: "job-1", Tasks: 4, Priority: Low}, JobSpec{ID: "job-2", Tasks: 2, Priority: High}, 2, 2},
+		{"not own equal priorities", 1, JobSpec{ID: "job-1", Tasks: 4, Priority: High}, JobSpec{ID: "job-2", Tasks: 2, Priority: High}, 4, 0},
+		{"no victims that would not make room", 1, JobSpec{ID: "job-1", Tasks: 3},
+			JobSpec{ID: "job-2", Team: "green", Tasks: 1, Need: Res{8000, 0, 1000}}, 3, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, blue, green)
+			w.begin(100, nil, Snapshot{})
+			var fs []*fake
+			for i := range c.machines {
+				fs = append(fs, w.machine(fmt.Sprintf("n-%d", i), "a").beat())
+			}
+			round := func() {
+				for range 4 {
+					w.pass(Second)
+					for _, f := range fs {
+						f.direct()
+						f.beat()
+					}
+				}
+			}
+			w.submit(c.first)
+			round()
+			w.submit(c.then)
+			round()
+			count := map[string]int{}
+			for _, f := range fs {
+				for _, t := range f.r.Tasks {
+					if t.State != Exited {
+						count[t.Job]++
+					}
+				}
+			}
+			w.want("tasks of the first", count["job-1"], c.first1)
+			w.want("tasks of the second", count["job-2"], c.then1)
+		})
+	}
+}
+
+// TestPlaces: types, zones, kinds of machine, spread and one zone.
+func TestPlaces(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		job  JobSpec
+		want string // tasks on a1, a2 (spot), b1
+	}{
+		{"zone", JobSpec{Tasks: 2, Zone: "b"}, "0 0 2"},
+		{"no spot", JobSpec{Tasks: 4, Zone: "a"}, "4 0 0"},
+		{"spread", JobSpec{Tasks: 4, Spread: true}, "2 0 2"},
+		{"spread, uneven", JobSpec{Tasks: 3, Spread: true, Spot: true, Zone: "a"}, "0 2 0"},
+		{"one zone", JobSpec{Tasks: 6, OneZone: true}, "4 0 0"},
+		{"gang in one zone or not at all", JobSpec{Tasks: 5, Kind: Gang, OneZone: true}, "0 0 0"},
+		{"gang in one zone with spot", JobSpec{Tasks: 5, Kind: Gang, OneZone: true, Spot: true}, "1 4 0"},
+		{"no such type", JobSpec{Tasks: 1, Types: []string{"g"}}, "0 0 0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, Team{Name: "blue"})
+			w.begin(100, nil, Snapshot{})
+			a1, a2, b1 := w.machine("a1", "a"), w.machine("a2", "a"), w.machine("b1", "b")
+			a2.r.Spot = true
+			fs := []*fake{a1, a2, b1}
+			for _, f := range fs {
+				f.beat()
+			}
+			c.job.ID = "job-1"
+			w.submit(c.job)
+			n := [3]int{}
+			for range 3 {
+				for i, f := range fs {
+					f.direct()
+					f.beat()
+					n[i] = len(f.r.Tasks)
+				}
+			}
+			w.want("tasks", fmt.Sprint(n[0], n[1], n[2]), c.want)
+		})
+	}
+}
+
+// TestRecordedFirst: no start goes to a machine that is not recorded, nor for a
+// job that is not recorded as opened.
+func TestRecordedFirst(t *testing.T) {
+	w := newWorld(t, blue)
+	w.begin(100, nil, Snapshot{})
+	f := w.machine("n-1", "a").beat()
+	w.failWrites = true
+	w.submit(JobSpec{ID: "job-1", Tasks: 1})
+	for range 5 {
+		w.pass(Second)
+		f.direct()
+		f.beat()
+	}
+	w.want("started before it was recorded", f.live(), "")
+	w.failWrites = false
+	for range 3 {
+		w.pass(Second)
+		f.direct()
+		f.beat()
+	}
+	w.want("started", f.live(), "job-1/0 ")
+	w.want("machine recorded", w.puts[MachinePrefix+"n-1"] != nil, true)
+	w.want("job opened", w.puts[OpenPrefix+"job-1"] != nil, true)
+}
+
+// TestLostMachine: tasks of a machine start elsewhere only when its lease is
+// over, counted from the last answer, when it shows a new session, or when a
+// return of it was answered.
+func TestLostMachine(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		event func(w *world, f *fake)
+		moved bool
+	}{
+		{"silent for less than the lease", func(w *world, f *fake) { w.pass(15 * Second) }, false},
+		{"lease over", func(w *world, f *fake) { w.pass(17 * Second) }, true},
+		{"new session", func(w *world, f *fake) {
+			f.r.Session, f.r.Tasks = 2, nil
+			f.r.Seq++
+			r := f.r
+			w.c.Beat(w.now, &r)
+			w.step()
+		}, true},
+		{"older report", func(w *world, f *fake) {
+			r := f.r
+			r.Seq, r.Tasks = 1, nil
+			w.c.Beat(w.now, &r)
+			w.step()
+		}, false},
+		{"return not answered", func(w *world, f *fake) { w.c.Returned(w.now, []string{"n-1"}, false); w.step() }, false},
+		{"return answered", func(w *world, f *fake) { w.c.Returned(w.now, []string{"n-1"}, true); w.step() }, true},
+		{"listed as failed", func(w *world, f *fake) { w.c.Listed(w.now, []Listed{{Name: "n-1", Failed: true}}); w.step() }, true},
+		{"missing from the late list", func(w *world, f *fake) { w.c.Listed(w.now, nil); w.step() }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, blue)
+			w.begin(100, nil, Snapshot{})
+			f := w.machine("n-1", "a").beat()
+			w.submit(JobSpec{ID: "job-1", Tasks: 1})
+			f.direct()
+			f.beat()
+			w.want("runs", f.live(), "job-1/0 ")
+			w.sent = nil
+			c.event(w, f)
+			p := w.c.jobs["job-1"].live[0]
+			w.want("moved", p == nil || p.m.name != "n-1" || p.attempt != w.c.token<<24|1, c.moved)
+		})
+	}
+}
+
+// TestTakeover: a new leader starts nothing that may still run somewhere, and
+// counts it, until every recorded machine has answered under the new token or
+// its lease is over.
+func TestTakeover(t *testing.T) {
+	rec := JobRecord{Spec: JobSpec{ID: "job-1", Team: "blue", Tasks: 2, Need: Res{2000, 0, 1000}, Image: "im"}, Stamp: 5}
+	fresh := rec
+	fresh.Spec.ID = "job-2"
+	snap := func() Snapshot {
+		return Snapshot{Machines: []MachineRecord{{Name: "n-1", Address: "n-1:1", Type: "m", Zone: "a", Session: 1}}, Open: []string{"job-1"}}
+	}
+	for _, c := range []struct {
+		name  string
+		event func(w *world, old, n2 *fake)
+		want  int // tasks of the opened job on the new machine
+	}{
+		{"not heard", func(w *world, old, n2 *fake) { w.pass(10 * Second) }, 0},
+		{"report from before the new token", func(w *world, old, n2 *fake) {
+			old.r.Seq++
+			old.r.Token = 99
+			r := old.r
+			w.c.Beat(w.now, &r)
+			w.step()
+		}, 0},
+		{"answered under the new token, empty", func(w *world, old, n2 *fake) { old.direct() }, 2},
+		{"answered, one task runs there", func(w *world, old, n2 *fake) {
+			old.r.Tasks = []TaskReport{{Job: "job-1", Index: 1, Attempt: 7, State: Running}}
+			old.direct()
+		}, 1},
+		{"lease over", func(w *world, old, n2 *fake) {
+			for range 6 {
+				w.pass(3 * Second)
+				n2.beat()
+			}
+		}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, blue)
+			w.begin(100, []JobRecord{rec, fresh}, snap())
+			old := w.machine("n-1", "a")
+			n2 := w.machine("n-2", "a").beat()
+			w.want("probed", len(w.sent) > 0 && w.sent[0].Machine == "n-1" && len(w.sent[0].Commands) == 0, true)
+			c.event(w, old, n2)
+			old.lossy = true
+			old.direct()
+			for range 3 {
+				n2.beat()
+				w.pass(Second / 2)
+				n2.direct()
+			}
+			counts := map[string]int{}
+			for _, task := range n2.r.Tasks {
+				counts[task.Job]++
+			}
+			// The machine n-1 takes its share once it is settled.
+			for _, m := range w.c.order {
+				for _, p := range m.tasks {
+					if p.j != nil && m.name == "n-1" && !p.shown {
+						counts[p.job]++
+					}
+				}
+			}
+			w.want("opened job", counts["job-1"], c.want)
+			w.want("job never opened", counts["job-2"], 2)
+		})
+	}
+}
+
+// TestLateStart: a direct start that went unanswered counts as possibly there
+// until the machine shows it, has a new session, or has answered under a
+// raised token; and it is not forgotten by the worker before.
+func TestLateStart(t *testing.T) {
+	w := newWorld(t, blue)
+	w.begin(100, nil, Snapshot{})
+	f := w.machine("n-1", "a").beat()
+	f.lossy = true
+	w.submit(JobSpec{ID: "job-1", Tasks: 1})
+	f.direct()
+	w.cancel("job-1")
+	f.lossy = false
+	for range 3 {
+		w.pass(3 * Second)
+		f.beat()
+	}
+	w.want("still counted", w.c.team("blue").used, Res{2000, 0, 2000})
+	w.want("asks for a token", w.raise > 0, true)
+	w.c.Raised(w.now, 200)
+	w.step()
+	f.direct()
+	f.beat()
+	w.pass(3 * Second)
+	f.beat()
+	w.want("settled", w.c.team("blue").used, Res{})
+
+	// One that is shown and exits is not reaped while the start may arrive.
+	f.lossy = true
+	w.submit(JobSpec{ID: "job-2", Tasks: 1})
+	f.direct()
+	f.lossy = false
+	f.beat()
+	w.want("started through the beat", f.live(), "job-2/0 ")
+	f.beat()
+	w.cancel("job-2")
+	f.direct()
+	w.pass(3 * Second)
+	f.beat()
+	w.pass(3 * Second)
+	f.beat()
+	w.want("kept", len(f.r.Tasks), 1)
+	w.c.Raised(w.now, 300)
+	w.step()
+	f.direct()
+	w.pass(3 * Second)
+	f.beat()
+	w.want("reaped", len(f.r.Tasks), 0)
+}
+
+// TestAttempts: no attempt is given twice, by any leader.
+func TestAttempts(t *testing.T) {
+	seen := map[uint64]bool{}
+	w := newWorld(t)
+	for _, token := range []uint64{1, 2, 3, 500} {
+		w.begin(token, nil, Snapshot{})
+		for range 1000 {
+			a := w.c.nextAttempt()
+			if seen[a] {
+				t.Fatalf("attempt %d is given twice", a)
+			}
+			seen[a] = true
+		}
+	}
+}
+
+// TestDone: a job is done only once all its tasks are, and what was finished is
+// kept as ranges; exited tasks are forgotten only after that.
+func TestDone(t *testing.T) {
+	w := newWorld(t, Team{Name: "blue"})
+	w.begin(100, nil, Snapshot{})
+	f := w.machine("n-1", "a").beat()
+	w.submit(JobSpec{ID: "job-1", Tasks: 4})
+	f.direct()
+	f.beat()
+	w.failWrites = true
+	for _, i := range []int{0, 1, 3} {
+		f.exit(f.index("job-1", f.r.Tasks[i].Index, f.r.Tasks[i].Attempt), CauseDone)
+	}
+	left := f.r.Tasks[2].Index
+	f.beat()
+	w.pass(3 * Second)
+	f.beat()
+	w.want("kept until recorded", len(f.r.Tasks), 4)
+	w.failWrites = false
+	w.pass(2 * Second)
+	f.beat()
+	rec, _ := w.puts[RangeKey("job-1", 0)].(RangeRecord)
+	want := map[int]string{0: "[1 3]", 1: "[0 0 2 3]", 2: "[0 1 3 3]", 3: "[0 2]"}[left]
+	w.want("ranges", fmt.Sprint(rec.Ranges), want)
+	w.want("forgotten", len(f.r.Tasks), 1)
+	if _, ok := w.puts[""]; ok {
+		t.Error("done before the last task")
+	}
+	f.exit(0, CauseDone)
+	f.beat()
+	d, ok := w.puts[""].(JobDone)
+	w.want("final record", ok && d.Record.Phase == Done, true)
+	w.want("bookkeeping dropped", w.drops[RangeKey("job-1", 0)] && w.drops[OpenPrefix+"job-1"], true)
+
+	// A new leader takes the ranges over and runs only the rest.
+	spec := JobSpec{ID: "job-9", Team: "blue", Tasks: 20, Need: Res{1000, 0, 1000}, Image: "im"}
+	w2 := newWorld(t, Team{Name: "blue"})
+	w2.begin(200, []JobRecord{{Spec: spec, Stamp: 3}}, Snapshot{Ranges: []RangeRecord{{"job-9", 0, []int{0, 14}}, {"job-9", 1, []int{1, 2}}}, Open: []string{"job-9"}})
+	w2.want("left", w2.c.jobs["job-9"].pending, 3)
+}
+
+// TestGang: all or none, one attempt, and a stopped task stops its gang.
+func TestGang(t *testing.T) {
+	spec := JobSpec{ID: "job-1", Kind: Gang, Tasks: 6, Need: Res{2000, 0, 1000}}
+	setup := func(t *testing.T) (*world, []*fake) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		return w, []*fake{w.machine("n-1", "a").beat(), w.machine("n-2", "b").beat()}
+	}
+	round := func(w *world, fs []*fake) {
+		for _, f := range fs {
+			f.direct()
+			f.beat()
+		}
+	}
+	t.Run("none without room for all", func(t *testing.T) {
+		w, fs := setup(t)
+		big := spec
+		big.Tasks = 9
+		w.submit(big)
+		round(w, fs)
+		w.want("tasks", len(fs[0].r.Tasks)+len(fs[1].r.Tasks), 0)
+	})
+	t.Run("no victims unless all fit", func(t *testing.T) {
+		w, fs := setup(t)
+		w.submit(JobSpec{ID: "job-0", Tasks: 8, Priority: Low})
+		round(w, fs)
+		big := spec
+		big.Tasks, big.Priority = 9, High
+		w.submit(big)
+		round(w, fs)
+		w.want("running", len(fs[0].live())+len(fs[1].live()) > 0 && w.c.jobs["job-0"].on == 8, true)
+		w.submit(JobSpec{ID: "job-2", Kind: Gang, Tasks: 6, Need: Res{2000, 0, 1000}, Priority: High})
+		round(w, fs)
+		round(w, fs)
+		w.want("gang after eviction", w.c.jobs["job-2"].running(), 6)
+		w.want("left", w.c.jobs["job-0"].on, 2)
+	})
+	t.Run("a task that exits stops the rest, and all start again with one attempt", func(t *testing.T) {
+		w, fs := setup(t)
+		w.submit(spec)
+		round(w, fs)
+		round(w, fs)
+		first := w.c.jobs["job-1"].attempt
+		fs[0].exit(0, CausePeers)
+		for range 4 {
+			w.pass(Second)
+			round(w, fs)
+		}
+		attempts := map[uint64]int{}
+		for _, f := range fs {
+			for _, task := range f.r.Tasks {
+				if task.State != Exited {
+					attempts[task.Attempt]++
+				}
+			}
+		}
+		w.want("attempts", len(attempts) == 1 && attempts[first] == 0 && attempts[w.c.jobs["job-1"].attempt] == 6, true)
+	})
+}
+
+// TestFaults: machines that fail several jobs are emptied and returned; a job
+// that fails everywhere backs off and evicts nobody.
+func TestFaults(t *testing.T) {
+	t.Run("quarantine", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		f := w.machine("n-1", "a").beat()
+		w.submit(JobSpec{ID: "job-1", Tasks: 1})
+		w.submit(JobSpec{ID: "job-2", Tasks: 1})
+		f.direct()
+		f.beat()
+		f.exit(0, CauseError)
+		f.exit(1, CauseError)
+		f.beat()
+		w.pass(Second)
+		f.beat()
+		w.pass(2 * Second)
+		w.want("returned", len(w.backs) == 1 && w.backs[0].Reason == "drained", true)
+	})
+	t.Run("job that fails everywhere", func(t *testing.T) {
+		w := newWorld(t, blue, green)
+		w.begin(100, nil, Snapshot{})
+		var fs []*fake
+		for i := range 3 {
+			fs = append(fs, w.machine(fmt.Sprintf("n-%d", i), "a").beat())
+		}
+		w.submit(JobSpec{ID: "job-1", Team: "green", Tasks: 1})
+		for range 12 {
+			w.pass(Second / 2)
+			for _, f := range fs {
+				f.direct()
+				for i := range f.r.Tasks {
+					if f.r.Tasks[i].State != Exited {
+						f.exit(i, CauseError)
+					}
+				}
+				f.beat()
+			}
+		}
+		j := w.c.jobs["job-1"]
+		w.want("machines it failed on", len(j.errors), 3)
+		w.want("backs off", j.notBefore > w.now, true)
+		w.want("no machine is blamed for one job", len(w.backs), 0)
+		w.submit(JobSpec{ID: "job-2", Tasks: 6})
+		for range 3 {
+			for _, f := range fs {
+				f.direct()
+				f.beat()
+			}
+		}
+		w.want("borrowers stay", w.c.reclaim(j, Res{}, w.now, &reclaimPlan{}) == nil, true)
+	})
+}
+
+// TestFleet: what is rented, and what goes back.
+func TestFleet(t *testing.T) {
+	t.Run("spot for jobs that allow it, once", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		w.submit(JobSpec{ID: "job-1", Tasks: 8, Spot: true})
+		w.pass(2 * Second)
+		w.want("requests", len(w.rents), 1)
+		w.want("rented", fmt.Sprint(w.rents[0].Spot, w.rents[0].Count), "true 2")
+		w.want("recorded before it was asked for", w.puts[RentPrefix+w.rents[0].Request] != nil, true)
+		w.c.Rented(w.now, w.rents[0].Request, RentGranted, []string{"n-1", "n-2"})
+		w.pass(5 * Second)
+		w.want("nothing twice", len(w.rents), 1)
+	})
+	t.Run("refused capacity is remembered, names are not used again", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		w.submit(JobSpec{ID: "job-1", Tasks: 1, Zone: "b"})
+		w.pass(Second)
+		w.c.Rented(w.now, w.rents[0].Request, RentRefused, nil)
+		w.pass(5 * Second)
+		w.want("asked while refused", len(w.rents), 1)
+		w.pass(15 * Second)
+		w.want("asked again", len(w.rents) == 2 && w.rents[0].Request != w.rents[1].Request, true)
+	})
+	t.Run("an unanswered request is repeated under its name, by the next leader too", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		w.submit(JobSpec{ID: "job-1", Tasks: 1})
+		w.pass(Second)
+		name := w.rents[0].Request
+		w.c.Rented(w.now, name, RentUnknown, nil)
+		w.pass(2 * Second)
+		w.want("repeated", len(w.rents) == 2 && w.rents[1].Request == name, true)
+		w.begin(200, nil, Snapshot{Rents: []RentRecord{{Request: name, Type: "m", Zone: "a", Count: 1}}})
+		w.pass(2 * Second)
+		w.want("by the next leader", w.rents[len(w.rents)-1].Request, name)
+	})
+	t.Run("idle machines go back after a minute, drained ones at once", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		f := w.machine("n-1", "a").beat()
+		g := w.machine("n-2", "a").beat()
+		for range 14 {
+			w.pass(Second)
+			f.beat()
+			g.beat()
+		}
+		w.c.Listed(w.now, []Listed{{Name: "n-1", Age: 30 * Second}, {Name: "n-2", Age: 30 * Second}})
+		g.r.Notice = 10 * Second
+		g.beat()
+		w.pass(Second)
+		w.want("back", fmt.Sprint(w.backs), "[{[n-2] drained}]")
+		for range 35 {
+			w.pass(Second)
+			f.beat()
+		}
+		w.want("back later", len(w.backs) == 2 && w.backs[1].Machines[0] == "n-1" && w.backs[1].Reason == "idle", true)
+	})
+	t.Run("a machine taken over empty goes back", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{Machines: []MachineRecord{{Name: "n-1", Address: "n-1:1", Type: "m", Zone: "a", Session: 1}}})
+		f := w.machine("n-1", "a")
+		for range 25 {
+			f.direct()
+			f.beat()
+			w.pass(3 * Second)
+		}
+		w.want("back", len(w.backs), 1)
+	})
+	t.Run("a machine that never comes up goes back", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		w.submit(JobSpec{ID: "job-1", Tasks: 1})
+		w.pass(Second)
+		w.c.Rented(w.now, w.rents[0].Request, RentGranted, []string{"n-1"})
+		w.pass(75 * Second)
+		w.want("back", len(w.backs) > 0 && w.backs[0].Reason == "never came up", true)
+	})
+}
+
+// TestLeaseUntil: a leader stops before its lease can be over by another clock.
+func TestLeaseUntil(t *testing.T) {
+	if got := LeaseUntil(10*Second, 3*Second); got >= 13*Second || got < 12*Second {
+		t.Errorf("acts until %d", got)
+	}
+}
+
+func TestRanges(t *testing.T) {
+	for _, c := range []struct {
+		done []int
+		want string
+	}{
+		{nil, "[]"}, {[]int{0}, "[0 0]"}, {[]int{0, 1, 2, 5}, "[0 2 5 5]"}, {[]int{15, 16, 17}, "[15 15]"},
+	} {
+		j := newJob(JobRecord{Spec: JobSpec{Tasks: 20}}, 0)
+		for _, i := range c.done {
+			j.set(i, taskDone)
+		}
+		if got := fmt.Sprint(j.ranges(0, 16)); got != c.want {
+			t.Errorf("%v: got %s, want %s", c.done, got, c.want)
+		}
+	}
+}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -263,6 +263,9 @@
 		c.absorbTask(m, &r.Tasks[i], now)
 	}
 	c.absorbMissing(m, r, beat, now)
+	if m.used == (Res{}) && m.idle == 0 {
+		m.idle = now // taken over empty from a former leader
+	}
 	if r.Token >= c.settleToken && r.Token > 0 {
 		c.settle(m)
 	}
--- /dev/null
+++ b/internal/wire/valid.go
@@ -0,0 +1,108 @@
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+var (
+	errCutShort = errors.New("message cut short")
+	errTooDeep  = errors.New("message nested too deeply")
+	errBinary   = errors.New("binary data and extensions are not part of the protocol")
+	errTrailing = errors.New("data after the message")
+)
+
+const maxDepth = 16
+
+// valid checks a message's structure without allocating. The decoder makes room
+// for as many entries as a header promises: five bytes that promise four
+// thousand million entries would take all memory.
+func valid(b []byte) error {
+	rest, err := skip(b, 0)
+	if err == nil && len(rest) > 0 {
+		err = errTrailing
+	}
+	return err
+}
+
+// skip returns what follows the first value in b.
+func skip(b []byte, depth int) ([]byte, error) {
+	if len(b) == 0 {
+		return nil, errCutShort
+	}
+	if depth > maxDepth {
+		return nil, errTooDeep
+	}
+	c := b[0]
+	b = b[1:]
+	fixed := func(n int) ([]byte, error) {
+		if n > len(b) {
+			return nil, errCutShort
+		}
+		return b[n:], nil
+	}
+	// length reads a length of size bytes and leaves b behind it.
+	length := func(size int) (int, error) {
+		if size > len(b) {
+			return 0, errCutShort
+		}
+		var buf [8]byte
+		copy(buf[8-size:], b[:size])
+		b = b[size:]
+		return int(binary.BigEndian.Uint64(buf[:])), nil
+	}
+	values := func(n int) ([]byte, error) {
+		if n > len(b) {
+			return nil, errCutShort // every value takes at least a byte
+		}
+		var err error
+		for ; n > 0 && err == nil; n-- {
+			b, err = skip(b, depth+1)
+		}
+		return b, err
+	}
+	switch {
+	case msgpcode.IsFixedNum(c), c == msgpcode.Nil, c == msgpcode.False, c == msgpcode.True:
+		return b, nil
+	case msgpcode.IsFixedString(c):
+		return fixed(int(c & msgpcode.FixedStrMask))
+	case msgpcode.IsFixedArray(c):
+		return values(int(c & msgpcode.FixedArrayMask))
+	case msgpcode.IsFixedMap(c):
+		return values(2 * int(c&msgpcode.FixedMapMask))
+	}
+	switch c {
+	case msgpcode.Uint8, msgpcode.Int8:
+		return fixed(1)
+	case msgpcode.Uint16, msgpcode.Int16:
+		return fixed(2)
+	case msgpcode.Uint32, msgpcode.Int32, msgpcode.Float:
+		return fixed(4)
+	case msgpcode.Uint64, msgpcode.Int64, msgpcode.Double:
+		return fixed(8)
+	}
+	size := 0
+	switch c {
+	case msgpcode.Str8:
+		size = 1
+	case msgpcode.Str16, msgpcode.Array16, msgpcode.Map16:
+		size = 2
+	case msgpcode.Str32, msgpcode.Array32, msgpcode.Map32:
+		size = 4
+	default:
+		return nil, errBinary
+	}
+	n, err := length(size)
+	if err != nil {
+		return nil, err
+	}
+	switch c {
+	case msgpcode.Str8, msgpcode.Str16, msgpcode.Str32:
+		return fixed(n)
+	case msgpcode.Array16, msgpcode.Array32:
+		return values(n)
+	}
+	return values(2 * n)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -50,6 +50,9 @@
 
 // Unmarshal decodes a body.
 func Unmarshal(b []byte, v any) error {
+	if err := valid(b); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
 	if err := msgpack.Unmarshal(b, v); err != nil {
 		return fmt.Errorf("decode: %w", err)
 	}
