--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -18,8 +19,10 @@
 	drops map[string]bool
 	notes []string
 	raise int
-	// failWrites makes writes fail, as in an outage.
+	// failWrites makes writes fail, as in an outage; with failKey, only those
+	// of keys that begin with it.
 	failWrites bool
+	failKey    string
 }
 
 var testTypes = []MachineType{
@@ -62,7 +65,11 @@
 			case Note:
 				w.notes = append(w.notes, a.Text)
 			case Write:
-				if !w.failWrites {
+				fail := w.failWrites
+				for _, p := range a.Puts {
+					fail = fail || w.failKey != "" && strings.HasPrefix(p.Key, w.failKey)
+				}
+				if !fail {
 					for _, p := range a.Puts {
 						w.puts[p.Key] = p.Value
 					}
@@ -70,7 +77,7 @@
 						w.drops[k] = true
 					}
 				}
-				w.c.Written(w.now, a.ID, !w.failWrites)
+				w.c.Written(w.now, a.ID, !fail)
 			}
 		}
 	}
@@ -299,26 +306,31 @@
 // TestRecordedFirst: no start goes to a machine that is not recorded, nor for a
 // job that is not recorded as opened.
 func TestRecordedFirst(t *testing.T) {
-	w := newWorld(t, blue)
-	w.begin(100, nil, Snapshot{})
-	f := w.machine("n-1", "a").beat()
-	w.failWrites = true
-	w.submit(JobSpec{ID: "job-1", Tasks: 1})
-	for range 5 {
-		w.pass(Second)
-		f.direct()
-		f.beat()
-	}
-	w.want("started before it was recorded", f.live(), "")
-	w.failWrites = false
-	for range 3 {
-		w.pass(Second)
-		f.direct()
-		f.beat()
+	for _, key := range []string{MachinePrefix, OpenPrefix} {
+		t.Run(key, func(t *testing.T) {
+			w := newWorld(t, blue)
+			w.begin(100, nil, Snapshot{})
+			f := w.machine("n-1", "a").beat()
+			w.failKey = key
+			w.submit(JobSpec{ID: "job-1", Tasks: 1})
+			round := func() {
+				w.pass(Second)
+				f.direct()
+				f.beat()
+			}
+			for range 5 {
+				round()
+			}
+			w.want("started before it was recorded", f.live(), "")
+			w.failKey = ""
+			for range 3 {
+				round()
+			}
+			w.want("started", f.live(), "job-1/0 ")
+			w.want("machine recorded", w.puts[MachinePrefix+"n-1"] != nil, true)
+			w.want("job opened", w.puts[OpenPrefix+"job-1"] != nil, true)
+		})
 	}
-	w.want("started", f.live(), "job-1/0 ")
-	w.want("machine recorded", w.puts[MachinePrefix+"n-1"] != nil, true)
-	w.want("job opened", w.puts[OpenPrefix+"job-1"] != nil, true)
 }
 
 // TestLostMachine: tasks of a machine start elsewhere only when its lease is
