Under overload the largest late jobs go behind; estimates are learnt; suspect after 5 s

Also: nodes no longer call themselves unhealthy in an outage of all, and a failing renewal is logged once.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -98,7 +98,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		LeaderLeaseS: 3, IdleReturnS: 10, RefusalPauseS: 15, QuarantineS: 120,
-		SuspectS: 7, SpareTasks: 3, ListEveryS: 10,
+		SuspectS: 5, SpareTasks: 3, ListEveryS: 10,
 	}
 }
 
@@ -249,6 +249,9 @@
 			Quarantine: core.Seconds(s.QuarantineS), Suspect: core.Seconds(s.SuspectS), SpareTasks: s.SpareTasks,
 		},
 	}
+	for _, o := range p.Params.Objectives {
+		c.LateTimes = max(c.LateTimes, o.Times)
+	}
 	for _, t := range p.Params.Teams {
 		c.Teams = append(c.Teams, core.Team{
 			Name: t.Name,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,6 +42,8 @@
 	fleetAt       Micros
 	probeAt       Micros
 	refused       map[offer]Micros
+	ratio         map[string]float64 // run time by estimate, by class
+	rankAt        Micros
 	spare         map[string]int // service tasks that could start at once, by zone
 	spareNeed     Res
 	lastNeed      map[string]*arrivals // of service classes, for spare room
@@ -118,6 +120,9 @@
 	c.rents = map[string]*rent{}
 	c.unsettled = 0
 	c.refused = map[offer]Micros{}
+	if c.ratio == nil {
+		c.ratio = map[string]float64{}
+	}
 	c.lastNeed = map[string]*arrivals{}
 	c.writes = map[uint64]func(Micros, bool){}
 	c.out = nil
@@ -372,6 +377,7 @@
 	}
 	if p.cause == CauseDone && !j.cancelled && j.spec.Kind != Service {
 		delete(p.m.failed, p.job)
+		c.observe(p, now)
 		c.taskDone(j, p.index, now)
 		if j.spec.Kind == Gang {
 			// The tasks of a gang complete together.
@@ -741,6 +747,10 @@
 		return nil
 	}
 	c.expire(now)
+	if now >= c.rankAt {
+		c.rankAt = now + Second
+		c.rankJobs(now)
+	}
 	if c.dirty || now >= c.placeAt {
 		c.dirty = false
 		c.placeAt = now + Second
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -103,7 +103,9 @@
 			if !m.spot && c.neededSpare(m) {
 				continue
 			}
-			c.spare[m.zone] -= c.spareNeed.copies(m.free())
+			if !m.spot && c.spareNeed != (Res{}) {
+				c.spare[m.zone] -= c.spareNeed.copies(m.free())
+			}
 			c.giveBack(m, now, "idle")
 		}
 	}
@@ -359,7 +361,7 @@
 				d.cpus -= p.need.CPU
 				continue
 			}
-			left := p.j.spec.Estimate
+			left := d.c.estimate(p.j)
 			if p.shown && p.state == Running {
 				left -= d.now - p.runningAt
 			}
@@ -383,11 +385,11 @@
 	if j.due == 0 || j.spec.Kind == Service || d.cpus <= 0 {
 		return false
 	}
-	d.work += float64(j.spec.Need.CPU) * float64(j.spec.Estimate) * float64(j.pending)
+	d.work += float64(j.spec.Need.CPU) * float64(d.c.estimate(j)) * float64(j.pending)
 	wait := Micros(d.work / float64(d.cpus))
 	wait += Micros(float64(d.boot) * float64(d.comingCPUs) / float64(d.cpus))
 	// Estimates are often wrong by half.
-	return d.now+wait+j.spec.Estimate*3/2+5*Second <= j.due
+	return d.now+wait+d.c.estimate(j)*3/2+5*Second <= j.due
 }
 
 // job covers a job's waiting tasks.
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -15,6 +15,7 @@
 	spec      JobSpec
 	rec       JobRecord
 	due       Micros // steady clock; 0: none
+	rank      int    // 0: on time, then the later the less it is worth; see rankJobs
 	submitted Micros // steady clock
 
 	status  []taskStatus
@@ -155,12 +156,15 @@
 	return n
 }
 
-// before is the order in which jobs are given room: by priority, then the
-// earliest deadline, then the order of submission.
+// before is the order in which jobs are given room: by priority, then those
+// that can be on time, the earliest deadline, and the order of submission.
 func (j *job) before(o *job) bool {
 	if j.spec.Priority != o.spec.Priority {
 		return j.spec.Priority > o.spec.Priority
 	}
+	if j.rank != o.rank {
+		return j.rank < o.rank
+	}
 	a, b := j.due, o.due
 	if a != b && a > 0 && b > 0 {
 		return a < b
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -201,7 +201,8 @@
 	ReportGap Micros
 	GangPeers Micros
 	GangWait  Micros
-	ChunkSize int // tasks in one record of finished ranges
+	ChunkSize int     // tasks in one record of finished ranges
+	LateTimes float64 // a late job is still worth something within this many times its due time
 	Tuning    Tuning
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -15,8 +15,10 @@
 	// stateGrace is how long the state service may be unheard before a node
 	// says that it does not reach it.
 	stateGrace = 2 * time.Second
-	// statusLasts is how long a peer's word is taken for true.
-	statusLasts = 3 * time.Second
+	// aloneAfter is how long this node must have been without the state service
+	// before a peer that reaches it counts: in an outage of all, the nodes
+	// notice one after the other.
+	aloneAfter = 4 * time.Second
 )
 
 // peerState is what a peer said last.
@@ -125,9 +127,9 @@
 // is not, they are better off there.
 func (n *Node) judgeHealth() {
 	ok := n.view.ready
-	if ok && !n.stateOK() {
+	if ok && time.Since(n.stateHeard) > aloneAfter {
 		for _, p := range n.peers {
-			if p.stateOK && time.Since(p.at) < statusLasts {
+			if p.stateOK && p.at.After(n.stateHeard.Add(aloneAfter)) {
 				ok = false
 			}
 		}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -146,6 +146,7 @@
 // hold renews the term's lease until it is over.
 func (n *Node) hold(ctx context.Context, t *term, ttl time.Duration) {
 	pause := ttl / 4
+	quiet := false // the failure has been logged
 	for ctx.Err() == nil {
 		sleep(ctx, pause)
 		sent := n.now()
@@ -156,12 +157,15 @@
 				n.log.Info("lease renewed late: the term goes on", "token", t.stamp)
 			}
 			n.actUntil.Store(int64(core.LeaseUntil(sent, core.Micros(ttl/time.Microsecond))))
-			pause = ttl / 4
+			pause, quiet = ttl/4, false
 		case errors.Is(err, statestore.ErrNotFound):
 			n.log.Info("lease is over", "token", t.stamp)
 			return
 		default:
-			n.log.Info("lease not renewed", "err", err, "may_act", n.mayAct())
+			if !quiet {
+				n.log.Info("lease not renewed; trying on", "err", err, "may_act", n.mayAct())
+			}
+			quiet = true
 			pause = 150 * time.Millisecond
 		}
 	}
