--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -370,6 +370,17 @@
 	}
 }
 
+// lead is how long a machine that the job could use takes to come.
+func (d *demand) lead(j *job) Micros {
+	var lead Micros
+	for _, t := range d.c.typeOrder {
+		if j.typeAllowed(t.Name) && j.spec.Need.Fits(t.Cap) && (lead == 0 || t.Boot < lead) {
+			lead = t.Boot
+		}
+	}
+	return lead
+}
+
 // expect counts a machine that is coming.
 func (d *demand) expect(r *room) {
 	t := d.c.types[r.typ]
@@ -388,8 +399,9 @@
 	d.work += float64(j.spec.Need.CPU) * float64(d.c.estimate(j)) * float64(j.pending)
 	wait := Micros(d.work / float64(d.cpus))
 	wait += Micros(float64(d.boot) * float64(d.comingCPUs) / float64(d.cpus))
-	// Estimates are often wrong by half.
-	return d.now+wait+d.c.estimate(j)*3/2+5*Second <= j.due
+	// Estimates are often wrong by half; and it must not be too late yet to
+	// rent when this turns out too hopeful.
+	return d.now+wait+d.c.estimate(j)*3/2+5*Second+d.lead(j) <= j.due
 }
 
 // job covers a job's waiting tasks.
