Arrays leave room for one service task on every ordinary machine

Cause: services started where their image was missing, because machines that had it were full of arrays.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -132,9 +132,10 @@
 			continue
 		}
 		if j.spec.Kind != Service && !m.spot && c.spareNeed != (Res{}) {
-			// Room for services that are expected: their start is waited for.
-			after := c.spare[m.zone] - c.spareNeed.copies(free) + c.spareNeed.copies(free.Sub(j.spec.Need))
-			if after < c.cfg.Tuning.SpareTasks {
+			// Room for services that are expected, since their start is waited
+			// for: on every machine, as each has other images in its cache.
+			left := c.spareNeed.copies(free.Sub(j.spec.Need))
+			if left < 1 || c.spare[m.zone]-c.spareNeed.copies(free)+left < c.cfg.Tuning.SpareTasks {
 				continue
 			}
 		}
