Judge deadlines by twice the estimate; log jobs that miss theirs

Cause (tolling): jobs missed their deadline while machines could still be rented, because half of the estimates are too low.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -414,6 +414,11 @@
 func (c *Core) checkDone(j *job, now Micros) {
 	if j.done == len(j.status) && !j.cancelled {
 		j.writeFrom = now
+		if j.due > 0 && now > j.due {
+			c.note("job missed its deadline", "job", j.spec.ID, "class", j.spec.Class, "tasks", len(j.status),
+				"cpus", j.spec.Need.CPU/1000, "estimate_s", j.spec.Estimate/Second, "ran_s", j.ranLongest/Second, "due_s", j.spec.Due/Second,
+				"late_s", (now-j.due)/Second, "first_start_s", (j.firstStart-j.submitted)/Second, "last_start_s", (j.lastStart-j.submitted)/Second)
+		}
 	}
 	c.flushWanted = true
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -399,9 +399,9 @@
 	d.work += float64(j.spec.Need.CPU) * float64(d.c.estimate(j)) * float64(j.pending)
 	wait := Micros(d.work / float64(d.cpus))
 	wait += Micros(float64(d.boot) * float64(d.comingCPUs) / float64(d.cpus))
-	// Estimates are often wrong by half; and it must not be too late yet to
+	// Estimates are often half of what it takes; and it must not be too late yet to
 	// rent when this turns out too hopeful.
-	return d.now+wait+d.c.estimate(j)*3/2+5*Second+d.lead(j) <= j.due
+	return d.now+wait+2*d.c.estimate(j)+5*Second+d.lead(j) <= j.due
 }
 
 // job covers a job's waiting tasks.
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -38,9 +38,12 @@
 	writeFrom Micros       // not before this
 	cancelled bool
 
-	attempt   uint64 // of the gang's current start
-	stopping  bool   // the gang is being stopped
-	errors    map[string]bool
+	attempt               uint64 // of the gang's current start
+	stopping              bool   // the gang is being stopped
+	errors                map[string]bool
+	firstStart, lastStart Micros // of tasks that were seen running
+	ranLongest            Micros
+
 	notBefore Micros // back-off after failures
 	failures  int
 }
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -296,6 +296,10 @@
 		if t.State == Running && p.state != Running {
 			p.runningAt = now
 			if p.j != nil {
+				if p.j.firstStart == 0 {
+					p.j.firstStart = now
+				}
+				p.j.lastStart = now
 				m.useImage(p.j.spec.Image, p.j.spec.ImageMB)
 				delete(m.failed, p.job)
 			}
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -16,6 +16,7 @@
 	if p.runningAt == 0 || p.j.spec.Estimate <= 0 || p.j.spec.Checkpoint > 0 {
 		return
 	}
+	p.j.ranLongest = max(p.j.ranLongest, now-p.runningAt)
 	const weight = 0.05
 	r := min(max(float64(now-p.runningAt)/float64(p.j.spec.Estimate), 0.2), 5)
 	if old := c.ratio[p.j.spec.Class]; old > 0 {
