--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -143,10 +143,6 @@
 		if j.spec.Spot && !m.spot {
 			cost += int64(5 * Second)
 		}
-		if j.spec.Kind == Service && !m.pinned() {
-			// A service keeps its machine rented for as long as it runs.
-			cost += int64(2 * Second)
-		}
 		left := free.Sub(j.spec.Need)
 		cost += left.CPU * int64(20*Millisecond) / 1000
 		if best == nil || cost < bestCost {
@@ -156,16 +152,6 @@
 	return best
 }
 
-// pinned reports whether a service runs on the machine.
-func (m *machine) pinned() bool {
-	for _, p := range m.tasks {
-		if p.j != nil && p.holds() && p.j.spec.Kind == Service {
-			return true
-		}
-	}
-	return false
-}
-
 // startCost is how long the task would wait for its image there.
 func (c *Core) startCost(j *job, m *machine) int64 {
 	if m.hasImage(j.spec.Image) || m.typ.FetchMBps == 0 {
