--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,6 +37,7 @@
 	flushWanted   bool // some job has finished tasks to be written
 	placeAt       Micros
 	summaryAt     Micros
+	vacateAt      Micros
 	wantRaise     bool
 	raising       Micros
 	fleetAt       Micros
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -26,6 +26,7 @@
 		return
 	}
 	c.returns(now)
+	c.consolidate(now)
 	c.pursueRents(now)
 	c.rentForDemand(now)
 	if now >= c.summaryAt {
@@ -95,7 +96,7 @@
 			// take longer. When many are silent the fault is more likely ours.
 			c.giveBack(m, now, "silent")
 		case !m.settled:
-		case m.draining:
+		case m.draining, m.vacating:
 			if m.used == (Res{}) {
 				c.giveBack(m, now, "drained")
 			}
@@ -111,6 +112,127 @@
 	}
 }
 
+const (
+	// vacateEvery is the least time between two moves of a service: each is
+	// down for as long as its image takes, and they must not add up.
+	vacateEvery = 12 * Second
+	// vacateMost is how many services are moved to empty a machine.
+	vacateMost = 6
+)
+
+// consolidate empties ordinary machines that a few services keep rented while
+// there is room for them elsewhere, one service at a time. Batches end by
+// themselves, so only services are moved.
+func (c *Core) consolidate(now Micros) {
+	if now < c.vacateAt || c.unsettled > 0 {
+		return
+	}
+	for _, j := range c.queue {
+		if j.pending > 0 {
+			return // room is short
+		}
+	}
+	var best *machine
+	bestGain := 0.0
+	for _, m := range c.order {
+		if m.spot || !c.usable(m, now) || m.used == (Res{}) {
+			continue
+		}
+		if n := c.movable(m, now); n > 0 {
+			gain := m.typ.Price * (1 - float64(m.used.CPU)/float64(m.typ.Cap.CPU)) / float64(n)
+			if m.vacating {
+				gain *= 10 // finish what was begun
+			}
+			if gain > bestGain {
+				best, bestGain = m, gain
+			}
+		}
+	}
+	for _, m := range c.order {
+		if m.vacating && m != best {
+			m.vacating = false
+			c.dirty = true
+		}
+	}
+	if best == nil {
+		return
+	}
+	if !best.vacating {
+		c.note("vacating: its services fit elsewhere", "machine", best.name, "type", best.typeName, "used_cpus", best.used.CPU/1000)
+	}
+	best.vacating = true
+	c.vacateAt = now + vacateEvery
+	for _, p := range best.tasks {
+		if p.j != nil && p.holds() && !p.unwanted && p.j.spec.Kind == Service {
+			c.unwant(p, now, 0)
+			return
+		}
+	}
+}
+
+// movable counts the services on a machine if all of them have room on other
+// ordinary machines that hold services already, with their image and besides
+// the spare room; 0 if not, or if there are too many.
+func (c *Core) movable(m *machine, now Micros) int {
+	free := map[*machine]Res{}
+	n := 0
+	for _, p := range m.tasks {
+		if !p.holds() {
+			continue
+		}
+		if p.j == nil || p.unwanted || p.state != Running {
+			return 0
+		}
+		if p.j.spec.Kind != Service {
+			continue
+		}
+		if n++; n > vacateMost {
+			return 0
+		}
+		p.j.zones[m.zone]-- // as it will be
+		var to *machine
+		for _, o := range c.order {
+			if o == m || o.spot || o.vacating || !c.usable(o, now) || o.used == (Res{}) || !o.hasImage(p.j.spec.Image) {
+				continue
+			}
+			f, ok := free[o]
+			if !ok {
+				f = o.free()
+			}
+			if p.need.Fits(f) && c.allowed(p.j, o) {
+				to = o
+				free[o] = f.Sub(p.need)
+				break
+			}
+		}
+		p.j.zones[m.zone]++
+		if to == nil {
+			return 0
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	// What is left must do for the services that are expected.
+	left := 0
+	if c.spareNeed != (Res{}) {
+		for _, o := range c.order {
+			if o == m || o.spot || !c.usable(o, now) {
+				continue
+			}
+			f, ok := free[o]
+			if !ok {
+				f = o.free()
+			}
+			left += c.spareNeed.copies(f)
+		}
+		if left < 2*c.cfg.Tuning.SpareTasks {
+			return 0
+		}
+	}
+	return n
+}
+
 // neededSpare reports whether services could lack room without the machine.
 func (c *Core) neededSpare(m *machine) bool {
 	return c.spareNeed != (Res{}) && c.spare[m.zone]-c.spareNeed.copies(m.free()) < c.cfg.Tuning.SpareTasks
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -64,6 +64,7 @@
 	dirty  bool
 
 	draining   bool
+	vacating   bool // being emptied to be returned: gets no more tasks
 	drainBy    Micros
 	returning  bool
 	returnFrom Micros
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -124,7 +124,7 @@
 	var best *machine
 	var bestCost int64
 	for _, m := range c.order {
-		if !c.usable(m, now) || only != "" && m.zone != only || j.errors[m.name] && len(j.errors) < 3 {
+		if m.vacating || !c.usable(m, now) || only != "" && m.zone != only || j.errors[m.name] && len(j.errors) < 3 {
 			continue
 		}
 		free := m.free()
@@ -182,7 +182,7 @@
 	var bestVictims []*placement
 	var bestCost int64
 	for _, m := range c.order {
-		if !c.usable(m, now) || !c.allowed(j, m) || m.typ == nil || !j.spec.Need.Fits(m.typ.Cap) || j.errors[m.name] {
+		if m.vacating || !c.usable(m, now) || !c.allowed(j, m) || !j.spec.Need.Fits(m.typ.Cap) || j.errors[m.name] {
 			continue
 		}
 		victims, cost := c.victims(j, m, guaranteed, now, plan)
