--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -724,6 +724,36 @@
 		}
 		w.want("back later", len(w.backs) == 2 && w.backs[1].Machines[0] == "n-1" && w.backs[1].Reason == "idle", true)
 	})
+	t.Run("a machine that one service keeps rented is emptied, one that batches use is not", func(t *testing.T) {
+		for _, c := range []struct {
+			batch bool
+			want  string
+		}{{false, "[{[n-1] drained}]"}, {true, "[]"}} {
+			w := newWorld(t, Team{Name: "blue"})
+			w.begin(100, nil, Snapshot{})
+			f, g := w.machine("n-1", "a").beat(), w.machine("n-2", "b").beat()
+			round := func() {
+				w.pass(Second)
+				for _, x := range []*fake{f, g} {
+					x.direct()
+					x.beat()
+				}
+			}
+			// One service on n-1; n-2 is fuller and has room for it.
+			w.submit(JobSpec{ID: "job-1", Kind: Service, Tasks: 1, Zone: "a"})
+			w.submit(JobSpec{ID: "job-2", Kind: Service, Tasks: 2, Zone: "b"})
+			if c.batch {
+				w.submit(JobSpec{ID: "job-3", Tasks: 1, Zone: "a"})
+			}
+			round()
+			w.c.jobs["job-1"].spec.Zone = ""
+			for range 5 {
+				round()
+			}
+			w.want("services", w.c.jobs["job-1"].running()+w.c.jobs["job-2"].running(), 3)
+			w.want("back", fmt.Sprint(w.backs), c.want)
+		}
+	})
 	t.Run("a machine taken over empty goes back", func(t *testing.T) {
 		w := newWorld(t, Team{Name: "blue"})
 		w.begin(100, nil, Snapshot{Machines: []MachineRecord{{Name: "n-1", Address: "n-1:1", Type: "m", Zone: "a", Session: 1}}})
@@ -769,3 +799,27 @@
 		}
 	}
 }
+
+// TestOverload: once there is more work than room, the largest late jobs go
+// behind, so that the others are on time.
+func TestOverload(t *testing.T) {
+	w := newWorld(t, Team{Name: "blue"})
+	w.begin(100, nil, Snapshot{})
+	w.machine("n-1", "a").beat()
+	job := func(id string, tasks int, due Micros) {
+		w.submit(JobSpec{ID: id, Tasks: tasks, Estimate: 20 * Second, Due: due, Need: Res{8000, 0, 1000}})
+	}
+	job("job-1", 1, 45*Second)
+	job("job-2", 4, 60*Second) // 80 s of work: cannot be done by then
+	job("job-3", 1, 70*Second)
+	job("job-4", 1, 10*Second) // too late already
+	w.pass(Second)
+	for id, rank := range map[string]int{"job-1": 0, "job-2": 2, "job-3": 0, "job-4": 2} {
+		w.want(id, w.c.jobs[id].rank, rank)
+	}
+	order := ""
+	for _, j := range w.c.queue {
+		order += j.spec.ID + " "
+	}
+	w.want("queue", order, "job-1 job-3 job-4 job-2 ")
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -121,8 +121,8 @@
 )
 
 // consolidate empties ordinary machines that a few services keep rented while
-// there is room for them elsewhere, one service at a time. Batches end by
-// themselves, so only services are moved.
+// there is room for them elsewhere, one service at a time. A machine that
+// batches use as well is of use.
 func (c *Core) consolidate(now Micros) {
 	if now < c.vacateAt || c.unsettled > 0 {
 		return
@@ -184,7 +184,10 @@
 			return 0
 		}
 		if p.j.spec.Kind != Service {
-			continue
+			if m.vacating {
+				continue
+			}
+			return 0 // batches make use of it
 		}
 		if n++; n > vacateMost {
 			return 0
