--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -823,3 +823,24 @@
 	}
 	w.want("queue", order, "job-1 job-3 job-4 job-2 ")
 }
+
+// TestShouldResign guards against a leader that is cut off from the workers
+// alone and keeps its lease while theirs run out.
+func TestShouldResign(t *testing.T) {
+	const gap = 3 * Second
+	for _, c := range []struct {
+		name            string
+		begun, lastBeat Micros
+		peer, want      bool
+	}{
+		{"hears workers", 0, 99 * Second, true, false},
+		{"a short silence", 0, 94 * Second, true, false},
+		{"silence, a peer hears them", 0, 92 * Second, true, true},
+		{"silence for all", 0, 50 * Second, false, false},
+		{"new term", 95 * Second, 50 * Second, true, false},
+	} {
+		if got := ShouldResign(100*Second, c.begun, c.lastBeat, gap, c.peer); got != c.want {
+			t.Errorf("%s: got %v", c.name, got)
+		}
+	}
+}
--- a/internal/core/term.go
+++ b/internal/core/term.go
@@ -18,3 +18,10 @@
 func (c *Core) leaseOver(answered Micros) Micros {
 	return answered + c.cfg.Lease + c.cfg.Lease/driftParts + 300*Millisecond
 }
+
+// ShouldResign reports whether a leader should give the term up: no worker has
+// reached it for longer than all of them can have been silent by chance, while
+// a peer hears some. Its workers' leases would run out one after the other.
+func ShouldResign(now, begun, lastBeat, reportGap Micros, peerHears bool) bool {
+	return peerHears && now-max(begun, lastBeat) > 2*reportGap+Second
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,9 @@
 
 	catalog []core.MachineType
 
-	stateHeard time.Time // last answer of the state service
+	beatHeard  core.Micros // last report of a worker, answered or not
+	abstain    core.Micros // does not run for the leadership before this
+	stateHeard time.Time   // last answer of the state service
 	peers      map[string]peerState
 	counts     map[string]peer.Counts // what the leader said of jobs
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"aspenstall/internal/config"
+	"aspenstall/internal/core"
 	"aspenstall/internal/peer"
 )
 
@@ -88,7 +89,7 @@
 
 // status is what this node says of itself.
 func (n *Node) status() *peer.Status {
-	s := &peer.Status{Node: n.cfg.Member, StateOK: n.stateOK()}
+	s := &peer.Status{Node: n.cfg.Member, StateOK: n.stateOK(), Workers: n.beatHeard > 0 && n.now()-n.beatHeard < 3*core.Second}
 	if n.term != nil && n.mayAct() {
 		s.Token = n.term.stamp
 	}
@@ -118,9 +119,19 @@
 			}
 		}
 	}
+	if t := n.term; t != nil && core.ShouldResign(n.now(), t.begun, n.beatHeard, core.Seconds(n.cfg.Params.Workers.ReportS), s.Workers) {
+		n.log.Info("resigning: workers reach a peer and not this node", "peer", s.Node, "token", t.stamp)
+		n.abstain = n.now() + abstainFor
+		t.resigned = true
+		t.cancel()
+	}
 	n.judgeHealth()
 }
 
+// abstainFor is how long a node that resigned leaves the leadership to others,
+// unless workers reach it again before.
+const abstainFor = 30 * core.Second
+
 // judgeHealth decides whether users should come here. During an outage of the
 // state service no node is better than another, and sending users away would
 // only make them wait longer afterwards; but if a peer is served and this node
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -234,6 +234,7 @@
 // Report answers a worker.
 func (n *Node) Report(ctx context.Context, r *core.Report) httpapi.Answer {
 	return n.answer(ctx, func(reply func(httpapi.Answer)) {
+		n.beatHeard, n.abstain = n.now(), 0
 		if n.term == nil || !n.mayAct() {
 			if n.view.leader == "" || n.view.leader == n.cfg.Member {
 				reply(httpapi.Unavailable())
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -19,6 +19,10 @@
 	stamp   uint64 // version of the leader's key, which is the token
 	nth     uint64
 	raising bool
+
+	begun    core.Micros
+	cancel   context.CancelFunc
+	resigned bool
 }
 
 // standing is what the elector needs of the view.
@@ -26,20 +30,24 @@
 	ready  bool
 	leader string
 	stamp  uint64
+	pause  time.Duration // this node resigned: others first
 }
 
 // elect runs for the leadership whenever nobody has it.
 func (n *Node) elect(ctx context.Context) {
 	for ctx.Err() == nil {
 		st, ok := call(ctx, n, func(reply func(standing)) {
-			reply(standing{n.view.ready, n.view.leader, n.view.leaderStamp})
+			reply(standing{n.view.ready, n.view.leader, n.view.leaderStamp, time.Duration(n.abstain-n.now()) * time.Microsecond})
 		})
 		if !ok {
 			return
 		}
 		var err error
+		wait := time.Hour
 		switch {
 		case !st.ready:
+		case st.leader == "" && st.pause > 0:
+			wait = st.pause
 		case st.leader == "":
 			err = n.campaign(ctx, st.stamp)
 		case st.leader == n.cfg.Member:
@@ -47,7 +55,6 @@
 			// wrote it is dead, or it is a campaign whose answer was lost.
 			err = n.endFormer(ctx)
 		}
-		wait := time.Hour
 		if err != nil {
 			n.log.Info("election", "err", err)
 			wait = 200 * time.Millisecond
@@ -127,19 +134,25 @@
 	n.log.Info("leadership won", "token", stamp, "lease", lease)
 	tctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := &term{n: n, lease: lease, stamp: stamp}
+	t := &term{n: n, lease: lease, stamp: stamp, cancel: cancel}
 	n.actUntil.Store(int64(until))
 	go n.begin(tctx, t)
 	n.hold(tctx, t, ttl)
 	n.actUntil.Store(0)
 	n.log.Info("term ends", "token", t.stamp)
-	call(ctx, n, func(reply func(bool)) {
+	resigned, _ := call(ctx, n, func(reply func(bool)) {
 		if n.term == t {
 			n.term = nil
 			n.core.End()
 		}
-		reply(true)
+		reply(t.resigned)
 	})
+	if resigned {
+		// Nothing acts for the term any more: the next one need not wait.
+		if err := n.store.Revoke(ctx, lease); err != nil && !errors.Is(err, statestore.ErrNotFound) {
+			n.log.Info("lease not ended", "err", err)
+		}
+	}
 	return n.refreshed(ctx)
 }
 
@@ -181,6 +194,7 @@
 					return
 				}
 				n.term = t
+				t.begun = n.now()
 				jobs := make([]core.JobRecord, 0, len(n.view.jobs))
 				for _, r := range n.view.jobs {
 					if r.Phase != core.Done {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,7 @@
 type Status struct {
 	Node    string   `msgpack:"n"`
 	StateOK bool     `msgpack:"s"` // it reaches the state service
+	Workers bool     `msgpack:"w"` // workers have reached it in the last seconds
 	Token   uint64   `msgpack:"t"` // of its term; 0: it does not lead
 	Counts  []Counts `msgpack:"c"` // from the leader: what changed
 }
