--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -724,6 +724,28 @@
 		}
 		w.want("back later", len(w.backs) == 2 && w.backs[1].Machines[0] == "n-1" && w.backs[1].Reason == "idle", true)
 	})
+	t.Run("a silent machine is returned, unless it is this side that hears nothing", func(t *testing.T) {
+		for _, c := range []struct{ heard, want int }{{3, 1}, {0, 0}} {
+			w := newWorld(t, Team{Name: "blue"})
+			w.begin(100, nil, Snapshot{})
+			var fs []*fake
+			for i := range 4 {
+				fs = append(fs, w.machine(fmt.Sprintf("n-%d", i), "a").beat())
+			}
+			fs[3].lossy = true
+			for range 12 {
+				w.pass(Second)
+				for i, f := range fs {
+					f.lossy = i >= c.heard
+					f.direct()
+					if i < c.heard {
+						f.beat()
+					}
+				}
+			}
+			w.want("returned", len(w.backs), c.want)
+		}
+	})
 	t.Run("a machine that one service keeps rented is emptied, one that batches use is not", func(t *testing.T) {
 		for _, c := range []struct {
 			batch bool
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -70,10 +70,13 @@
 // returns gives back machines that are lost, drained, overdue or idle.
 func (c *Core) returns(now Micros) {
 	c.countSpare(now)
-	silent := 0
+	up, heard := 0, 0
 	for _, m := range c.order {
-		if m.silent {
-			silent++
+		if !m.booting && !m.lost {
+			up++
+			if now-m.heard <= c.cfg.ReportGap {
+				heard++
+			}
 		}
 	}
 	for _, m := range c.order {
@@ -91,9 +94,10 @@
 			if m.typ != nil && now-m.seen > 3*m.typ.Boot+10*Second {
 				c.giveBack(m, now, "never came up")
 			}
-		case m.silent && silent*3 <= len(c.order)+3:
+		case m.silent && heard*3 >= up:
 			// Deleting it frees its tasks at once; waiting for its lease would
-			// take longer. When many are silent the fault is more likely ours.
+			// take longer. But when few others are heard, the fault is more
+			// likely on this side, and good machines would be deleted.
 			c.giveBack(m, now, "silent")
 		case !m.settled:
 		case m.draining, m.vacating:
