--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -98,7 +98,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		LeaderLeaseS: 3, IdleReturnS: 10, RefusalPauseS: 15, QuarantineS: 120,
-		SuspectS: 5, SpareTasks: 3, ListEveryS: 10,
+		SuspectS: 4.5, SpareTasks: 3, ListEveryS: 10,
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -731,8 +731,9 @@
 		return
 	}
 	m.noDo = true
-	if now-m.heard >= c.cfg.Tuning.Suspect {
+	if now-m.heard >= c.cfg.Tuning.Suspect && !m.silent {
 		m.silent = true
+		c.fleetAt = now // its tasks wait for what is done about it
 	}
 	c.note("direct command failed", "machine", m.name, "delivered", map[Outcome]string{NotSent: "no", Unanswered: "unknown"}[o])
 }
@@ -800,7 +801,8 @@
 		if m.returning {
 			continue
 		}
-		if (now-m.heard >= c.cfg.Tuning.Suspect || !m.settled) && now-m.probed >= 2*Second {
+		// A worker that is up reports within the gap and its spread.
+		if (now-m.heard >= c.cfg.ReportGap*5/4+Second/10 || !m.settled) && now-m.probed >= Second {
 			m.probe, m.dirty, m.noDo = true, true, false
 		}
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -17,6 +17,7 @@
 
 const (
 	requestTimeout = 2 * time.Second
+	probeTimeout   = time.Second // for a command that only asks whether a worker is there
 	maxAnswer      = 4 << 20
 )
 
@@ -34,6 +35,11 @@
 // Send sends commands. The report is the worker's after them, and nil without
 // an answer.
 func (c *Client) Send(ctx context.Context, s core.SendCommands) (core.Outcome, *core.Report) {
+	if len(s.Commands) == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+	}
 	b, err := wire.Commands(s.Token, s.Session, s.Commands)
 	if err != nil {
 		return core.NotSent, nil
