--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -239,8 +239,6 @@
 	c := core.Config{
 		Lease:     core.Seconds(p.Params.Workers.LeaseS),
 		ReportGap: core.Seconds(p.Params.Workers.ReportS),
-		GangPeers: core.Seconds(p.Params.Workers.GangPeerS),
-		GangWait:  core.Seconds(p.Params.Workers.GangWaitS),
 		// Every second task finished is the worst case: two numbers with their
 		// commas for two tasks.
 		ChunkSize: max(int(p.Params.State.ValueKB*1024-200)/8, 16),
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,11 +75,9 @@
 
 type rent struct {
 	RentRecord
-	at        Micros
 	persisted bool
 	asked     bool
 	retryAt   Micros
-	left      int // machines not yet heard of
 }
 
 // New returns a core that does not lead.
@@ -163,7 +161,7 @@
 		}
 	}
 	for _, r := range snap.Rents {
-		rt := &rent{RentRecord: r, at: now, persisted: true}
+		rt := &rent{RentRecord: r, persisted: true}
 		c.rents[r.Request] = rt
 		if len(r.Machines) > 0 {
 			rt.asked = true
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -440,7 +440,7 @@
 
 func (c *Core) rent(now Micros, of offer, n int, why string) {
 	c.requests++
-	r := &rent{RentRecord: RentRecord{Request: fmt.Sprintf("r-%d-%d", c.token, c.requests), Type: of.typ, Zone: of.zone, Spot: of.spot, Count: n}, at: now}
+	r := &rent{RentRecord: RentRecord{Request: fmt.Sprintf("r-%d-%d", c.token, c.requests), Type: of.typ, Zone: of.zone, Spot: of.spot, Count: n}}
 	c.rents[r.Request] = r
 	c.note("renting", "request", r.Request, "type", of.typ, "zone", of.zone, "spot", of.spot, "count", n, "reason", why)
 	c.write(Write{Puts: []Put{{RentPrefix + r.Request, r.RentRecord}}}, func(now Micros, ok bool) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -2,7 +2,7 @@
 
 import "sort"
 
-// governed says whether a request on top of used stays within a guarantee.
+// within reports whether a request on top of used stays within a guarantee.
 // Memory is not part of a quota.
 func within(used, req, lim Res) bool {
 	return used.CPU+req.CPU <= lim.CPU && used.GPU+req.GPU <= lim.GPU
@@ -78,7 +78,7 @@
 
 func (c *Core) put(j *job, i int, m *machine, attempt uint64, now Micros) *placement {
 	p := &placement{j: j, job: j.spec.ID, index: i, attempt: attempt, m: m, need: j.spec.Need, at: now}
-	if c.serves(m, j) {
+	if !m.spot && c.spareNeed != (Res{}) {
 		c.spare[m.zone] -= c.spareNeed.copies(m.free())
 		defer func() { c.spare[m.zone] += c.spareNeed.copies(m.free()) }()
 	}
@@ -89,8 +89,6 @@
 	return p
 }
 
-func (c *Core) serves(m *machine, j *job) bool { return !m.spot && c.spareNeed != (Res{}) }
-
 // countSpare counts, by zone, the service tasks that could start at once.
 func (c *Core) countSpare(now Micros) {
 	c.spareNeed = Res{}
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -25,8 +25,6 @@
 	c.ratio[p.j.spec.Class] = r
 }
 
-func (p *placement) job2class() string { return p.j.spec.Class }
-
 // rankJobs decides which jobs with a deadline can be on time. The earliest
 // deadline first alone would, once there is more work than room, make every
 // job late: each gets its turn just too late. So, as in Moore and Hodgson's
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -199,8 +199,6 @@
 	Teams     []Team
 	Lease     Micros // a worker's lease
 	ReportGap Micros
-	GangPeers Micros
-	GangWait  Micros
 	ChunkSize int     // tasks in one record of finished ranges
 	LateTimes float64 // a late job is still worth something within this many times its due time
 	Tuning    Tuning
