Settings: an error names the setting and its limits

Seen with 'check' on broken files: a wrong type was reported without the setting's name, and names with two colons.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"os"
+	"slices"
 
 	"olympos.io/encoding/edn"
 
@@ -85,13 +87,13 @@
 
 // Settings are the operators' own, in seconds where the name says so.
 type Settings struct {
-	LeaderLeaseS  float64 `edn:"leader-lease-s"`
-	IdleReturnS   float64 `edn:"idle-return-s"`
-	RefusalPauseS float64 `edn:"refusal-pause-s"`
-	QuarantineS   float64 `edn:"quarantine-s"`
-	SuspectS      float64 `edn:"suspect-s"`
-	SpareTasks    int     `edn:"spare-tasks"`
-	ListEveryS    float64 `edn:"list-every-s"`
+	LeaderLeaseS  float64
+	IdleReturnS   float64
+	RefusalPauseS float64
+	QuarantineS   float64
+	SuspectS      float64
+	SpareTasks    int
+	ListEveryS    float64
 }
 
 // DefaultSettings are what the program runs with without a settings file.
@@ -192,45 +194,57 @@
 	if err != nil {
 		return s, err
 	}
-	// Names are checked first: a misspelt setting that is silently ignored
-	// would be worse than a refusal.
-	var names map[edn.Keyword]any
+	// Each setting is decoded by itself, so that an error can name it; one that
+	// is misspelt and silently ignored would be worse than a refusal.
+	var given map[edn.Keyword]edn.RawMessage
 	dec := edn.NewDecoder(bytes.NewReader(b))
-	if err := dec.Decode(&names); err != nil {
-		return s, fmt.Errorf("%s: %w", path, err)
+	if err := dec.Decode(&given); err != nil {
+		return s, fmt.Errorf("%s: not a map of settings: %w", path, err)
 	}
 	var extra any
 	if err := dec.Decode(&extra); !errors.Is(err, io.EOF) {
 		return s, fmt.Errorf("%s: more than one expression", path)
 	}
-	limits := s.limits()
-	for k := range names {
-		if _, ok := limits[string(k)]; !ok {
-			return s, fmt.Errorf("%s: :%s: no such setting", path, k)
+	settings := s.all()
+	for _, k := range slices.Sorted(maps.Keys(given)) {
+		v := given[k]
+		set, ok := settings[string(k)]
+		if !ok {
+			return s, fmt.Errorf("%s: %v: no such setting", path, k)
 		}
-	}
-	if err := edn.Unmarshal(b, &s); err != nil {
-		return s, fmt.Errorf("%s: %w", path, err)
-	}
-	for k, l := range s.limits() {
-		if math.IsNaN(l.v) || l.v < l.lo || l.v > l.hi {
-			return s, fmt.Errorf("%s: :%s: want %v to %v, not %v", path, k, l.lo, l.hi, l.v)
+		var n float64
+		if err := edn.Unmarshal(v, &n); err != nil || math.IsNaN(n) || n < set.lo || n > set.hi {
+			return s, fmt.Errorf("%s: %v: want a number from %v to %v, not %s", path, k, set.lo, set.hi, bytes.TrimSpace(v))
 		}
+		if set.whole != nil {
+			if n != math.Trunc(n) {
+				return s, fmt.Errorf("%s: %v: want a whole number, not %s", path, k, bytes.TrimSpace(v))
+			}
+			*set.whole = int(n)
+			continue
+		}
+		*set.seconds = n
 	}
 	return s, nil
 }
 
-type limit struct{ v, lo, hi float64 }
+// setting is one setting, its limits and where it is kept.
+type setting struct {
+	lo, hi  float64
+	seconds *float64
+	whole   *int
+}
 
-func (s *Settings) limits() map[string]limit {
-	return map[string]limit{
-		"leader-lease-s":  {s.LeaderLeaseS, 1, 60},
-		"idle-return-s":   {s.IdleReturnS, 0, 86400},
-		"refusal-pause-s": {s.RefusalPauseS, 0, 3600},
-		"quarantine-s":    {s.QuarantineS, 0, 86400},
-		"suspect-s":       {s.SuspectS, 1, 600},
-		"spare-tasks":     {float64(s.SpareTasks), 0, 1000},
-		"list-every-s":    {s.ListEveryS, 1, 3600},
+// all lists the settings by name.
+func (s *Settings) all() map[string]setting {
+	return map[string]setting{
+		"leader-lease-s":  {1, 60, &s.LeaderLeaseS, nil},
+		"idle-return-s":   {0, 86400, &s.IdleReturnS, nil},
+		"refusal-pause-s": {0, 3600, &s.RefusalPauseS, nil},
+		"quarantine-s":    {0, 86400, &s.QuarantineS, nil},
+		"suspect-s":       {1, 600, &s.SuspectS, nil},
+		"spare-tasks":     {0, 1000, nil, &s.SpareTasks},
+		"list-every-s":    {1, 3600, &s.ListEveryS, nil},
 	}
 }
 
