--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -278,6 +278,7 @@
 		{"gang in one zone or not at all", JobSpec{Tasks: 5, Kind: Gang, OneZone: true}, "0 0 0"},
 		{"gang in one zone with spot", JobSpec{Tasks: 5, Kind: Gang, OneZone: true, Spot: true}, "1 4 0"},
 		{"no such type", JobSpec{Tasks: 1, Types: []string{"g"}}, "0 0 0"},
+		{"no GPU there", JobSpec{Tasks: 1, Need: Res{1000, 1000, 1000}}, "0 0 0"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, Team{Name: "blue"})
@@ -303,6 +304,31 @@
 	}
 }
 
+// TestGPUs: they are placed and capped like CPUs.
+func TestGPUs(t *testing.T) {
+	w := newWorld(t, Team{Name: "blue", Max: Res{GPU: 3000}})
+	w.begin(100, nil, Snapshot{})
+	var fs []*fake
+	for i := range 3 {
+		f := w.machine(fmt.Sprintf("n-%d", i), "a")
+		if i > 0 {
+			f.r.Type = "g"
+		}
+		fs = append(fs, f.beat())
+	}
+	w.submit(JobSpec{ID: "job-1", Tasks: 6, Need: Res{1000, 1000, 1000}})
+	n := [3]int{}
+	for range 3 {
+		for i, f := range fs {
+			f.direct()
+			f.beat()
+			n[i] = len(f.r.Tasks)
+		}
+	}
+	w.want("none without GPUs", n[0], 0)
+	w.want("up to the team's limit", n[1]+n[2], 3)
+}
+
 // TestRecordedFirst: no start goes to a machine that is not recorded, nor for a
 // job that is not recorded as opened.
 func TestRecordedFirst(t *testing.T) {
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -201,6 +201,15 @@
 						}
 					})
 				}
+				for i := range 2 {
+					job := array(400+i, 4, 6)
+					job.Team, job.GPUs, job.Types = "green", 1, []string{"g16"}
+					user(time.Duration(r.IntN(60))*s, func() {
+						if w.Submit(job) {
+							must(job.ID, "done")
+						}
+					})
+				}
 				for i := range 4 {
 					job := service(300+i, 1+i%3)
 					user(time.Duration(r.IntN(60))*s, func() {
