--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -563,7 +563,7 @@
 		use = use.Add(j.spec.Need)
 		r := d.fit(j, zoneOK)
 		if r == nil {
-			r = d.order1(j, n, zoneOK)
+			r = d.rentFor(j, n, zoneOK)
 		}
 		if r == nil {
 			return
@@ -582,8 +582,8 @@
 	return nil
 }
 
-// order1 orders one more machine: the one whose useful part is cheapest.
-func (d *demand) order1(j *job, n int, zoneOK func(string) bool) *room {
+// rentFor orders one more machine for the job: the one whose useful part is cheapest.
+func (d *demand) rentFor(j *job, n int, zoneOK func(string) bool) *room {
 	var best offer
 	bestPrice := 0.0
 	for _, t := range d.c.typeOrder {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -204,7 +204,7 @@
 	Tuning    Tuning
 }
 
-// Tuning is what operators may set; see docs/SETTINGS.md.
+// Tuning is what operators may set; see docs/OPERATION.md.
 type Tuning struct {
 	Idle         Micros // an idle machine is returned after this
 	RefusalPause Micros // an offer that was refused rests this long
