Reread: a check made twice, a call made twice, a field nobody reads, one way to count room

No behaviour changes: cancel leaves the final-state check to cancelKnown, stopGang settles the gang itself, movable keeps what is taken instead of two copies of what is free.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -455,7 +455,7 @@
 	if m.draining {
 		return
 	}
-	m.draining, m.drainBy = true, by
+	m.draining = true
 	c.dirty = true
 	for i := len(m.tasks) - 1; i >= 0; i-- {
 		if i >= len(m.tasks) {
@@ -508,7 +508,6 @@
 		return
 	}
 	c.stopGang(p.j, now, 0)
-	c.gangSettle(p.j)
 }
 
 func (c *Core) gangSettle(j *job) {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -178,7 +178,7 @@
 // ordinary machines that hold services already, with their image and besides
 // the spare room; 0 if not, or if there are too many.
 func (c *Core) movable(m *machine, now Micros) int {
-	free := map[*machine]Res{}
+	taken := map[*machine]Res{} // by the services that would move
 	n := 0
 	for _, p := range m.tasks {
 		if !p.holds() {
@@ -202,13 +202,9 @@
 			if o == m || o.spot || o.vacating || !c.usable(o, now) || o.used == (Res{}) || !o.hasImage(p.j.spec.Image) {
 				continue
 			}
-			f, ok := free[o]
-			if !ok {
-				f = o.free()
-			}
-			if p.need.Fits(f) && c.allowed(p.j, o) {
+			if p.need.Fits(o.free().Sub(taken[o])) && c.allowed(p.j, o) {
 				to = o
-				free[o] = f.Sub(p.need)
+				taken[o] = taken[o].Add(p.need)
 				break
 			}
 		}
@@ -227,11 +223,7 @@
 			if o == m || o.spot || !c.usable(o, now) {
 				continue
 			}
-			f, ok := free[o]
-			if !ok {
-				f = o.free()
-			}
-			left += c.spareNeed.copies(f)
+			left += c.spareNeed.copies(o.free().Sub(taken[o]))
 		}
 		if left < 2*c.cfg.Tuning.SpareTasks {
 			return 0
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -65,7 +65,6 @@
 
 	draining   bool
 	vacating   bool // being emptied to be returned: gets no more tasks
-	drainBy    Micros
 	returning  bool
 	returnFrom Micros
 	returnWhy  string
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -170,18 +170,13 @@
 }
 
 func (n *Node) cancel(id string, tries int, reply func(httpapi.Answer)) {
-	rec, ok := n.view.jobs[id]
-	if !ok {
-		n.lookup(id, func(httpapi.Answer) { n.cancelKnown(id, tries, reply) }, func() {
-			reply(httpapi.Answer{Status: http.StatusNotFound})
-		})
+	if _, known := n.view.jobs[id]; known {
+		n.cancelKnown(id, tries, reply)
 		return
 	}
-	if rec.Phase != core.Pending {
-		reply(n.state(rec))
-		return
-	}
-	n.cancelKnown(id, tries, reply)
+	n.lookup(id, func(httpapi.Answer) { n.cancelKnown(id, tries, reply) }, func() {
+		reply(httpapi.Answer{Status: http.StatusNotFound})
+	})
 }
 
 func (n *Node) cancelKnown(id string, tries int, reply func(httpapi.Answer)) {
