--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 )
 
@@ -20,7 +21,6 @@
 	token       uint64 // of commands sent now
 	settleToken uint64 // a report with this token or a higher one is current
 	attempts    uint64
-	begun       Micros
 
 	jobs      map[string]*job
 	queue     []*job // unfinished jobs in the order they are given room
@@ -110,7 +110,7 @@
 // cancelled ones; snap is the bookkeeping, read after the leader's key was
 // written. wall is the time of day at now.
 func (c *Core) Begin(now, wall Micros, token uint64, jobs []JobRecord, snap Snapshot) {
-	c.leading, c.token, c.settleToken, c.attempts, c.begun = true, token, token, 0, now
+	c.leading, c.token, c.settleToken, c.attempts = true, token, token, 0
 	c.jobs = map[string]*job{}
 	c.queue = nil
 	c.machines = map[string]*machine{}
@@ -286,7 +286,8 @@
 	c.dequeue(j)
 	delete(c.jobs, j.spec.ID)
 	for _, m := range c.order {
-		for _, p := range m.tasks {
+		// A copy: a placement that was never sent is removed at once.
+		for _, p := range slices.Clone(m.tasks) {
 			if p.j == j {
 				p.finalOK = true
 				m.dirty = true
