--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -564,7 +564,7 @@
 // everything; directly, only what was not sent yet.
 func (c *Core) commands(m *machine, now Micros, beat bool) []Command {
 	var forget, stop, start []Command
-	if m.returning || m.lost {
+	if m.lost {
 		return nil
 	}
 	if len(m.tasks) > 0 && !m.recorded {
@@ -600,7 +600,9 @@
 		}
 	}
 	for _, p := range m.tasks {
-		if p.inDo || p.shown || p.unwanted || p.sent && !(beat && p.resend) {
+		// A machine that is being returned may be alive for as long as the cloud
+		// takes: it is still told what to stop.
+		if m.returning || p.inDo || p.shown || p.unwanted || p.sent && !(beat && p.resend) {
 			continue
 		}
 		if !m.recorded || p.j == nil || !c.open(p.j, now) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -520,6 +520,27 @@
 	w.want("reaped", len(f.r.Tasks), 0)
 }
 
+// TestReturning guards against a machine that is alive but about to be
+// returned: until the cloud has answered, which can take minutes when many go
+// back, it is told what to stop, and gets nothing to start.
+func TestReturning(t *testing.T) {
+	w := newWorld(t, blue)
+	w.begin(100, nil, Snapshot{})
+	f := w.machine("n-1", "a").beat()
+	w.submit(JobSpec{ID: "job-1", Tasks: 2})
+	f.direct()
+	f.beat()
+	w.want("runs", f.live(), "job-1/0 job-1/1 ")
+	w.c.giveBack(w.c.machines["n-1"], w.now, "silent")
+	w.cancel("job-1")
+	w.submit(JobSpec{ID: "job-2", Tasks: 1})
+	for range 3 {
+		w.pass(3 * Second)
+		f.beat()
+	}
+	w.want("left", f.live(), "")
+}
+
 // TestAttempts: no attempt is given twice, by any leader.
 func TestAttempts(t *testing.T) {
 	seen := map[uint64]bool{}
