--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,9 @@
 	fleetAt       Micros
 	probeAt       Micros
 	refused       map[offer]Micros
+	backlog       []*machine         // to be returned
+	returnOut     bool               // a return is under way
+	returnFrom    Micros             // not before this
 	ratio         map[string]float64 // run time by estimate, by class
 	rankAt        Micros
 	spare         map[string]int // service tasks that could start at once, by zone
@@ -119,6 +122,7 @@
 	c.rents = map[string]*rent{}
 	c.unsettled = 0
 	c.refused = map[offer]Micros{}
+	c.backlog, c.returnOut, c.returnFrom = nil, false, 0
 	if c.ratio == nil {
 		c.ratio = map[string]float64{}
 	}
@@ -767,6 +771,7 @@
 		c.fleetAt = now + Second
 		c.fleet(now)
 	}
+	c.sendReturns(now)
 	c.flushRanges(now)
 	c.direct(now)
 	if c.wantRaise && now >= c.raising {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -765,12 +765,37 @@
 		g.beat()
 		w.pass(Second)
 		w.want("back", fmt.Sprint(w.backs), "[{[n-2] drained}]")
+		w.c.Returned(w.now, []string{"n-2"}, true)
 		for range 35 {
 			w.pass(Second)
 			f.beat()
 		}
 		w.want("back later", len(w.backs) == 2 && w.backs[1].Machines[0] == "n-1" && w.backs[1].Reason == "idle", true)
 	})
+	t.Run("many go back with one request; one that reports again before is kept", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		var fs []*fake
+		for i := range 4 {
+			fs = append(fs, w.machine(fmt.Sprintf("n-%d", i), "a").beat())
+		}
+		ms := w.c.machines
+		w.c.giveBack(ms["n-0"], w.now, "idle")
+		w.step()
+		for _, n := range []string{"n-1", "n-2", "n-3"} {
+			ms[n].silent = true
+			w.c.giveBack(ms[n], w.now, silentWhy)
+		}
+		w.step()
+		w.want("one request at a time", fmt.Sprint(w.backs), "[{[n-0] idle}]")
+		fs[2].beat()
+		w.c.Returned(w.now, []string{"n-0"}, true)
+		w.step()
+		w.want("the rest together", fmt.Sprint(w.backs[1:]), "[{[n-1 n-3] silent}]")
+		w.c.Returned(w.now, []string{"n-1", "n-3"}, false)
+		w.pass(2 * Second)
+		w.want("asked again", fmt.Sprint(w.backs[2:]), "[{[n-1 n-3] silent}]")
+	})
 	t.Run("a silent machine is returned, unless it is this side that hears nothing", func(t *testing.T) {
 		for _, c := range []struct{ heard, want int }{{3, 1}, {0, 0}} {
 			w := newWorld(t, Team{Name: "blue"})
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
+	"strings"
 )
 
 // offer is a kind of machine that can be rented.
@@ -20,6 +22,8 @@
 
 const maxRentsOut = 4
 
+const silentWhy = "silent"
+
 // fleet compares the machines there are with those that are wanted.
 func (c *Core) fleet(now Micros) {
 	if len(c.types) == 0 {
@@ -81,10 +85,6 @@
 	}
 	for _, m := range c.order {
 		if m.returning {
-			if m.returnFrom > 0 && now >= m.returnFrom {
-				m.returnFrom = 0
-				c.out = append(c.out, Return{[]string{m.name}, m.returnWhy})
-			}
 			continue
 		}
 		switch {
@@ -98,7 +98,7 @@
 			// Deleting it frees its tasks at once; waiting for its lease would
 			// take longer. But when few others are heard, the fault is more
 			// likely on this side, and good machines would be deleted.
-			c.giveBack(m, now, "silent")
+			c.giveBack(m, now, silentWhy)
 		case !m.settled:
 		case m.draining, m.vacating:
 			if m.used == (Res{}) {
@@ -237,12 +237,51 @@
 	return c.spareNeed != (Res{}) && c.spare[m.zone]-c.spareNeed.copies(m.free()) < c.cfg.Tuning.SpareTasks
 }
 
+// giveBack has a machine returned. What was not sent to it yet goes elsewhere.
 func (c *Core) giveBack(m *machine, now Micros, why string) {
 	if m.returning {
 		return
 	}
-	m.returning, m.returnWhy, m.returnFrom = true, why, 0
-	c.out = append(c.out, Return{[]string{m.name}, why})
+	m.returning, m.returnWhy = true, why
+	c.backlog = append(c.backlog, m)
+	for _, p := range slices.Clone(m.tasks) {
+		if !p.sent && !p.shown && !p.inDo {
+			c.remove(p, now)
+		}
+	}
+}
+
+// keep takes a machine off the backlog of returns, unless the cloud has been
+// asked already.
+func (c *Core) keep(m *machine) {
+	if i := slices.Index(c.backlog, m); i >= 0 {
+		c.backlog = slices.Delete(c.backlog, i, i+1)
+		m.returning = false
+		c.dirty = true
+		c.note("kept: it reports again", "machine", m.name, "reason", m.returnWhy)
+	}
+}
+
+// returnMost is how many machines go back with one request.
+const returnMost = 100
+
+// sendReturns asks the cloud to take machines back, many with one request and
+// one request at a time: its calls are few, and rentals need them too.
+func (c *Core) sendReturns(now Micros) {
+	if c.returnOut || len(c.backlog) == 0 || now < c.returnFrom {
+		return
+	}
+	batch := c.backlog[:min(len(c.backlog), returnMost)]
+	c.backlog = slices.Clone(c.backlog[len(batch):])
+	var r Return
+	for _, m := range batch {
+		r.Machines = append(r.Machines, m.name)
+		if !strings.Contains(r.Reason, m.returnWhy) {
+			r.Reason = strings.TrimPrefix(r.Reason+", "+m.returnWhy, ", ")
+		}
+	}
+	c.returnOut = true
+	c.out = append(c.out, r)
 }
 
 // Returned is the result of a Return: after ok, the machines and all that was
@@ -251,16 +290,18 @@
 	if !c.leading {
 		return
 	}
+	c.returnOut = false
+	if !ok {
+		c.returnFrom = now + Second
+	}
 	for _, name := range names {
-		m := c.machines[name]
-		if m == nil {
-			continue
+		switch m := c.machines[name]; {
+		case m == nil:
+		case ok:
+			c.removeMachine(m, now)
+		default:
+			c.backlog = append(c.backlog, m)
 		}
-		if !ok {
-			m.returnFrom = now + Second
-			continue
-		}
-		c.removeMachine(m, now)
 	}
 }
 
@@ -694,11 +735,6 @@
 		}
 		m := c.machines[l.Name]
 		if m == nil {
-			if l.Failed {
-				c.out = append(c.out, Return{[]string{l.Name}, "failed"})
-				c.gone[l.Name] = true
-				continue
-			}
 			m = &machine{
 				name: l.Name, address: l.Address, typeName: l.Type, zone: l.Zone, spot: l.Spot,
 				booting: true, settled: true, seen: now - min(l.Age, now),
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -66,7 +66,6 @@
 	draining   bool
 	vacating   bool // being emptied to be returned: gets no more tasks
 	returning  bool
-	returnFrom Micros
 	returnWhy  string
 	blocked    Micros // refused a start for want of room: not before this
 	quarantine Micros
@@ -236,7 +235,12 @@
 	m.session, m.seq = r.Session, r.Seq
 	m.token = max(m.token, r.Token)
 	m.heard = now
-	m.silent = false
+	if m.silent {
+		m.silent = false
+		if m.returning && m.returnWhy == silentWhy {
+			c.keep(m)
+		}
+	}
 	if r.Address != "" {
 		m.address = r.Address
 	}
