--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -253,6 +253,8 @@
 	c := core.Config{
 		Lease:     core.Seconds(p.Params.Workers.LeaseS),
 		ReportGap: core.Seconds(p.Params.Workers.ReportS),
+		// Short beside any wait that an objective could name.
+		PlacePause: 20 * core.Millisecond,
 		// Every second task finished is the worst case: two numbers with their
 		// commas for two tasks.
 		ChunkSize: max(int(p.Params.State.ValueKB*1024-200)/8, 16),
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -2,15 +2,19 @@
 
 import (
 	"fmt"
-	"slices"
+	"math"
 	"sort"
 )
 
 type team struct {
 	Team
-	used Res
+	used   Res
+	placed [Production + 1]int // tasks that hold, by priority
 }
 
+// over reports whether the team uses more than its min.
+func (t *team) over() bool { return t.used.CPU > t.Min.CPU || t.used.GPU > t.Min.GPU }
+
 // Core is the scheduler's state. Its methods are events; Step returns what is
 // to be done about them. It is not safe for concurrent use.
 type Core struct {
@@ -32,43 +36,51 @@
 	rents     map[string]*rent
 	unsettled int
 
-	dirty         bool // room, work or quota changed: place again
-	dirtyMachines bool // some machine is to be told something
-	flushWanted   bool // some job has finished tasks to be written
-	placeAt       Micros
-	summaryAt     Micros
-	vacateAt      Micros
-	wantRaise     bool
-	raising       Micros
-	fleetAt       Micros
-	probeAt       Micros
-	refused       map[offer]Micros
-	backlog       []*machine         // to be returned
-	returnOut     bool               // a return is under way
-	returnFrom    Micros             // not before this
-	ratio         map[string]float64 // run time by estimate, by class
-	rankAt        Micros
-	spare         map[string]int // service tasks that could start at once, by zone
-	spareNeed     Res
-	lastNeed      map[string]*arrivals // of service classes, for spare room
-	writes        map[uint64]func(now Micros, ok bool)
-	writeID       uint64
-	requests      uint64
-	out           []Action
-}
-
-// arrivals is what has been seen of a class of services, to keep room for the
-// next ones.
-type arrivals struct {
+	dirty      bool       // room, work or quota changed: place again
+	touched    []*machine // to be told something, perhaps
+	retouch    []*machine // the same, after a pause: a write for them failed
+	ended      []*job     // with finished tasks or a final record to be written
+	placeAt    Micros
+	placed     Micros     // last time
+	roomy      []*machine // that the tasks to be placed may fit on, for one pass
+	summaryAt  Micros
+	vacateAt   Micros
+	wantRaise  bool
+	raising    Micros
+	fleetAt    Micros
+	probeAt    Micros
+	refused    map[offer]Micros
+	backlog    []*machine // to be returned
+	returnOut  bool       // a return is under way
+	returnFrom Micros     // not before this
+	classes    map[string]*class
+	images     map[string]int // a number for each image, to compare quickly
+	rankAt     Micros
+	spare      map[string]int // service tasks that could start at once, by zone
+	spareNeed  Res
+	writes     map[uint64]func(now Micros, ok bool)
+	writeID    uint64
+	requests   uint64
+	out        []Action
+}
+
+// class is what has been seen of a class of jobs.
+type class struct {
+	ratio float64 // run time by estimate; 0: nothing seen yet
+
+	// Of services: what the next ones will need, and when they came.
 	need  Res
 	first Micros
 	last  Micros
 	count int
 }
 
-// expected reports whether more of the class is to be expected: three times
-// the usual pause has not passed yet.
-func (a *arrivals) expected(now Micros) bool {
+// expected reports whether more services of the class are to be expected:
+// three times the usual pause has not passed yet.
+func (a *class) expected(now Micros) bool {
+	if a.count == 0 {
+		return false
+	}
 	pause := 10 * Second
 	if a.count > 1 {
 		pause = max(pause, (a.last-a.first)/Micros(a.count-1))
@@ -85,7 +97,10 @@
 
 // New returns a core that does not lead.
 func New(cfg Config) *Core {
-	c := &Core{cfg: cfg, teams: map[string]*team{}, types: map[string]*MachineType{}}
+	c := &Core{
+		cfg: cfg, teams: map[string]*team{}, types: map[string]*MachineType{},
+		classes: map[string]*class{}, images: map[string]int{},
+	}
 	for _, t := range cfg.Teams {
 		c.teams[t.Name] = &team{Team: t}
 	}
@@ -101,6 +116,40 @@
 	return t
 }
 
+// touch has the machine looked at for commands.
+func (c *Core) touch(m *machine) {
+	if !m.dirty {
+		m.dirty = true
+		c.touched = append(c.touched, m)
+	}
+}
+
+// touchLater does so after a pause.
+func (c *Core) touchLater(m *machine) {
+	if !m.later {
+		m.later = true
+		c.retouch = append(c.retouch, m)
+	}
+}
+
+func (c *Core) class(name string) *class {
+	k := c.classes[name]
+	if k == nil {
+		k = &class{}
+		c.classes[name] = k
+	}
+	return k
+}
+
+func (c *Core) image(name string) int {
+	n, ok := c.images[name]
+	if !ok {
+		n = len(c.images) + 1
+		c.images[name] = n
+	}
+	return n
+}
+
 func (c *Core) note(text string, args ...any) { c.out = append(c.out, Note{Text: text, Args: args}) }
 
 // Leading reports whether a term is under way.
@@ -118,26 +167,26 @@
 	c.queue = nil
 	c.machines = map[string]*machine{}
 	c.order = nil
+	c.touched, c.retouch, c.ended = nil, nil, nil
 	c.gone = map[string]bool{}
 	c.rents = map[string]*rent{}
 	c.unsettled = 0
 	c.refused = map[offer]Micros{}
 	c.backlog, c.returnOut, c.returnFrom = nil, false, 0
-	if c.ratio == nil {
-		c.ratio = map[string]float64{}
+	for _, k := range c.classes {
+		k.need, k.first, k.last, k.count = Res{}, 0, 0, 0
 	}
-	c.lastNeed = map[string]*arrivals{}
 	c.writes = map[uint64]func(Micros, bool){}
 	c.out = nil
 	c.wantRaise, c.raising = false, 0
 	c.fleetAt, c.probeAt = now, now
 	for _, t := range c.teams {
-		t.used = Res{}
+		t.used, t.placed = Res{}, [Production + 1]int{}
 	}
 	for _, m := range snap.Machines {
 		c.addMachine(&machine{
 			name: m.Name, address: m.Address, typeName: m.Type, zone: m.Zone, spot: m.Spot,
-			session: m.Session, recorded: true, seen: now, heard: now, answered: now, probe: true, dirty: true,
+			session: m.Session, recorded: true, seen: now, heard: now, answered: now, probe: true,
 		})
 		c.unsettled++
 	}
@@ -207,7 +256,8 @@
 		c.token, c.attempts = token, 0
 		c.wantRaise = false
 		for _, m := range c.order {
-			m.probe, m.dirty = true, true
+			m.probe = true
+			c.touch(m)
 		}
 	}
 }
@@ -238,6 +288,7 @@
 func (c *Core) addJob(now, wall Micros, rec JobRecord, opened bool) {
 	age := max(wall-rec.Submitted, 0)
 	j := newJob(rec, now-age)
+	j.team, j.class, j.image = c.team(rec.Spec.Team), c.class(rec.Spec.Class), c.image(rec.Spec.Image)
 	j.opened, j.held = opened, opened
 	c.jobs[rec.Spec.ID] = j
 	if rec.Phase == Cancelled {
@@ -252,10 +303,9 @@
 }
 
 func (c *Core) arrived(j *job) {
-	a := c.lastNeed[j.spec.Class]
-	if a == nil {
-		a = &arrivals{first: j.submitted}
-		c.lastNeed[j.spec.Class] = a
+	a := j.class
+	if a.count == 0 {
+		a.first, a.last = j.submitted, j.submitted
 	}
 	a.need = j.spec.Need
 	a.first = min(a.first, j.submitted)
@@ -271,6 +321,8 @@
 		c.unwant(p, now, 0)
 		p.finalOK = true
 	}
+	c.recordedEnds(j.ends)
+	j.ends = nil
 	c.dirty = true
 	c.closeIfOver(j)
 }
@@ -289,18 +341,12 @@
 func (c *Core) finish(j *job, now Micros) {
 	c.dequeue(j)
 	delete(c.jobs, j.spec.ID)
-	for _, m := range c.order {
-		// A copy: a placement that was never sent is removed at once.
-		for _, p := range slices.Clone(m.tasks) {
-			if p.j == j {
-				p.finalOK = true
-				m.dirty = true
-				if p.holds() {
-					c.unwant(p, now, 0)
-				}
-			}
-		}
+	for _, p := range j.placements() {
+		p.finalOK = true
+		c.unwant(p, now, 0)
 	}
+	c.recordedEnds(j.ends)
+	j.ends = nil
 	c.dirty = true
 }
 
@@ -366,7 +412,7 @@
 		p.stopSent = 0
 	}
 	p.unwanted, p.grace = true, grace
-	p.m.dirty = true
+	c.touch(p.m)
 	if !p.sent && !p.shown && !p.inDo {
 		c.remove(p, now)
 	}
@@ -382,6 +428,7 @@
 	if p.cause == CauseDone && !j.cancelled && j.spec.Kind != Service {
 		delete(p.m.failed, p.job)
 		c.observe(p, now)
+		j.ends = append(j.ends, p)
 		c.taskDone(j, p.index, now)
 		if j.spec.Kind == Gang {
 			// The tasks of a gang complete together.
@@ -424,7 +471,23 @@
 				"late_s", (now-j.due)/Second, "first_start_s", (j.firstStart-j.submitted)/Second, "last_start_s", (j.lastStart-j.submitted)/Second)
 		}
 	}
-	c.flushWanted = true
+	c.toWrite(j)
+}
+
+// toWrite has a job's finished tasks or its final record written.
+func (c *Core) toWrite(j *job) {
+	if !j.ended {
+		j.ended = true
+		c.ended = append(c.ended, j)
+	}
+}
+
+// recordedEnds lets workers forget tasks whose completion is recorded.
+func (c *Core) recordedEnds(ends []*placement) {
+	for _, p := range ends {
+		p.finalOK = true
+		c.touch(p.m)
+	}
 }
 
 // failed notes that a task failed. A machine on which several jobs fail is
@@ -627,7 +690,6 @@
 		}
 		start = append(start, p.command(Start))
 	}
-	m.dirty = false
 	if !beat && len(stop) == 0 && len(start) == 0 {
 		return nil // what is over can wait for the next beat
 	}
@@ -659,9 +721,12 @@
 			j.openFrom = now + writeRetry
 		}
 		for _, p := range j.live {
-			p.m.dirty = true
+			if ok {
+				c.touch(p.m)
+			} else {
+				c.touchLater(p.m)
+			}
 		}
-		c.dirtyMachines = true
 	})
 	return false
 }
@@ -677,12 +742,13 @@
 	c.write(Write{Puts: []Put{{MachinePrefix + m.name, rec}}, Urgent: true}, func(now Micros, ok bool) {
 		m.recording = false
 		m.recorded = m.recorded || ok
-		if !ok {
-			m.recordFrom = now + writeRetry
-		}
-		m.dirty = true
-		c.dirtyMachines = true
 		c.settleRents(m.name)
+		if ok {
+			c.touch(m)
+			return
+		}
+		m.recordFrom = now + writeRetry
+		c.touchLater(m)
 	})
 }
 
@@ -707,8 +773,7 @@
 		return
 	}
 	m.doing = false
-	m.dirty = true
-	c.dirtyMachines = true
+	c.touch(m)
 	for _, p := range m.tasks {
 		if !p.inDo {
 			continue
@@ -762,9 +827,9 @@
 		c.rankAt = now + Second
 		c.rankJobs(now)
 	}
-	if c.dirty || now >= c.placeAt {
+	if c.dirty && now-c.placed >= c.cfg.PlacePause || now >= c.placeAt {
 		c.dirty = false
-		c.placeAt = now + Second
+		c.placed, c.placeAt = now, now+Second
 		c.schedule(now)
 	}
 	if now >= c.fleetAt {
@@ -784,6 +849,14 @@
 	return out
 }
 
+// Wake says when Step is wanted next if there is no event and no tick before.
+func (c *Core) Wake() Micros {
+	if c.dirty {
+		return c.placed + c.cfg.PlacePause
+	}
+	return math.MaxInt64
+}
+
 // expire ends what only time can end: the leases of machines that are no
 // longer answered.
 func (c *Core) expire(now Micros) {
@@ -791,6 +864,11 @@
 		return
 	}
 	c.probeAt = now + Second/2
+	for _, m := range c.retouch {
+		m.later = false
+		c.touch(m)
+	}
+	c.retouch = c.retouch[:0]
 	for _, m := range c.order {
 		if m.booting || m.lost {
 			continue
@@ -808,16 +886,20 @@
 		}
 		// A worker that is up reports within the gap and its spread.
 		if (now-m.heard >= c.cfg.ReportGap*5/4+Second/10 || !m.settled) && now-m.probed >= Second {
-			m.probe, m.dirty, m.noDo = true, true, false
+			m.probe, m.noDo = true, false
+			c.touch(m)
 		}
 	}
 }
 
 // direct sends what cannot wait for a beat.
 func (c *Core) direct(now Micros) {
-	c.dirtyMachines = false
-	for _, m := range c.order {
-		if !m.dirty || m.doing || m.noDo && !m.probe || m.address == "" || m.lost || m.booting {
+	touched := c.touched
+	c.touched = nil
+	for _, m := range touched {
+		m.dirty = false
+		// What can't be told now is told when that changes, and with a beat.
+		if m.doing || m.noDo && !m.probe || m.address == "" || m.lost || m.booting || c.machines[m.name] != m {
 			continue
 		}
 		session := m.session
@@ -839,26 +921,25 @@
 // flushRanges writes finished tasks: a job's last ones at once with its final
 // record, others in batches.
 func (c *Core) flushRanges(now Micros) {
-	if !c.flushWanted {
-		return
-	}
-	c.flushWanted = false
-	for _, j := range c.sortedJobs() {
+	wait := c.ended[:0]
+	for _, j := range c.ended {
 		complete := j.done == len(j.status)
-		if j.cancelled || len(j.dirty) == 0 && !complete {
-			continue
-		}
-		if j.writing || now < j.writeFrom {
-			c.flushWanted = true
-			continue
-		}
-		j.writing = true
-		if complete {
-			c.writeDone(j)
-			continue
+		switch {
+		case c.jobs[j.spec.ID] != j, j.cancelled, len(j.dirty) == 0 && !complete:
+			j.ended = false
+		case j.writing || now < j.writeFrom:
+			wait = append(wait, j)
+		default:
+			j.ended = false
+			j.writing = true
+			if complete {
+				c.writeDone(j)
+			} else {
+				c.writeRanges(j)
+			}
 		}
-		c.writeRanges(j)
 	}
+	c.ended = wait
 }
 
 func (c *Core) writeDone(j *job) {
@@ -877,7 +958,7 @@
 		// Refused, because the job was cancelled first, or not known: the
 		// record comes through the watch, and trying again is harmless.
 		j.writeFrom = now + writeRetry
-		c.flushWanted = true
+		c.toWrite(j)
 	})
 }
 
@@ -896,27 +977,27 @@
 		j.stored[k] = true
 		w.Puts = append(w.Puts, Put{RangeKey(j.spec.ID, k), RangeRecord{j.spec.ID, k, j.ranges(k, c.cfg.ChunkSize)}})
 	}
-	var ends []*placement
-	for _, m := range c.order {
-		for _, p := range m.tasks {
-			if p.j == j && p.shown && p.state == Exited && p.cause == CauseDone && covered[p.index/c.cfg.ChunkSize] {
-				ends = append(ends, p)
-			}
+	var ends, rest []*placement
+	for _, p := range j.ends {
+		if covered[p.index/c.cfg.ChunkSize] {
+			ends = append(ends, p)
+		} else {
+			rest = append(rest, p)
 		}
 	}
+	j.ends = rest
 	c.write(w, func(now Micros, ok bool) {
 		j.writing = false
 		j.writeFrom = now + Second
-		c.flushWanted = true
-		if !ok {
+		if ok {
+			c.recordedEnds(ends)
+		} else {
+			j.ends = append(j.ends, ends...)
 			for k := range covered {
 				j.dirty[k] = true
 			}
-			return
-		}
-		for _, p := range ends {
-			p.finalOK = true
 		}
+		c.toWrite(j)
 	})
 }
 
@@ -929,7 +1010,7 @@
 	if j == nil {
 		return 0, 0, false
 	}
-	return j.done, j.running(), true
+	return j.done, j.running, true
 }
 
 // Jobs lists the unfinished jobs.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -632,7 +632,7 @@
 		w.submit(JobSpec{ID: "job-2", Kind: Gang, Tasks: 6, Need: Res{2000, 0, 1000}, Priority: High})
 		round(w, fs)
 		round(w, fs)
-		w.want("gang after eviction", w.c.jobs["job-2"].running(), 6)
+		w.want("gang after eviction", w.c.jobs["job-2"].running, 6)
 		w.want("left", w.c.jobs["job-0"].on, 2)
 	})
 	t.Run("a task that exits stops the rest, and all start again with one attempt", func(t *testing.T) {
@@ -844,7 +844,7 @@
 			for range 5 {
 				round()
 			}
-			w.want("services", w.c.jobs["job-1"].running()+w.c.jobs["job-2"].running(), 3)
+			w.want("services", w.c.jobs["job-1"].running+w.c.jobs["job-2"].running, 3)
 			w.want("back", fmt.Sprint(w.backs), c.want)
 		}
 	})
@@ -938,3 +938,50 @@
 		}
 	}
 }
+
+// TestWorkPerEvent counts, with a thousand machines and ten thousand tasks,
+// how many machines and jobs an ordinary beat has the core look at: a walk over
+// all of them for every event is what made large deployments short of
+// processor time.
+func TestWorkPerEvent(t *testing.T) {
+	w := newWorld(t, Team{Name: "blue"})
+	w.begin(100, nil, Snapshot{})
+	fs := make([]*fake, 1000)
+	for i := range fs {
+		fs[i] = w.machine(fmt.Sprintf("n-%04d", i), "ab"[i%2:i%2+1])
+		fs[i].r.Seq++
+		r := fs[i].r
+		w.c.Beat(w.now, &r)
+	}
+	w.step()
+	for i := range 100 {
+		w.c.Job(w.now, w.now, JobRecord{Spec: JobSpec{ID: fmt.Sprintf("job-%d", i), Team: "blue", Tasks: 100, Need: Res{800, 0, 1000}, Image: "im"}, Stamp: 5})
+	}
+	w.step()
+	for _, s := range w.sent {
+		w.c.Commanded(w.now, s.Machine, s.Token, Executed, nil)
+	}
+	w.step()
+	w.want("jobs placed", w.c.jobs["job-99"].pending, 0)
+	w.sent = nil
+
+	// One worker reports; its tasks run, and one of them has ended.
+	m := w.c.machines["n-0007"]
+	r := fs[7].r
+	r.Seq += 5
+	for _, p := range m.tasks {
+		r.Tasks = append(r.Tasks, TaskReport{Job: p.job, Index: p.index, Attempt: p.attempt, State: Running})
+	}
+	r.Tasks[0].State, r.Tasks[0].Cause = Exited, CauseDone
+	w.c.Beat(w.now, &r)
+	w.want("machines to be told something", len(w.c.touched), 1)
+	w.want("jobs with something to write", len(w.c.ended), 1)
+	w.want("the queue is not gone through: no task waits", w.c.lookForRoom(w.now), false)
+	w.step()
+
+	// Work waits that fits only where the task ended.
+	w.c.Job(w.now, w.now, JobRecord{Spec: JobSpec{ID: "job-100", Team: "blue", Tasks: 500, Need: Res{800, 0, 1000}, Image: "im"}, Stamp: 5})
+	w.c.lookForRoom(w.now)
+	w.want("machines looked at for each task", len(w.c.roomy), 1)
+	w.want("no victims are looked for where there can be none", w.c.mayReclaim(w.c.jobs["job-100"], false), false)
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -199,7 +199,7 @@
 		p.j.zones[m.zone]-- // as it will be
 		var to *machine
 		for _, o := range c.order {
-			if o == m || o.spot || o.vacating || !c.usable(o, now) || o.used == (Res{}) || !o.hasImage(p.j.spec.Image) {
+			if o == m || o.spot || o.vacating || !c.usable(o, now) || o.used == (Res{}) || !o.hasImage(p.j.image) {
 				continue
 			}
 			if p.need.Fits(o.free().Sub(taken[o])) && c.allowed(p.j, o) {
@@ -523,7 +523,7 @@
 				d.cpus -= p.need.CPU
 				continue
 			}
-			left := d.c.estimate(p.j)
+			left := p.j.estimate()
 			if p.shown && p.state == Running {
 				left -= d.now - p.runningAt
 			}
@@ -558,18 +558,18 @@
 	if j.due == 0 || j.spec.Kind == Service || d.cpus <= 0 {
 		return false
 	}
-	d.work += float64(j.spec.Need.CPU) * float64(d.c.estimate(j)) * float64(j.pending)
+	d.work += float64(j.spec.Need.CPU) * float64(j.estimate()) * float64(j.pending)
 	wait := Micros(d.work / float64(d.cpus))
 	wait += Micros(float64(d.boot) * float64(d.comingCPUs) / float64(d.cpus))
 	// Estimates are often half of what it takes; and it must not be too late yet to
 	// rent when this turns out too hopeful.
-	return d.now+wait+2*d.c.estimate(j)+5*Second+d.lead(j) <= j.due
+	return d.now+wait+2*j.estimate()+5*Second+d.lead(j) <= j.due
 }
 
 // job covers a job's waiting tasks.
 func (d *demand) job(j *job) {
 	c := d.c
-	t := c.team(j.spec.Team)
+	t := j.team
 	use := c.teamUse(t)
 	zones := map[string]int{}
 	for z, n := range j.zones {
@@ -589,12 +589,19 @@
 		}
 		return true
 	}
+	next := 0 // what is coming before this has no room for the job
 	for n := min(j.pending, 400); n > 0; n-- {
 		if overMax(use, j.spec.Need, t.Max) {
 			return
 		}
 		use = use.Add(j.spec.Need)
-		r := d.fit(j, zoneOK)
+		var r *room
+		for ; next < len(d.coming); next++ {
+			if d.fits(j, d.coming[next], zoneOK) {
+				r = d.coming[next]
+				break
+			}
+		}
 		if r == nil {
 			r = d.rentFor(j, n, zoneOK)
 		}
@@ -606,13 +613,8 @@
 	}
 }
 
-func (d *demand) fit(j *job, zoneOK func(string) bool) *room {
-	for _, r := range d.coming {
-		if j.spec.Need.Fits(r.free) && (!r.spot || j.spec.Spot) && j.typeAllowed(r.typ) && zoneOK(r.zone) {
-			return r
-		}
-	}
-	return nil
+func (d *demand) fits(j *job, r *room, zoneOK func(string) bool) bool {
+	return j.spec.Need.Fits(r.free) && (!r.spot || j.spec.Spot) && j.typeAllowed(r.typ) && zoneOK(r.zone)
 }
 
 // rentFor orders one more machine for the job: the one whose useful part is cheapest.
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -14,15 +14,20 @@
 type job struct {
 	spec      JobSpec
 	rec       JobRecord
+	team      *team
+	class     *class
+	image     int
 	due       Micros // steady clock; 0: none
 	rank      int    // 0: on time, then the later the less it is worth; see rankJobs
 	submitted Micros // steady clock
 
 	status  []taskStatus
 	live    map[int]*placement // placements that hold a task
-	zones   map[string]int     // live placements by zone
-	back    []int              // tasks that became pending again
-	cursor  int                // tasks from here on were never placed
+	ends    []*placement       // completed, and not recorded yet
+	running int
+	zones   map[string]int // live placements by zone
+	back    []int          // tasks that became pending again
+	cursor  int            // tasks from here on were never placed
 	pending int
 	done    int
 	on      int // placements that hold, wanted or not
@@ -34,6 +39,7 @@
 
 	dirty     map[int]bool // chunks whose ranges changed since they were written
 	stored    map[int]bool // chunks that may have a record
+	ended     bool         // in Core.ended
 	writing   bool         // a write of ranges or of the final record is out
 	writeFrom Micros       // not before this
 	cancelled bool
@@ -148,17 +154,6 @@
 	return false
 }
 
-// running counts the tasks that run.
-func (j *job) running() int {
-	n := 0
-	for _, p := range j.live {
-		if p.shown && p.state == Running {
-			n++
-		}
-	}
-	return n
-}
-
 // before is the order in which jobs are given room: by priority, then those
 // that can be on time, the earliest deadline, and the order of submission.
 func (j *job) before(o *job) bool {
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -18,6 +18,7 @@
 	shown     bool // the machine has reported it
 	state     TaskState
 	cause     Cause
+	counted   bool // as running
 
 	unwanted  bool
 	grace     Micros
@@ -61,7 +62,8 @@
 	probe  bool // an empty command is wanted
 	probed Micros
 	silent bool // a probe of a suspect went unanswered
-	dirty  bool
+	dirty  bool // in Core.touched
+	later  bool // in Core.retouch
 
 	draining   bool
 	vacating   bool // being emptied to be returned: gets no more tasks
@@ -75,8 +77,8 @@
 }
 
 type image struct {
-	name string
-	mb   int64
+	id int // of Core.images
+	mb int64
 }
 
 func (m *machine) free() Res {
@@ -86,9 +88,9 @@
 	return m.typ.Cap.Sub(m.used)
 }
 
-func (m *machine) hasImage(name string) bool {
+func (m *machine) hasImage(id int) bool {
 	for _, im := range m.images {
-		if im.name == name {
+		if im.id == id {
 			return true
 		}
 	}
@@ -97,14 +99,15 @@
 
 // useImage notes an image as the most recently used and drops what no longer
 // fits into the cache.
-func (m *machine) useImage(name string, mb int64) {
+func (m *machine) useImage(id int, mb int64) {
 	for i, im := range m.images {
-		if im.name == name {
-			m.images = append(append(m.images[:i:i], m.images[i+1:]...), im)
+		if im.id == id {
+			copy(m.images[i:], m.images[i+1:])
+			m.images[len(m.images)-1] = im
 			return
 		}
 	}
-	m.images = append(m.images, image{name, mb})
+	m.images = append(m.images, image{id, mb})
 	if m.typ == nil || m.typ.CacheMB == 0 {
 		return
 	}
@@ -139,8 +142,9 @@
 	if p.j == nil {
 		return
 	}
-	t := c.team(p.j.spec.Team)
+	t := p.j.team
 	t.used = t.used.Add(p.need)
+	t.placed[p.j.spec.Priority]++
 	p.j.zones[p.m.zone]++
 	p.j.on++
 	if p.j.live[p.index] == nil && p.j.status[p.index] != taskDone {
@@ -160,8 +164,10 @@
 	if p.j == nil {
 		return
 	}
-	t := c.team(p.j.spec.Team)
+	c.countRunning(p, false)
+	t := p.j.team
 	t.used = t.used.Sub(p.need)
+	t.placed[p.j.spec.Priority]--
 	p.j.zones[m.zone]--
 	p.j.on--
 	if p.j.live[p.index] == p {
@@ -172,6 +178,19 @@
 	}
 }
 
+// countRunning keeps the job's count of tasks that run.
+func (c *Core) countRunning(p *placement, running bool) {
+	if p.counted == running || p.j == nil {
+		return
+	}
+	p.counted = running
+	if running {
+		p.j.running++
+	} else {
+		p.j.running--
+	}
+}
+
 // remove takes a placement off its machine for good.
 func (c *Core) remove(p *placement, now Micros) {
 	if p.holds() {
@@ -253,7 +272,7 @@
 		m.noDo = false
 	}
 	if newSession {
-		m.dirty = true
+		c.touch(m)
 	}
 	if r.Notice >= 0 && !m.draining {
 		c.note("spot notice", "machine", m.name, "in_s", float64(r.Notice)/1e6)
@@ -289,7 +308,7 @@
 			p.shown, p.beatMark, p.state, p.cause = true, true, Exited, t.Cause
 			m.tasks = append(m.tasks, p)
 			c.exited(p, now)
-			m.dirty = true
+			c.touch(m)
 			return
 		}
 		c.add(p)
@@ -304,7 +323,7 @@
 					p.j.firstStart = now
 				}
 				p.j.lastStart = now
-				m.useImage(p.j.spec.Image, p.j.spec.ImageMB)
+				m.useImage(p.j.image, p.j.spec.ImageMB)
 				delete(m.failed, p.job)
 			}
 		}
@@ -315,6 +334,7 @@
 			p.shown, p.sent = true, true
 		}
 		p.state = t.State
+		c.countRunning(p, t.State == Running)
 		return
 	}
 	if wasExited {
@@ -327,7 +347,7 @@
 		c.release(p, now)
 	}
 	c.exited(p, now)
-	m.dirty = true
+	c.touch(m)
 }
 
 // adopt makes a placement for a task that a former leader started.
@@ -336,7 +356,7 @@
 	j := c.jobs[t.Job]
 	if j == nil || t.Index >= len(j.status) {
 		p.unwanted, p.finalOK = true, true
-		m.dirty = true
+		c.touch(m)
 		return p
 	}
 	p.j, p.need = j, j.spec.Need
@@ -353,7 +373,7 @@
 		j.attempt = max(j.attempt, t.Attempt)
 	}
 	if p.unwanted {
-		m.dirty = true
+		c.touch(m)
 	}
 	return p
 }
@@ -389,7 +409,7 @@
 				c.remove(p, now)
 			} else {
 				p.sent = false
-				m.dirty = true
+				c.touch(m)
 			}
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -39,7 +39,9 @@
 
 // schedule gives room to waiting tasks in the queue's order.
 func (c *Core) schedule(now Micros) {
-	c.countSpare(now)
+	if !c.lookForRoom(now) {
+		return
+	}
 	full := map[shape]bool{}
 	for _, j := range c.queue {
 		if j.pending == 0 || j.held || j.stopping || now < j.notBefore {
@@ -54,7 +56,7 @@
 		if plain && full[key] {
 			continue
 		}
-		t := c.team(j.spec.Team)
+		t := j.team
 		use := c.teamUse(t)
 		for {
 			i := j.nextPending()
@@ -83,16 +85,38 @@
 		defer func() { c.spare[m.zone] += c.spareNeed.copies(m.free()) }()
 	}
 	c.add(p)
-	m.useImage(j.spec.Image, j.spec.ImageMB)
-	m.dirty = true
-	c.dirtyMachines = true
+	m.useImage(j.image, j.spec.ImageMB)
+	c.touch(m)
 	return p
 }
 
+// lookForRoom collects the machines that waiting tasks may fit on, so that a
+// pass looks only at those: in a full fleet they are few. It reports whether
+// any task waits.
+func (c *Core) lookForRoom(now Micros) bool {
+	least := int64(-1)
+	for _, j := range c.queue {
+		if j.pending > 0 && (least < 0 || j.spec.Need.CPU < least) {
+			least = j.spec.Need.CPU
+		}
+	}
+	if least < 0 {
+		return false
+	}
+	c.countSpare(now)
+	c.roomy = c.roomy[:0]
+	for _, m := range c.order {
+		if !m.vacating && c.usable(m, now) && m.typ.Cap.CPU-m.used.CPU >= least {
+			c.roomy = append(c.roomy, m)
+		}
+	}
+	return true
+}
+
 // countSpare counts, by zone, the service tasks that could start at once.
 func (c *Core) countSpare(now Micros) {
 	c.spareNeed = Res{}
-	for _, a := range c.lastNeed {
+	for _, a := range c.classes {
 		if !a.expected(now) {
 			continue
 		}
@@ -121,8 +145,8 @@
 func (c *Core) pick(j *job, now Micros, only string) *machine {
 	var best *machine
 	var bestCost int64
-	for _, m := range c.order {
-		if m.vacating || !c.usable(m, now) || only != "" && m.zone != only || j.errors[m.name] && len(j.errors) < 3 {
+	for _, m := range c.roomy {
+		if only != "" && m.zone != only || j.errors[m.name] && len(j.errors) < 3 {
 			continue
 		}
 		free := m.free()
@@ -152,7 +176,7 @@
 
 // startCost is how long the task would wait for its image there.
 func (c *Core) startCost(j *job, m *machine) int64 {
-	if m.hasImage(j.spec.Image) || m.typ.FetchMBps == 0 {
+	if m.hasImage(j.image) || m.typ.FetchMBps == 0 {
 		return 0
 	}
 	return j.spec.ImageMB * int64(Second) / m.typ.FetchMBps * int64(1+m.fetching)
@@ -175,7 +199,10 @@
 		// A job that fails wherever it runs would evict borrowers on every retry.
 		return nil
 	}
-	guaranteed := within(use, j.spec.Need, c.team(j.spec.Team).Min)
+	guaranteed := within(use, j.spec.Need, j.team.Min)
+	if !c.mayReclaim(j, guaranteed) {
+		return nil
+	}
 	var best *machine
 	var bestVictims []*placement
 	var bestCost int64
@@ -207,25 +234,57 @@
 	return best
 }
 
+// mayReclaim reports whether there can be victims at all, without a look at
+// the machines.
+func (c *Core) mayReclaim(j *job, guaranteed bool) bool {
+	if guaranteed {
+		for _, t := range c.teams {
+			if t != j.team && t.over() {
+				return true
+			}
+		}
+		return false
+	}
+	for _, n := range j.team.placed[:j.spec.Priority] {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// maybeVictim reports whether a task may be stopped to make room for one of
+// the job, its team's min aside.
+func (p *placement) maybeVictim(j *job, guaranteed bool) bool {
+	switch {
+	case p.j == nil || !p.holds() || p.unwanted || p.j == j:
+		return false
+	case p.j.spec.Kind == Gang && (p.j.stopping || len(p.j.live) > 1):
+		// Stopping one task of a gang loses all of them, on other machines too.
+		return false
+	case guaranteed:
+		return p.j.team != j.team && p.j.team.over()
+	}
+	return p.j.team == j.team && p.j.spec.Priority < j.spec.Priority
+}
+
 // victims chooses tasks on one machine; nil if they would not make room.
 func (c *Core) victims(j *job, m *machine, guaranteed bool, now Micros, plan *reclaimPlan) ([]*placement, int64) {
 	free := m.free().Add(plan.freed[m])
-	var cands []*placement
+	most := free
 	for _, p := range m.tasks {
-		if p.j == nil || !p.holds() || p.unwanted || plan.chosen[p] || p.j == j {
-			continue
+		if p.maybeVictim(j, guaranteed) {
+			most = most.Add(p.need)
 		}
-		if p.j.spec.Kind == Gang && (p.j.stopping || len(p.j.live) > 1) {
-			// Stopping one task of a gang loses all of them, on other machines too.
-			continue
-		}
-		if guaranteed && p.j.spec.Team == j.spec.Team {
-			continue
-		}
-		if !guaranteed && (p.j.spec.Team != j.spec.Team || p.j.spec.Priority >= j.spec.Priority) {
-			continue
+	}
+	if !j.spec.Need.Fits(most) {
+		return nil, 0
+	}
+	var cands []*placement
+	for _, p := range m.tasks {
+		if p.maybeVictim(j, guaranteed) && !plan.chosen[p] {
+			cands = append(cands, p)
 		}
-		cands = append(cands, p)
 	}
 	sort.SliceStable(cands, func(a, b int) bool {
 		x, y := cands[a], cands[b]
@@ -242,7 +301,7 @@
 			break
 		}
 		if guaranteed {
-			t := c.team(p.j.spec.Team)
+			t := p.j.team
 			gone := taken[t.Name].Add(plan.taken[t.Name]).Add(p.need)
 			left := t.used.Sub(gone)
 			if left.CPU < t.Min.CPU || left.GPU < t.Min.GPU {
@@ -283,7 +342,7 @@
 	if j.on > 0 || j.pending < len(j.status) {
 		return
 	}
-	t := c.team(j.spec.Team)
+	t := j.team
 	use := c.teamUse(t)
 	if overMax(use, j.spec.Need.Times(j.spec.Tasks), t.Max) {
 		return
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -1,11 +1,14 @@
 package core
 
-import "sort"
+import (
+	"container/heap"
+	"sort"
+)
 
 // estimate is how long a task of the job will run: the owner's estimate, put
 // right by how such estimates of its class have turned out.
-func (c *Core) estimate(j *job) Micros {
-	if r := c.ratio[j.spec.Class]; r > 0 {
+func (j *job) estimate() Micros {
+	if r := j.class.ratio; r > 0 {
 		return Micros(float64(j.spec.Estimate) * r)
 	}
 	return j.spec.Estimate
@@ -19,10 +22,10 @@
 	p.j.ranLongest = max(p.j.ranLongest, now-p.runningAt)
 	const weight = 0.05
 	r := min(max(float64(now-p.runningAt)/float64(p.j.spec.Estimate), 0.2), 5)
-	if old := c.ratio[p.j.spec.Class]; old > 0 {
+	if old := p.j.class.ratio; old > 0 {
 		r = old + weight*(r-old)
 	}
-	c.ratio[p.j.spec.Class] = r
+	p.j.class.ratio = r
 }
 
 // rankJobs decides which jobs with a deadline can be on time. The earliest
@@ -56,39 +59,37 @@
 	}
 	sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].due < jobs[b].due })
 	changed := false
+	set := func(j *job, rank int) {
+		changed = changed || j.rank != rank
+		j.rank = rank
+	}
 	work := 0.0
 	for rank, times := range []float64{1, max(c.cfg.LateTimes, 1)} {
-		var onTime, late []*job
+		var onTime largest
+		var late []*job
 		for _, j := range jobs {
-			onTime = append(onTime, j)
-			work += c.work(j)
 			due := j.submitted + Micros(float64(j.spec.Due)*times)
-			if now+Micros(work/float64(room))+c.estimate(j) <= due {
+			if now+j.estimate() > due {
+				late = append(late, j) // it cannot be helped whatever goes
 				continue
 			}
-			worst := len(onTime) - 1
-			for i, o := range onTime {
-				if c.work(o) > c.work(onTime[worst]) {
-					worst = i
-				}
-			}
-			if now+c.estimate(j) > due {
-				worst = len(onTime) - 1 // it cannot be helped whatever goes
+			w := j.work()
+			work += w
+			heap.Push(&onTime, sized{j, w})
+			if now+Micros(work/float64(room))+j.estimate() > due {
+				worst := heap.Pop(&onTime).(sized)
+				work -= worst.work
+				late = append(late, worst.job)
 			}
-			work -= c.work(onTime[worst])
-			late = append(late, onTime[worst])
-			onTime = append(onTime[:worst], onTime[worst+1:]...)
 		}
-		for _, j := range onTime {
-			changed = changed || j.rank != rank
-			j.rank = rank
+		for _, o := range onTime {
+			set(o.job, rank)
 		}
 		sort.SliceStable(late, func(a, b int) bool { return late[a].due < late[b].due })
 		jobs = late
 	}
 	for _, j := range jobs {
-		changed = changed || j.rank != 2
-		j.rank = 2
+		set(j, 2)
 	}
 	if changed {
 		sort.SliceStable(c.queue, func(a, b int) bool { return c.queue[a].before(c.queue[b]) })
@@ -96,8 +97,28 @@
 	}
 }
 
-// work is the processor time that a job still needs.
-func (c *Core) work(j *job) float64 {
+// sized is a job with the work it still needs.
+type sized struct {
+	job  *job
+	work float64
+}
+
+// largest is a heap with the job that needs the most work on top.
+type largest []sized
+
+func (h largest) Len() int           { return len(h) }
+func (h largest) Less(a, b int) bool { return h[a].work > h[b].work }
+func (h largest) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+func (h *largest) Push(x any)        { *h = append(*h, x.(sized)) }
+func (h *largest) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// work is the processor time that the job still needs.
+func (j *job) work() float64 {
 	tasks := float64(j.pending) + float64(len(j.live))/2
-	return tasks * float64(j.spec.Need.CPU) * float64(c.estimate(j))
+	return tasks * float64(j.spec.Need.CPU) * float64(j.estimate())
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -196,12 +196,15 @@
 
 // Config is what the core knows from the settings.
 type Config struct {
-	Teams     []Team
-	Lease     Micros // a worker's lease
-	ReportGap Micros
-	ChunkSize int     // tasks in one record of finished ranges
-	LateTimes float64 // a late job is still worth something within this many times its due time
-	Tuning    Tuning
+	Teams []Team
+	Lease Micros // a worker's lease
+	// PlacePause is the least time between two passes over the queue: what comes
+	// meanwhile shares the next one.
+	PlacePause Micros
+	ReportGap  Micros
+	ChunkSize  int     // tasks in one record of finished ranges
+	LateTimes  float64 // a late job is still worth something within this many times its due time
+	Tuning     Tuning
 }
 
 // Tuning is what operators may set; see docs/OPERATION.md.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,6 +131,8 @@
 	const step = 200 * time.Millisecond
 	timer := time.NewTimer(step)
 	defer timer.Stop()
+	tick := n.now() + core.Micros(step/time.Microsecond)
+	wake := tick // what the timer is set to
 	for {
 		select {
 		case <-ctx.Done():
@@ -147,11 +149,20 @@
 				break
 			}
 		case <-timer.C:
-			timer.Reset(step)
+			tick = n.now() + core.Micros(step/time.Microsecond)
 			n.commit.pump()
 			n.judgeHealth()
 		}
 		n.act()
+		// The core may want to go on before the next tick.
+		next := tick
+		if n.term != nil && n.mayAct() {
+			next = min(next, n.core.Wake())
+		}
+		if next != wake {
+			wake = next
+			timer.Reset(time.Duration(max(wake-n.now(), 0)) * time.Microsecond)
+		}
 	}
 }
 
