--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -254,7 +254,11 @@
 		Lease:     core.Seconds(p.Params.Workers.LeaseS),
 		ReportGap: core.Seconds(p.Params.Workers.ReportS),
 		// Short beside any wait that an objective could name.
-		PlacePause: 20 * core.Millisecond,
+		PlacePause:  20 * core.Millisecond,
+		RecordPause: 200 * core.Millisecond,
+		ListLag:     core.Seconds(p.Params.Cloud.ListLagS),
+		// Five words of a machine take about as many letters, as JSON.
+		MachinesPerRecord: max(int(p.Params.State.ValueKB*1024-200)/100, 1),
 		// Every second task finished is the worst case: two numbers with their
 		// commas for two tasks.
 		ChunkSize: max(int(p.Params.State.ValueKB*1024-200)/8, 16),
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -40,7 +40,8 @@
 	dirty     map[int]bool // chunks whose ranges changed since they were written
 	stored    map[int]bool // chunks that may have a record
 	ended     bool         // in Core.ended
-	writing   bool         // a write of ranges or of the final record is out
+	ranging   bool         // a write of ranges is out
+	finishing bool         // the final record is
 	writeFrom Micros       // not before this
 	cancelled bool
 
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -44,16 +44,16 @@
 	session, seq        uint64
 	token               uint64 // highest it has reported
 
-	recorded, recording bool
-	recordFrom          Micros // not tried before this
-	settled             bool   // everything on it is known to this leader
-	lost                bool   // its lease has run out
-	booting             bool   // never heard of
-	seen                Micros // when we learnt of it
-	rented              Micros // when it was rented, by our clock
-	heard               Micros // last report
-	answered            Micros // last time a report of it was answered with 200
-	idle                Micros // since when it is without tasks
+	chunk    *chunk // the record that it is in, or will be
+	recorded bool
+	settled  bool   // everything on it is known to this leader
+	lost     bool   // its lease has run out
+	booting  bool   // never heard of
+	seen     Micros // when we learnt of it
+	rented   Micros // when it was rented, by our clock
+	heard    Micros // last report
+	answered Micros // last time a report of it was answered with 200
+	idle     Micros // since when it is without tasks
 
 	tasks  []*placement
 	used   Res // by placements that hold
@@ -263,6 +263,7 @@
 	if r.Address != "" {
 		m.address = r.Address
 	}
+	c.enlist(m, now)
 	if m.booting || m.lost {
 		m.booting, m.lost = false, false
 		m.idle = now
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -202,9 +202,15 @@
 	// meanwhile shares the next one.
 	PlacePause Micros
 	ReportGap  Micros
-	ChunkSize  int     // tasks in one record of finished ranges
-	LateTimes  float64 // a late job is still worth something within this many times its due time
-	Tuning     Tuning
+	ListLag    Micros // the cloud's list is late by this, or by twice as much
+	ChunkSize  int    // tasks in one record of finished ranges
+	// RecordPause lets machines that come up shortly after one another share a
+	// write.
+	RecordPause Micros
+	// MachinesPerRecord is how many machines share one record.
+	MachinesPerRecord int
+	LateTimes         float64 // a late job is still worth something within this many times its due time
+	Tuning            Tuning
 }
 
 // Tuning is what operators may set; see docs/OPERATION.md.
@@ -229,6 +235,16 @@
 	Commands []Command
 }
 
+// WriteOutcome says what became of a Write.
+type WriteOutcome uint8
+
+// The outcomes.
+const (
+	Stored       WriteOutcome = iota
+	WriteRefused              // not executed
+	WriteUnknown              // it may have been executed, or may be later
+)
+
 // Write is a change of the leader's records; it is conditional on the
 // leader's key, and on the job's stamp where IfJob is set. Its result comes
 // back through Written.
@@ -289,10 +305,15 @@
 	Type    string
 	Zone    string
 	Spot    bool
-	Session uint64
 }
 
-// RentRecord is a rental request; Machines is empty until it was answered.
+// MachinesRecord is what one key holds of them.
+type MachinesRecord struct {
+	Key      string // where it was read
+	Machines []MachineRecord
+}
+
+// RentRecord is a rental that the cloud granted, until its machines are up.
 type RentRecord struct {
 	Request  string
 	Type     string
@@ -300,6 +321,7 @@
 	Spot     bool
 	Count    int
 	Machines []string
+	At       Micros // wall clock
 }
 
 // RangeRecord holds finished tasks of one chunk of a job, as pairs of first
@@ -318,7 +340,7 @@
 
 // Snapshot is all that a new leader reads before it acts.
 type Snapshot struct {
-	Machines []MachineRecord
+	Machines []MachinesRecord
 	Rents    []RentRecord
 	Ranges   []RangeRecord
 	Open     []string
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -11,27 +11,32 @@
 // item is one change that succeeds or fails by itself, whatever it shares a
 // transaction with.
 type item struct {
+	term  *term // of the leader's bookkeeping: nothing of it is executed after the next began
 	conds []wire.Cond
 	ops   []wire.Write
 	size  int
 	done  func(revision uint64, err error)
+	later bool // waits while the service refuses
 	alone bool // was in a transaction that failed: tried again by itself
 }
 
 // committer groups changes into transactions within the service's limits.
-// What users wait for goes concurrently and first; the leader's bookkeeping
-// goes in order, one transaction at a time.
+// What users or tasks wait for goes concurrently and first; the rest of the
+// leader's bookkeeping goes in order, one transaction at a time, with what is
+// left of the budget, and waits out what the service refuses.
 type committer struct {
 	n         *Node
 	urgent    []*item
 	later     []*item
 	urgentOut int
 	laterOut  bool
+	laterFrom core.Micros // not before this
 }
 
 const (
 	maxUrgentOut = 4
 	maxQueued    = 1000
+	laterPause   = core.Second / 2
 	maxTxnBytes  = 40 << 10 // encoded; the limit of 64 KiB is counted as JSON
 )
 
@@ -46,6 +51,7 @@
 		}
 		c.urgent = append(c.urgent, it)
 	} else {
+		it.later = true
 		c.later = append(c.later, it)
 	}
 	c.pump()
@@ -57,17 +63,21 @@
 		c.urgentOut++
 		c.send(c.batch(&c.urgent), func() { c.urgentOut-- })
 	}
-	if !c.laterOut && len(c.later) > 0 && len(c.urgent) == 0 {
-		c.laterOut = true
-		c.send(c.batch(&c.later), func() { c.laterOut = false })
+	if c.laterOut || len(c.later) == 0 || len(c.urgent) > 0 || c.n.now() < c.laterFrom || !c.n.store.Spare(c.n.cfg.Params.State.TxnOps) {
+		return
 	}
+	c.laterOut = true
+	c.send(c.batch(&c.later), func() { c.laterOut = false })
 }
 
+// endTerm forgets what the leader of a term that is over had to write.
+func (c *committer) endTerm() { c.later = nil }
+
 // batch takes items that fit into one transaction.
 func (c *committer) batch(queue *[]*item) []*item {
 	limit := c.n.cfg.Params.State.TxnOps
 	var out []*item
-	ops, conds, size := 0, 0, 0
+	ops, conds, size := 0, 1, 0 // the leader's key
 	for len(*queue) > 0 {
 		it := (*queue)[0]
 		if len(out) > 0 && (it.alone || out[0].alone || ops+len(it.ops) > limit || conds+len(it.conds) > 4*limit || size+it.size > maxTxnBytes) {
@@ -89,7 +99,12 @@
 	txn := &wire.Txn{If: []wire.Cond{}}
 	seen := map[wire.Cond]bool{}
 	for _, it := range items {
-		for _, cond := range it.conds {
+		conds := it.conds
+		if it.term != nil {
+			// Its key may have been written again since the item was queued.
+			conds = append(conds[:len(conds):len(conds)], wire.Cond{Key: leaderKey, Version: it.term.stamp})
+		}
+		for _, cond := range conds {
 			if !seen[cond] {
 				seen[cond] = true
 				txn.If = append(txn.If, cond)
@@ -101,6 +116,13 @@
 		rev, err := c.n.store.Commit(c.n.ctx, txn)
 		c.n.post(func() {
 			finished()
+			if items[0].later && errors.Is(err, statestore.ErrNotExecuted) {
+				if items[0].term == c.n.term {
+					c.later = append(items, c.later...)
+					c.laterFrom = c.n.now() + laterPause
+				}
+				return
+			}
 			if len(items) > 1 && (errors.Is(err, statestore.ErrConflict) || errors.Is(err, statestore.ErrInvalid)) {
 				// One of them is at fault: its neighbours are not to suffer.
 				for _, it := range items {
@@ -118,12 +140,13 @@
 	}()
 }
 
-// bookkeeping queues a write of the core's. All are conditional on the
-// leader's key, so that nothing of a term is executed after the next began.
+// bookkeeping queues a write of the core's.
 func (c *committer) bookkeeping(t *term, w core.Write) {
 	n := c.n
-	it := &item{conds: []wire.Cond{{Key: leaderKey, Version: t.stamp}}}
-	fail := func() { n.post(func() { n.ifTerm(t, func() { n.core.Written(n.now(), w.ID, false) }) }) }
+	it := &item{term: t}
+	fail := func() {
+		n.post(func() { n.ifTerm(t, func() { n.core.Written(n.now(), w.ID, core.WriteRefused) }) })
+	}
 	for _, p := range w.Puts {
 		key := p.Key
 		if d, ok := p.Value.(core.JobDone); ok {
@@ -148,7 +171,7 @@
 		defer func() {
 			for len(rest) > 0 {
 				k := min(limit, len(rest))
-				c.add(&item{conds: it.conds[:1], ops: rest[:k], done: func(uint64, error) {}}, false)
+				c.add(&item{term: t, ops: rest[:k], done: func(uint64, error) {}}, false)
 				rest = rest[k:]
 			}
 		}()
@@ -160,7 +183,7 @@
 		if err != nil {
 			n.log.Debug("write failed", "err", err, "job", w.IfJob)
 		}
-		n.ifTerm(t, func() { n.core.Written(n.now(), w.ID, err == nil) })
+		n.ifTerm(t, func() { n.core.Written(n.now(), w.ID, writeOutcome(err)) })
 		if err == nil && w.IfJob != "" {
 			n.wroteFinal(w, rev)
 		}
@@ -170,6 +193,16 @@
 	}
 }
 
+func writeOutcome(err error) core.WriteOutcome {
+	switch {
+	case err == nil:
+		return core.Stored
+	case errors.Is(err, statestore.ErrNotExecuted), errors.Is(err, statestore.ErrConflict), errors.Is(err, statestore.ErrInvalid):
+		return core.WriteRefused
+	}
+	return core.WriteUnknown
+}
+
 // wroteFinal notes the final record of a job, so that it can be told without
 // waiting for the watch.
 func (n *Node) wroteFinal(w core.Write, rev uint64) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -238,5 +238,5 @@
 			n.log.Info("rental failed", "request", a.Request, "err", err)
 		}
 	}
-	n.post(func() { n.ifTerm(t, func() { n.core.Rented(n.now(), a.Request, outcome, names) }) })
+	n.post(func() { n.ifTerm(t, func() { n.core.Rented(n.now(), wall(), a.Request, outcome, names) }) })
 }
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -144,6 +144,7 @@
 		if n.term == t {
 			n.term = nil
 			n.core.End()
+			n.commit.endTerm()
 		}
 		reply(t.resigned)
 	})
@@ -221,8 +222,8 @@
 		var err error
 		switch {
 		case strings.HasPrefix(e.Key, core.MachinePrefix):
-			var r core.MachineRecord
-			r, err = wire.DecodeMachine(e.Value)
+			var r core.MachinesRecord
+			r, err = wire.DecodeMachines(e.Key, e.Value)
 			s.Machines = append(s.Machines, r)
 		case strings.HasPrefix(e.Key, core.RentPrefix):
 			var r core.RentRecord
@@ -326,9 +327,9 @@
 		return
 	}
 	n.commit.add(&item{
-		conds: []wire.Cond{{Key: leaderKey, Version: t.stamp}},
-		ops:   []wire.Write{{Put: catalogKey, Value: b}},
-		done:  func(uint64, error) {},
+		term: t,
+		ops:  []wire.Write{{Put: catalogKey, Value: b}},
+		done: func(uint64, error) {},
 	}, true)
 }
 
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -120,6 +120,12 @@
 	return fmt.Errorf("%s %s: status %d", method, path, resp.StatusCode)
 }
 
+// Spare reports whether n changes fit into the budget with half of it left for
+// what cannot wait.
+func (c *Client) Spare(n int) bool {
+	return c.writes.Limit() == rate.Inf || c.writes.Tokens() >= float64(c.writes.Burst()+n)/2
+}
+
 // List reads all keys with the prefix, and the revision of the first page:
 // every later change is found by a watch from there.
 func (c *Client) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -65,13 +65,18 @@
 	}, nil
 }
 
+// machineRecord is a list rather than a map: many share one value.
 type machineRecord struct {
-	Name    string `msgpack:"name"`
-	Address string `msgpack:"addr"`
-	Type    string `msgpack:"type"`
-	Zone    string `msgpack:"zone"`
-	Spot    bool   `msgpack:"spot"`
-	Session uint64 `msgpack:"session"`
+	_msgpack struct{} `msgpack:",as_array"`
+	Name     string
+	Address  string
+	Type     string
+	Zone     string
+	Spot     bool
+}
+
+type machinesRecord struct {
+	Machines []machineRecord `msgpack:"ms"`
 }
 
 type rentRecord struct {
@@ -81,6 +86,7 @@
 	Spot     bool     `msgpack:"spot"`
 	Count    int      `msgpack:"count"`
 	Machines []string `msgpack:"names"`
+	At       int64    `msgpack:"at"`
 }
 
 type rangeRecord struct {
@@ -102,10 +108,14 @@
 // EncodeRecord encodes one of the core's records.
 func EncodeRecord(v any) ([]byte, error) {
 	switch r := v.(type) {
-	case core.MachineRecord:
-		return Marshal((*machineRecord)(&r))
+	case core.MachinesRecord:
+		var w machinesRecord
+		for _, m := range r.Machines {
+			w.Machines = append(w.Machines, machineRecord{Name: m.Name, Address: m.Address, Type: m.Type, Zone: m.Zone, Spot: m.Spot})
+		}
+		return Marshal(&w)
 	case core.RentRecord:
-		return Marshal((*rentRecord)(&r))
+		return Marshal(&rentRecord{r.Request, r.Type, r.Zone, r.Spot, r.Count, r.Machines, int64(r.At)})
 	case core.RangeRecord:
 		return Marshal((*rangeRecord)(&r))
 	case core.OpenRecord:
@@ -116,18 +126,24 @@
 	return nil, fmt.Errorf("no encoding for %T", v)
 }
 
-// DecodeMachine decodes a machine's record.
-func DecodeMachine(b []byte) (core.MachineRecord, error) {
-	var w machineRecord
+// DecodeMachines decodes the record of machines at the key.
+func DecodeMachines(key string, b []byte) (core.MachinesRecord, error) {
+	r := core.MachinesRecord{Key: key}
+	var w machinesRecord
 	err := Unmarshal(b, &w)
-	return core.MachineRecord(w), err
+	for _, m := range w.Machines {
+		r.Machines = append(r.Machines, core.MachineRecord{Name: m.Name, Address: m.Address, Type: m.Type, Zone: m.Zone, Spot: m.Spot})
+	}
+	return r, err
 }
 
 // DecodeRent decodes a rental's record.
 func DecodeRent(b []byte) (core.RentRecord, error) {
 	var w rentRecord
 	err := Unmarshal(b, &w)
-	return core.RentRecord(w), err
+	return core.RentRecord{
+		Request: w.Request, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Count: w.Count, Machines: w.Machines, At: core.Micros(w.At),
+	}, err
 }
 
 // DecodeRanges decodes a record of finished tasks.
