--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -88,6 +88,7 @@
 // Settings are the operators' own, in seconds where the name says so.
 type Settings struct {
 	LeaderLeaseS  float64
+	AnswerGraceS  float64
 	IdleReturnS   float64
 	RefusalPauseS float64
 	QuarantineS   float64
@@ -99,7 +100,7 @@
 // DefaultSettings are what the program runs with without a settings file.
 func DefaultSettings() Settings {
 	return Settings{
-		LeaderLeaseS: 3, IdleReturnS: 10, RefusalPauseS: 15, QuarantineS: 120,
+		LeaderLeaseS: 3, AnswerGraceS: 60, IdleReturnS: 10, RefusalPauseS: 15, QuarantineS: 120,
 		SuspectS: 4.5, SpareTasks: 3, ListEveryS: 10,
 	}
 }
@@ -239,6 +240,7 @@
 func (s *Settings) all() map[string]setting {
 	return map[string]setting{
 		"leader-lease-s":  {1, 60, &s.LeaderLeaseS, nil},
+		"answer-grace-s":  {0, 3600, &s.AnswerGraceS, nil},
 		"idle-return-s":   {0, 86400, &s.IdleReturnS, nil},
 		"refusal-pause-s": {0, 3600, &s.RefusalPauseS, nil},
 		"quarantine-s":    {0, 86400, &s.QuarantineS, nil},
@@ -253,6 +255,8 @@
 	c := core.Config{
 		Lease:     core.Seconds(p.Params.Workers.LeaseS),
 		ReportGap: core.Seconds(p.Params.Workers.ReportS),
+		// The other leader's clock may be slower by the drift.
+		AnswerGrace: core.Seconds(s.AnswerGraceS * 1.001),
 		// Short beside any wait that an objective could name.
 		PlacePause:  20 * core.Millisecond,
 		RecordPause: 200 * core.Millisecond,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -42,6 +43,8 @@
 	dirty      bool       // room, work or quota changed: place again
 	touched    []*machine // to be told something, perhaps
 	retouch    []*machine // the same, after a pause: a write for them failed
+	probes     []*machine // to be probed
+	probing    int        // probes that are under way
 	ended      []*job     // with finished tasks or a final record to be written
 	placeAt    Micros
 	placed     Micros     // last time
@@ -131,6 +134,14 @@
 	}
 }
 
+// probe has an empty command sent to the machine, to learn whether it is there.
+func (c *Core) probe(m *machine) {
+	if !m.probe {
+		m.probe = true
+		c.probes = append(c.probes, m)
+	}
+}
+
 // touchLater does so after a pause.
 func (c *Core) touchLater(m *machine) {
 	if !m.later {
@@ -175,6 +186,7 @@
 	c.machines = map[string]*machine{}
 	c.order = nil
 	c.touched, c.retouch, c.ended = nil, nil, nil
+	c.probes, c.probing = nil, 0
 	c.gone = map[string]bool{}
 	c.rents = map[string]*rent{}
 	c.rentOf = map[string]*rent{}
@@ -202,10 +214,13 @@
 			}
 			m := &machine{
 				name: rec.Name, address: rec.Address, typeName: rec.Type, zone: rec.Zone, spot: rec.Spot,
-				chunk: ch, recorded: true, seen: now, heard: now, answered: now, probe: true,
+				chunk: ch, recorded: true, seen: now, heard: now,
+				// The former leader may have answered it for as long as it might.
+				answered: now + c.cfg.AnswerGrace,
 			}
 			ch.machines = append(ch.machines, m)
 			c.addMachine(m)
+			c.probe(m)
 			c.unsettled++
 		}
 		if len(ch.machines) == 0 {
@@ -287,8 +302,10 @@
 		c.token, c.attempts = token, 0
 		c.wantRaise = false
 		for _, m := range c.order {
-			m.probe = true
-			c.touch(m)
+			// Others see the token with their next beat, which is soon enough.
+			if m.hasLate() {
+				c.probe(m)
+			}
 		}
 	}
 }
@@ -650,6 +667,21 @@
 	return c.commands(m, now, true), c.token, true
 }
 
+// BeatInGrace takes a report while the leader's lease is not certain to be
+// alive: the worker's lease is renewed and it is told nothing. ok is false if
+// the worker has seen a higher token, so that there is another leader.
+func (c *Core) BeatInGrace(now Micros, r *Report) (token uint64, ok bool) {
+	m := c.machines[r.Machine]
+	if !c.leading || m == nil || r.Token > c.token {
+		return 0, false
+	}
+	if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
+		c.absorb(m, r, true, now)
+	}
+	m.answered = now
+	return c.token, true
+}
+
 func (c *Core) addMachine(m *machine) {
 	m.typ = c.types[m.typeName]
 	c.machines[m.name] = m
@@ -779,6 +811,10 @@
 		return
 	}
 	m.doing = false
+	if m.probed > 0 {
+		m.probed = 0
+		c.probing--
+	}
 	c.touch(m)
 	for _, p := range m.tasks {
 		if !p.inDo {
@@ -797,11 +833,8 @@
 		if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
 			c.absorb(m, r, false, now)
 		}
-		if r.Session != m.session || o == Refused {
-			m.probe = m.probe || !m.settled
-		}
-		if o == Executed {
-			m.probe = false
+		if !m.settled && (r.Session != m.session || o == Refused) {
+			c.probe(m)
 		}
 		return
 	}
@@ -892,9 +925,8 @@
 			continue
 		}
 		// A worker that is up reports within the gap and its spread.
-		if (now-m.heard >= c.cfg.ReportGap*5/4+Second/10 || !m.settled) && now-m.probed >= Second {
-			m.probe, m.noDo = true, false
-			c.touch(m)
+		if now-m.heard >= c.cfg.ReportGap*5/4+Second/10 || !m.settled {
+			c.probe(m)
 		}
 	}
 }
@@ -906,23 +938,44 @@
 	for _, m := range touched {
 		m.dirty = false
 		// What can't be told now is told when that changes, and with a beat.
-		if m.doing || m.noDo && !m.probe || m.address == "" || m.lost || m.booting || c.machines[m.name] != m {
+		if m.noDo || !c.reachable(m) {
 			continue
 		}
-		session := m.session
-		if session == 0 {
-			session = 1
-		}
-		cmds := c.commands(m, now, false)
-		if len(cmds) == 0 && !m.probe {
-			continue
+		if cmds := c.commands(m, now, false); len(cmds) > 0 {
+			c.send(m, cmds)
 		}
-		if m.probe {
-			m.probed, m.probe = now, false
+	}
+	n := 0
+	for ; n < len(c.probes) && c.probing < probesMost; n++ {
+		m := c.probes[n]
+		m.probe = false
+		if !c.reachable(m) || m.settled && now-m.heard < c.cfg.ReportGap && !m.hasLate() {
+			continue // or it has reported meanwhile
 		}
-		m.doing = true
-		c.out = append(c.out, SendCommands{m.name, m.address, c.token, session, cmds})
+		m.probed = now
+		c.probing++
+		c.send(m, c.commands(m, now, false))
+	}
+	c.probes = slices.Delete(c.probes, 0, n)
+}
+
+// probesMost is how many probes may be under way: after a takeover every
+// machine is to be asked, but most report by themselves before their turn
+// comes, and each connection costs processor time.
+const probesMost = 32
+
+// reachable reports whether a direct command can be sent to the machine now.
+func (c *Core) reachable(m *machine) bool {
+	return !m.doing && m.address != "" && !m.lost && !m.booting && c.machines[m.name] == m
+}
+
+func (c *Core) send(m *machine, cmds []Command) {
+	session := m.session
+	if session == 0 {
+		session = 1
 	}
+	m.doing = true
+	c.out = append(c.out, SendCommands{m.name, m.address, c.token, session, cmds})
 }
 
 // rangesPause lets many finished tasks share a write: until it is written they
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -526,6 +526,34 @@
 	}
 }
 
+// TestAnswerGrace: a leader whose lease is over renews workers' leases and tells
+// them nothing, unless they know a higher token; and the next leader waits as
+// much longer for machines that it does not hear.
+func TestAnswerGrace(t *testing.T) {
+	w := newWorld(t, blue)
+	w.begin(100, nil, Snapshot{})
+	f := w.machine("n-1", "a").beat()
+	r := f.r
+	r.Seq++
+	w.now += 12 * Second
+	token, ok := w.c.BeatInGrace(w.now, &r)
+	w.want("answered under the token", ok && token == 100, true)
+	w.pass(12 * Second)
+	w.want("its lease is over", w.c.machines["n-1"].lost, false)
+	r.Seq, r.Token = r.Seq+1, 101
+	_, ok = w.c.BeatInGrace(w.now, &r)
+	w.want("answered though there is another leader", ok, false)
+
+	w = newWorld(t, blue)
+	w.c.cfg.AnswerGrace = 60 * Second
+	rec := JobRecord{Spec: JobSpec{ID: "job-1", Team: "blue", Tasks: 1, Need: Res{2000, 0, 1000}, Image: "im"}, Stamp: 5}
+	w.begin(100, []JobRecord{rec}, Snapshot{Machines: recorded("n-1"), Open: []string{"job-1"}})
+	w.pass(70 * Second)
+	w.want("held while it may be answered", w.c.jobs["job-1"].held, true)
+	w.pass(10 * Second)
+	w.want("held", w.c.jobs["job-1"].held, false)
+}
+
 // TestLateStart: a direct start that went unanswered counts as possibly there
 // until the machine shows it, has a new session, or has answered under a
 // raised token; and it is not forgotten by the worker before.
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -1,5 +1,7 @@
 package core
 
+import "slices"
+
 // placement is one start of a task on a machine, from the decision until the
 // machine no longer knows it.
 type placement struct {
@@ -58,12 +60,12 @@
 	tasks  []*placement
 	used   Res // by placements that hold
 	doing  bool
-	noDo   bool // the last direct command could not be delivered: wait for a beat
-	probe  bool // an empty command is wanted
-	probed Micros
-	silent bool // a probe of a suspect went unanswered
-	dirty  bool // in Core.touched
-	later  bool // in Core.retouch
+	noDo   bool   // the last direct command could not be delivered: wait for a beat
+	probe  bool   // in Core.probes
+	probed Micros // since when a probe is under way; 0: none is
+	silent bool   // a probe of a suspect went unanswered
+	dirty  bool   // in Core.touched
+	later  bool   // in Core.retouch
 
 	draining   bool
 	vacating   bool // being emptied to be returned: gets no more tasks
@@ -88,6 +90,11 @@
 	return m.typ.Cap.Sub(m.used)
 }
 
+// hasLate reports whether a direct start to the machine went unanswered.
+func (m *machine) hasLate() bool {
+	return slices.ContainsFunc(m.tasks, func(p *placement) bool { return p.late })
+}
+
 func (m *machine) hasImage(id int) bool {
 	for _, im := range m.images {
 		if im.id == id {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -202,8 +202,12 @@
 	// meanwhile shares the next one.
 	PlacePause Micros
 	ReportGap  Micros
-	ListLag    Micros // the cloud's list is late by this, or by twice as much
-	ChunkSize  int    // tasks in one record of finished ranges
+	// AnswerGrace is how long a leader whose lease is over may go on answering
+	// beats, without commands, so that workers outlast an outage of the state
+	// service.
+	AnswerGrace Micros
+	ListLag     Micros // the cloud's list is late by this, or by twice as much
+	ChunkSize   int    // tasks in one record of finished ranges
 	// RecordPause lets machines that come up shortly after one another share a
 	// write.
 	RecordPause Micros
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -20,6 +20,7 @@
 	Body       any           // encoded unless Raw is set
 	Raw        []byte        // an encoded body
 	RetryAfter time.Duration // with 429 and 503
+	Fresh      func() bool   // if set, asked right before a 200 is written
 }
 
 // Unavailable tells a user when to come back.
@@ -36,8 +37,6 @@
 	Poll(ctx context.Context, id string) Answer
 	Cancel(ctx context.Context, id string) Answer
 	Report(ctx context.Context, r *core.Report) Answer
-	// Fresh is asked right before a worker's 200 is written.
-	Fresh() bool
 	Healthy() bool
 }
 
@@ -138,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), beatDeadline)
 	defer cancel()
 	a := h.s.Report(ctx, rep)
-	if a.Status == http.StatusOK && !h.s.Fresh() {
+	if a.Fresh != nil && !a.Fresh() {
 		// The time between the decision and this line is the processor's to
 		// take: a leader whose lease is over must not answer.
 		a = Unavailable()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,9 @@
 	cloud    *cloud.Client
 	workers  *worker.Client
 	started  time.Time
-	events   chan func()
+	// answerGrace is how long workers are answered after the leader's lease.
+	answerGrace core.Micros
+	events      chan func()
 
 	actUntil atomic.Int64 // micros: this node leads and may act until then
 	serving  atomic.Bool  // the view is there and users can be answered
@@ -75,6 +77,7 @@
 		core:    core.New(config.Core(p, s)),
 		kick:    make(chan struct{}, 1),
 	}
+	n.answerGrace = core.Seconds(s.AnswerGraceS)
 	n.view.jobs = map[string]core.JobRecord{}
 	n.commit.n = n
 	n.peers = map[string]peerState{}
@@ -169,6 +172,29 @@
 // mayAct reports whether this node leads and its lease is certainly alive.
 func (n *Node) mayAct() bool { return n.now() < core.Micros(n.actUntil.Load()) }
 
+// leaseOrGrace reports whether the last lease of this node's is alive, or ended
+// so lately that workers may still be answered, though not commanded.
+func (n *Node) leaseOrGrace() bool {
+	return n.now() < core.Micros(n.actUntil.Load())+n.answerGrace
+}
+
+// mayAnswer reports whether workers are to be answered without commands: this
+// node led until it lost sight of the state service, and nothing says that
+// another leads or could. In an outage of the state service nobody can, and the
+// workers' leases would run out with all that they run. A later leader waits
+// for a machine it does not hear as much longer as this may go on.
+func (n *Node) mayAnswer() bool {
+	if n.term == nil || n.term.deposed || n.mayAct() || !n.leaseOrGrace() {
+		return false
+	}
+	for _, p := range n.peers {
+		if p.stateOK && time.Since(p.at) < stateGrace {
+			return false
+		}
+	}
+	return true
+}
+
 // act lets the core decide and carries out what it wants.
 func (n *Node) act() {
 	if n.term == nil || !n.mayAct() {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -119,6 +119,9 @@
 			}
 		}
 	}
+	if t := n.term; t != nil && s.Token > t.stamp {
+		t.deposed = true
+	}
 	if t := n.term; t != nil && core.ShouldResign(n.now(), t.begun, n.beatHeard, core.Seconds(n.cfg.Params.Workers.ReportS), s.Workers) {
 		n.log.Info("resigning: workers reach a peer and not this node", "peer", s.Node, "token", t.stamp)
 		n.abstain = n.now() + abstainFor
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -230,6 +230,13 @@
 func (n *Node) Report(ctx context.Context, r *core.Report) httpapi.Answer {
 	return n.answer(ctx, func(reply func(httpapi.Answer)) {
 		n.beatHeard, n.abstain = n.now(), 0
+		if n.mayAnswer() {
+			if token, ok := n.core.BeatInGrace(n.now(), r); ok {
+				n.answerBeat(reply, token, nil, n.leaseOrGrace)
+				return
+			}
+			n.term.deposed = n.term.deposed || r.Token > n.term.stamp
+		}
 		if n.term == nil || !n.mayAct() {
 			if n.view.leader == "" || n.view.leader == n.cfg.Member {
 				reply(httpapi.Unavailable())
@@ -243,18 +250,19 @@
 			reply(httpapi.Unavailable())
 			return
 		}
-		b, err := wire.Commands(token, 0, cmds)
-		if err != nil {
-			n.log.Error("encode commands", "err", err)
-			reply(httpapi.Unavailable())
-			return
-		}
-		reply(httpapi.Answer{Status: http.StatusOK, Raw: b})
+		n.answerBeat(reply, token, cmds, n.mayAct)
 	})
 }
 
-// Fresh reports whether this node may still act as leader.
-func (n *Node) Fresh() bool { return n.mayAct() }
+func (n *Node) answerBeat(reply func(httpapi.Answer), token uint64, cmds []core.Command, fresh func() bool) {
+	b, err := wire.Commands(token, 0, cmds)
+	if err != nil {
+		n.log.Error("encode commands", "err", err)
+		reply(httpapi.Unavailable())
+		return
+	}
+	reply(httpapi.Answer{Status: http.StatusOK, Raw: b, Fresh: fresh})
+}
 
 // Healthy reports whether this node can take requests.
 func (n *Node) Healthy() bool { return n.serving.Load() }
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -23,6 +23,7 @@
 	begun    core.Micros
 	cancel   context.CancelFunc
 	resigned bool
+	deposed  bool // there is another leader
 }
 
 // standing is what the elector needs of the view.
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -22,6 +22,7 @@
 	cancel map[string]time.Time
 	broken []string
 	starts int
+	lapsed int // leases that ran out on machines with tasks
 }
 
 func newChecker(w *World) *checker {
@@ -156,6 +157,25 @@
 	}
 }
 
+// expired notes that a worker's lease runs out; its lock is held.
+func (c *checker) expired(k *Worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range k.tasks {
+		if t.placed {
+			c.lapsed++
+			return
+		}
+	}
+}
+
+// Lapsed counts the leases that ran out on machines with tasks.
+func (w *World) Lapsed() int {
+	w.check.mu.Lock()
+	defer w.check.mu.Unlock()
+	return w.check.lapsed
+}
+
 // watch looks for tasks of cancelled jobs that are still on machines.
 func (c *checker) watch() {
 	for c.w.ctx.Err() == nil {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -158,6 +158,7 @@
 		}
 		k.mu.Lock()
 		if time.Since(k.answered) > k.w.lease && !k.dead {
+			k.w.check.expired(k)
 			k.forgetAll()
 			k.session++
 			k.answered = time.Now()
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -87,6 +87,7 @@
 		seed  uint64
 		setup func(w *standin.World)
 		acts  []act
+		kept  bool // no worker's lease may run out
 	}{
 		{name: "quiet", seed: 1},
 		{name: "answers lost", seed: 2, setup: func(w *standin.World) {
@@ -124,6 +125,21 @@
 				w.State.Renewed()
 			}},
 		}},
+		{name: "a state outage longer than leader's and workers' leases", seed: 12, kept: true, acts: []act{
+			{40 * s, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
+			{80 * s, func(w *standin.World) {
+				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+				w.State.Renewed()
+			}},
+		}},
+		{name: "all controllers crash at the end of an outage", seed: 13, kept: true, acts: []act{
+			{40 * s, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
+			{60 * s, killAll}, {63 * s, startAll},
+			{65 * s, func(w *standin.World) {
+				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+				w.State.Renewed()
+			}},
+		}},
 		{name: "cut from the state service and from workers", seed: 8, acts: []act{
 			{40 * s, func(w *standin.World) { cutNode(w, 0, w.StateAddr(), true) }},
 			{60 * s, func(w *standin.World) { cutNode(w, 0, w.StateAddr(), false); cutNode(w, 1, w.StateAddr(), true) }},
@@ -221,6 +237,12 @@
 						w.Cancel(job.ID)
 					})
 				}
+				user(0, func() { // runs throughout
+					if job := service(390, 3); w.Submit(job) {
+						time.Sleep(120 * s)
+						w.Cancel(job.ID)
+					}
+				})
 				user(50*s, func() {
 					if got := w.Poll("job-999999"); got != "unknown" && got != "" {
 						t.Errorf("a job that nobody submitted is %q", got)
@@ -234,6 +256,9 @@
 				for _, u := range undone {
 					t.Error(u)
 				}
+				if n := w.Lapsed(); day.kept && n > 0 {
+					t.Errorf("%d workers' leases ran out", n)
+				}
 				if w.Starts() == 0 {
 					t.Error("nothing ran")
 				}
