--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,6 +51,7 @@
 	roomy      []*machine // that the tasks to be placed may fit on, for one pass
 	summaryAt  Micros
 	vacateAt   Micros
+	vacating   []*machine
 	wantRaise  bool
 	raising    Micros
 	fleetAt    Micros
@@ -194,6 +195,7 @@
 	c.unsettled = 0
 	c.refused = map[offer]Micros{}
 	c.backlog, c.returnOut, c.returnFrom = nil, false, 0
+	c.vacating = nil
 	for _, k := range c.classes {
 		k.need, k.first, k.last, k.count = Res{}, 0, 0, 0
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -965,6 +965,39 @@
 			w.want("back", fmt.Sprint(w.backs), c.want)
 		}
 	})
+	t.Run("the more services, the more move in a second", func(t *testing.T) {
+		// After a batch left them thinly spread: one service on every machine.
+		moves := func(machines int) int {
+			w := newWorld(t, Team{Name: "blue"})
+			w.begin(100, nil, Snapshot{})
+			var fs []*fake
+			for i := range machines {
+				fs = append(fs, w.machine(fmt.Sprintf("n-%03d", i), "a").beat())
+			}
+			w.submit(JobSpec{ID: "job-1", Tasks: machines, Need: Res{7000, 0, 1000}})
+			w.submit(JobSpec{ID: "job-2", Kind: Service, Tasks: machines, Need: Res{1000, 0, 1000}})
+			round := func() {
+				for _, f := range fs {
+					f.direct()
+					f.beat()
+				}
+			}
+			round()
+			round()
+			w.want("services", w.c.jobs["job-2"].running, machines)
+			w.cancel("job-1")
+			round()
+			before := w.c.attempts
+			for range 20 {
+				w.pass(Second)
+				round()
+			}
+			return int(w.c.attempts - before)
+		}
+		few, many := moves(20), moves(200)
+		w := &world{t: t}
+		w.want("moves", few >= 1 && few <= 3 && many >= 8 && many <= 12, true)
+	})
 	t.Run("a machine taken over empty goes back", func(t *testing.T) {
 		w := newWorld(t, Team{Name: "blue"})
 		w.begin(100, nil, Snapshot{Machines: recorded("n-1")})
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sort"
@@ -117,119 +118,150 @@
 }
 
 const (
-	// vacateEvery is the least time between two moves of a service: each is
-	// down for as long as its image takes, and they must not add up.
-	vacateEvery = 12 * Second
+	// vacateShare is how long a service is left in peace between two moves, on
+	// the average: each move takes it down for as long as its image takes, and
+	// they must not add up.
+	vacateShare = 420 * Second
 	// vacateMost is how many services are moved to empty a machine.
 	vacateMost = 6
+	// vacateTries is how many machines are looked at closely in one pass.
+	vacateTries = 8
 )
 
 // consolidate empties ordinary machines that a few services keep rented while
-// there is room for them elsewhere, one service at a time. A machine that
-// batches use as well is of use.
+// there is room for them elsewhere. The more services there are, the more may
+// move in a second. A machine that batches use as well is of use.
 func (c *Core) consolidate(now Micros) {
-	if now < c.vacateAt || c.unsettled > 0 {
-		return
-	}
+	services := 0
 	for _, j := range c.queue {
 		if j.pending > 0 {
-			return // room is short
+			// Room is short.
+			c.vacateAt = now
+			for _, m := range c.vacating {
+				m.vacating = false
+			}
+			c.vacating = c.vacating[:0]
+			return
+		}
+		if j.spec.Kind == Service {
+			services += len(j.live)
 		}
 	}
-	var best *machine
-	bestGain := 0.0
+	if c.unsettled > 0 || services == 0 {
+		return
+	}
+	// Moves that were not made are not made up for.
+	c.vacateAt = max(c.vacateAt, now-Second)
+	if now < c.vacateAt {
+		return
+	}
+	type candidate struct {
+		m    *machine
+		gain float64
+	}
+	var from []candidate
+	var to []*machine
 	for _, m := range c.order {
-		if m.spot || !c.usable(m, now) || m.used == (Res{}) {
+		if m.spot || m.used == (Res{}) || !c.usable(m, now) {
 			continue
 		}
-		if n := c.movable(m, now); n > 0 {
-			gain := m.typ.Price * (1 - float64(m.used.CPU)/float64(m.typ.Cap.CPU)) / float64(n)
+		free := float64(m.typ.Cap.CPU-m.used.CPU) / float64(m.typ.Cap.CPU)
+		if free <= 0 {
+			continue
+		}
+		gain := m.typ.Price * free / float64(len(m.tasks))
+		if m.vacating {
+			gain *= 10 // finish what was begun
+		} else {
+			to = append(to, m)
+		}
+		if m.vacating || len(m.tasks) <= vacateMost {
+			from = append(from, candidate{m, gain})
+		}
+	}
+	slices.SortStableFunc(from, func(a, b candidate) int { return cmp.Compare(b.gain, a.gain) })
+	for _, f := range from[:min(len(from), vacateTries)] {
+		m := f.m
+		if !c.movable(m, to, now) {
 			if m.vacating {
-				gain *= 10 // finish what was begun
-			}
-			if gain > bestGain {
-				best, bestGain = m, gain
+				m.vacating = false
+				c.vacating = slices.DeleteFunc(c.vacating, func(o *machine) bool { return o == m })
 			}
+			continue
 		}
-	}
-	for _, m := range c.order {
-		if m.vacating && m != best {
-			m.vacating = false
-			c.dirty = true
+		if !m.vacating {
+			c.note("vacating: its services fit elsewhere", "machine", m.name, "type", m.typeName, "used_cpus", m.used.CPU/1000)
+			m.vacating = true
+			c.vacating = append(c.vacating, m)
+			to = slices.DeleteFunc(to, func(o *machine) bool { return o == m })
 		}
-	}
-	if best == nil {
-		return
-	}
-	if !best.vacating {
-		c.note("vacating: its services fit elsewhere", "machine", best.name, "type", best.typeName, "used_cpus", best.used.CPU/1000)
-	}
-	best.vacating = true
-	c.vacateAt = now + vacateEvery
-	for _, p := range best.tasks {
-		if p.j != nil && p.holds() && !p.unwanted && p.j.spec.Kind == Service {
-			c.unwant(p, now, 0)
-			return
+		for _, p := range slices.Clone(m.tasks) {
+			if now < c.vacateAt {
+				return
+			}
+			if p.j != nil && p.holds() && !p.unwanted && p.j.spec.Kind == Service {
+				c.vacateAt += vacateShare / Micros(services)
+				c.unwant(p, now, 0)
+			}
 		}
 	}
 }
 
-// movable counts the services on a machine if all of them have room on other
-// ordinary machines that hold services already, with their image and besides
-// the spare room; 0 if not, or if there are too many.
-func (c *Core) movable(m *machine, now Micros) int {
+// movable reports whether all services on a machine, and there are some, have
+// room on the machines to, with their image and besides the spare room.
+func (c *Core) movable(m *machine, to []*machine, now Micros) bool {
 	taken := map[*machine]Res{} // by the services that would move
+	moving := map[string]int{}  // services of a job that move to a zone, or away from it
 	n := 0
 	for _, p := range m.tasks {
 		if !p.holds() {
 			continue
 		}
+		if m.vacating && p.unwanted {
+			continue
+		}
 		if p.j == nil || p.unwanted || p.state != Running {
-			return 0
+			return false
 		}
 		if p.j.spec.Kind != Service {
 			if m.vacating {
 				continue
 			}
-			return 0 // batches make use of it
-		}
-		if n++; n > vacateMost {
-			return 0
+			return false // batches make use of it
 		}
-		p.j.zones[m.zone]-- // as it will be
-		var to *machine
-		for _, o := range c.order {
-			if o == m || o.spot || o.vacating || !c.usable(o, now) || o.used == (Res{}) || !o.hasImage(p.j.image) {
-				continue
+		n++
+		i := slices.IndexFunc(to, func(o *machine) bool {
+			if o == m || !o.hasImage(p.j.image) || !p.need.Fits(o.free().Sub(taken[o])) {
+				return false
 			}
-			if p.need.Fits(o.free().Sub(taken[o])) && c.allowed(p.j, o) {
-				to = o
-				taken[o] = taken[o].Add(p.need)
-				break
-			}
-		}
-		p.j.zones[m.zone]++
-		if to == nil {
-			return 0
+			j := p.j
+			j.zones[m.zone]-- // as it will be
+			ok := c.allowed(j, o) && (!j.spec.Spread || o.zone == m.zone || j.zones[o.zone]+moving[j.spec.ID+o.zone] < (j.spec.Tasks+1)/2)
+			j.zones[m.zone]++
+			return ok
+		})
+		if i < 0 {
+			return false
 		}
+		o := to[i]
+		taken[o] = taken[o].Add(p.need)
+		moving[p.j.spec.ID+o.zone]++
+		moving[p.j.spec.ID+m.zone]--
 	}
 	if n == 0 {
-		return 0
+		return false
+	}
+	if c.spareNeed == (Res{}) {
+		return true
 	}
 	// What is left must do for the services that are expected.
 	left := 0
-	if c.spareNeed != (Res{}) {
-		for _, o := range c.order {
-			if o == m || o.spot || !c.usable(o, now) {
-				continue
-			}
+	for _, o := range c.order {
+		if o != m && !o.spot && !o.vacating && c.usable(o, now) {
 			left += c.spareNeed.copies(o.free().Sub(taken[o]))
 		}
-		if left < 2*c.cfg.Tuning.SpareTasks {
-			return 0
-		}
 	}
-	return n
+	return left >= 2*c.cfg.Tuning.SpareTasks
 }
 
 // neededSpare reports whether services could lack room without the machine.
@@ -312,6 +344,7 @@
 	i := sort.Search(len(c.order), func(i int) bool { return c.order[i].name >= m.name })
 	c.order = append(c.order[:i:i], c.order[i+1:]...)
 	c.gone[m.name] = true
+	c.vacating = slices.DeleteFunc(c.vacating, func(o *machine) bool { return o == m })
 	c.delist(m, now)
 	c.upRent(m.name)
 	c.dirty = true
