--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -91,6 +91,7 @@
 	AnswerGraceS  float64
 	IdleReturnS   float64
 	RefusalPauseS float64
+	HoldS         float64
 	QuarantineS   float64
 	SuspectS      float64
 	SpareTasks    int
@@ -100,7 +101,7 @@
 // DefaultSettings are what the program runs with without a settings file.
 func DefaultSettings() Settings {
 	return Settings{
-		LeaderLeaseS: 3, AnswerGraceS: 60, IdleReturnS: 10, RefusalPauseS: 15, QuarantineS: 120,
+		LeaderLeaseS: 3, AnswerGraceS: 60, IdleReturnS: 10, RefusalPauseS: 15, HoldS: 300, QuarantineS: 120,
 		SuspectS: 4.5, SpareTasks: 3, ListEveryS: 10,
 	}
 }
@@ -243,6 +244,7 @@
 		"answer-grace-s":  {0, 3600, &s.AnswerGraceS, nil},
 		"idle-return-s":   {0, 86400, &s.IdleReturnS, nil},
 		"refusal-pause-s": {0, 3600, &s.RefusalPauseS, nil},
+		"hold-s":          {0, 86400, &s.HoldS, nil},
 		"quarantine-s":    {0, 86400, &s.QuarantineS, nil},
 		"suspect-s":       {1, 600, &s.SuspectS, nil},
 		"spare-tasks":     {0, 1000, nil, &s.SpareTasks},
@@ -260,6 +262,8 @@
 		// Short beside any wait that an objective could name.
 		PlacePause:  20 * core.Millisecond,
 		RecordPause: 200 * core.Millisecond,
+		// A third of the calls or so.
+		ReturnPause: core.Seconds(4 / max(p.Params.Cloud.RPS, 1)),
 		ListLag:     core.Seconds(p.Params.Cloud.ListLagS),
 		// Five words of a machine take about as many letters, as JSON.
 		MachinesPerRecord: max(int(p.Params.State.ValueKB*1024-200)/100, 1),
@@ -268,10 +272,13 @@
 		ChunkSize: max(int(p.Params.State.ValueKB*1024-200)/8, 16),
 		Tuning: core.Tuning{
 			Idle: core.Seconds(s.IdleReturnS), RefusalPause: core.Seconds(s.RefusalPauseS),
-			Quarantine: core.Seconds(s.QuarantineS), Suspect: core.Seconds(s.SuspectS), SpareTasks: s.SpareTasks,
+			Hold: core.Seconds(s.HoldS), Quarantine: core.Seconds(s.QuarantineS), Suspect: core.Seconds(s.SuspectS), SpareTasks: s.SpareTasks,
 		},
 	}
 	for _, o := range p.Params.Objectives {
+		if o.Kind == "wait" {
+			c.WaitClasses = append(c.WaitClasses, o.Class)
+		}
 		c.LateTimes = max(c.LateTimes, o.Times)
 	}
 	for _, t := range p.Params.Teams {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,40 +40,48 @@
 	rentOf    map[string]*rent // of machines that are coming
 	unsettled int
 
-	dirty      bool       // room, work or quota changed: place again
-	touched    []*machine // to be told something, perhaps
-	retouch    []*machine // the same, after a pause: a write for them failed
-	probes     []*machine // to be probed
-	probing    int        // probes that are under way
-	ended      []*job     // with finished tasks or a final record to be written
-	placeAt    Micros
-	placed     Micros     // last time
-	roomy      []*machine // that the tasks to be placed may fit on, for one pass
-	summaryAt  Micros
-	vacateAt   Micros
-	vacating   []*machine
-	wantRaise  bool
-	raising    Micros
-	fleetAt    Micros
-	probeAt    Micros
-	refused    map[offer]Micros
-	backlog    []*machine // to be returned
-	returnOut  bool       // a return is under way
-	returnFrom Micros     // not before this
-	classes    map[string]*class
-	images     map[string]int // a number for each image, to compare quickly
-	rankAt     Micros
-	spare      map[string]int // service tasks that could start at once, by zone
-	spareNeed  Res
-	writes     map[uint64]func(now Micros, o WriteOutcome)
-	writeID    uint64
-	requests   uint64
-	out        []Action
+	dirty         bool       // room, work or quota changed: place again
+	touched       []*machine // to be told something, perhaps
+	retouch       []*machine // the same, after a pause: a write for them failed
+	probes        []*machine // to be probed
+	probing       int        // probes that are under way
+	ended         []*job     // with finished tasks or a final record to be written
+	placeAt       Micros
+	placed        Micros     // last time
+	roomy         []*machine // that the tasks to be placed may fit on, for one pass
+	summaryAt     Micros
+	vacateAt      Micros
+	vacating      []*machine
+	held          []*class // for which CPUs are held
+	lookedBack    Micros
+	peakFromFleet bool // the peaks are not known yet
+	wantRaise     bool
+	raising       Micros
+	fleetAt       Micros
+	probeAt       Micros
+	refused       map[offer]Micros
+	backlog       []*machine // to be returned
+	returnOut     bool       // a return is under way
+	returnFrom    Micros     // not before this
+	classes       map[string]*class
+	images        map[string]int // a number for each image, to compare quickly
+	rankAt        Micros
+	spare         map[string]int // service tasks that could start at once, by zone
+	spareNeed     Res
+	writes        map[uint64]func(now Micros, o WriteOutcome)
+	writeID       uint64
+	requests      uint64
+	out           []Action
 }
 
 // class is what has been seen of a class of jobs.
 type class struct {
 	ratio float64 // run time by estimate; 0: nothing seen yet
+	wait  bool    // there is an aim for how soon its tasks start
+
+	// Of batch jobs with such an aim: see lookBack.
+	sample    *JobSpec
+	cpu, peak int64
 
 	// Of services: what the next ones will need, and when they came.
 	need  Res
@@ -154,7 +162,7 @@
 func (c *Core) class(name string) *class {
 	k := c.classes[name]
 	if k == nil {
-		k = &class{}
+		k = &class{wait: slices.Contains(c.cfg.WaitClasses, name)}
 		c.classes[name] = k
 	}
 	return k
@@ -196,6 +204,7 @@
 	c.refused = map[offer]Micros{}
 	c.backlog, c.returnOut, c.returnFrom = nil, false, 0
 	c.vacating = nil
+	c.peakFromFleet, c.lookedBack = true, now
 	for _, k := range c.classes {
 		k.need, k.first, k.last, k.count = Res{}, 0, 0, 0
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -998,6 +998,47 @@
 		w := &world{t: t}
 		w.want("moves", few >= 1 && few <= 3 && many >= 8 && many <= 12, true)
 	})
+	t.Run("what a class with a start aim used at its peak is held, by the next leader too", func(t *testing.T) {
+		for _, aim := range []bool{true, false} {
+			w := newWorld(t, Team{Name: "blue"})
+			w.c.cfg.Tuning.Hold = 1000 * Second
+			if aim {
+				w.c.cfg.WaitClasses = []string{"sweep"}
+			}
+			w.begin(100, nil, Snapshot{})
+			fs := []*fake{w.machine("n-1", "a").beat(), w.machine("n-2", "b").beat()}
+			round := func() {
+				for _, f := range fs {
+					f.direct()
+					f.beat()
+				}
+			}
+			w.submit(JobSpec{ID: "job-1", Class: "sweep", Tasks: 8})
+			round()
+			w.cancel("job-1")
+			for range 30 {
+				w.pass(3 * Second)
+				round()
+			}
+			w.want("returned, with an aim: "+fmt.Sprint(aim), len(w.backs) > 0, !aim)
+			if !aim {
+				continue
+			}
+			w.begin(200, []JobRecord{{Spec: JobSpec{ID: "job-2", Class: "sweep", Team: "blue", Tasks: 1, Need: Res{2000, 0, 2000}, Image: "im"}, Stamp: 5}}, Snapshot{Machines: recorded("n-1", "n-2")})
+			for range 30 {
+				round()
+				w.pass(3 * Second)
+			}
+			w.want("returned by the next leader", len(w.backs), 0)
+			// A machine that is lost is replaced before any task waits.
+			w.rents = nil
+			w.c.Returned(w.now, []string{"n-2"}, true)
+			w.pass(2 * Second)
+			w.want("rented in its place", len(w.rents), 1)
+			w.pass(2 * Second)
+			w.want("not asked for twice", len(w.rents), 1)
+		}
+	})
 	t.Run("a machine taken over empty goes back", func(t *testing.T) {
 		w := newWorld(t, Team{Name: "blue"})
 		w.begin(100, nil, Snapshot{Machines: recorded("n-1")})
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -30,10 +30,15 @@
 	if len(c.types) == 0 {
 		return
 	}
-	c.returns(now)
-	c.consolidate(now)
+	c.lookBack(now)
+	coming := c.coming(now)
+	short := c.shortOfPeak(now, coming)
+	c.returns(now, &short)
+	if !c.holding() {
+		c.consolidate(now)
+	}
 	c.pursueRents(now)
-	c.rentForDemand(now)
+	c.rentForDemand(now, coming)
 	if now >= c.summaryAt {
 		c.summaryAt = now + 10*Second
 		c.summary(now)
@@ -73,7 +78,7 @@
 }
 
 // returns gives back machines that are lost, drained, overdue or idle.
-func (c *Core) returns(now Micros) {
+func (c *Core) returns(now Micros, short *int64) {
 	c.countSpare(now)
 	up, heard := 0, 0
 	for _, m := range c.order {
@@ -106,9 +111,10 @@
 				c.giveBack(m, now, "drained")
 			}
 		case m.used == (Res{}) && m.idle > 0 && now-m.idle >= c.cfg.Tuning.Idle && now-m.rented >= 60*Second:
-			if !m.spot && c.neededSpare(m) {
+			if !m.spot && c.neededSpare(m) || *short+m.typ.Cap.CPU > 0 {
 				continue
 			}
+			*short += m.typ.Cap.CPU
 			if !m.spot && c.spareNeed != (Res{}) {
 				c.spare[m.zone] -= c.spareNeed.copies(m.free())
 			}
@@ -297,8 +303,9 @@
 // returnMost is how many machines go back with one request.
 const returnMost = 100
 
-// sendReturns asks the cloud to take machines back, many with one request and
-// one request at a time: its calls are few, and rentals need them too.
+// sendReturns asks the cloud to take machines back, many with one request, one
+// request at a time and with a pause between two: in a wave a few machines are
+// given up every moment, the cloud's calls are few, and rentals go first.
 func (c *Core) sendReturns(now Micros) {
 	if c.returnOut || len(c.backlog) == 0 || now < c.returnFrom {
 		return
@@ -323,9 +330,7 @@
 		return
 	}
 	c.returnOut = false
-	if !ok {
-		c.returnFrom = now + Second
-	}
+	c.returnFrom = now + c.cfg.ReturnPause
 	for _, name := range names {
 		switch m := c.machines[name]; {
 		case m == nil:
@@ -456,10 +461,8 @@
 	}
 }
 
-// rentForDemand rents for tasks that wait and for spare room, after what is
-// coming already.
-func (c *Core) rentForDemand(now Micros) {
-	out := 0
+// coming lists the machines that are coming.
+func (c *Core) coming(now Micros) []*room {
 	var coming []*room
 	for _, m := range c.order {
 		if m.booting && !m.returning && m.typ != nil && now-m.seen < 2*m.typ.Boot {
@@ -470,14 +473,24 @@
 		if r.granted {
 			continue
 		}
-		out++
 		if t := c.types[r.Type]; t != nil {
 			for i := 0; i < r.Count; i++ {
 				coming = append(coming, &room{offer{r.Type, r.Zone, r.Spot}, t.Cap})
 			}
 		}
 	}
-	d := &demand{c: c, now: now, coming: coming, orders: map[offer]int{}, why: map[offer]string{}}
+	return coming
+}
+
+// rentForDemand rents for tasks that wait and for room that is kept, after
+// what is coming already.
+func (c *Core) rentForDemand(now Micros, coming []*room) {
+	d := &demand{c: c, now: now, coming: coming, asked: map[offer]bool{}, orders: map[offer]int{}, why: map[offer]string{}}
+	for _, r := range c.rents {
+		if !r.granted {
+			d.asked[offer{r.Type, r.Zone, r.Spot}] = true
+		}
+	}
 	d.forecast()
 	for _, j := range c.queue {
 		if j.pending == 0 || j.held || j.failures > 0 && len(j.errors) >= 3 {
@@ -488,12 +501,9 @@
 		}
 	}
 	d.spare()
-	for _, of := range d.order {
-		if out >= maxRentsOut {
-			break
-		}
-		out++
-		c.rent(now, of, min(d.orders[of], 50), d.why[of])
+	d.hold()
+	for _, of := range d.order[:max(min(len(d.order), maxRentsOut-len(d.asked)), 0)] {
+		c.rent(now, of, d.orders[of], d.why[of])
 	}
 }
 
@@ -513,6 +523,7 @@
 	c          *Core
 	now        Micros
 	coming     []*room
+	asked      map[offer]bool // a request has no answer yet
 	orders     map[offer]int
 	order      []offer
 	why        map[offer]string
@@ -554,7 +565,7 @@
 func (d *demand) lead(j *job) Micros {
 	var lead Micros
 	for _, t := range d.c.typeOrder {
-		if j.typeAllowed(t.Name) && j.spec.Need.Fits(t.Cap) && (lead == 0 || t.Boot < lead) {
+		if j.spec.typeAllowed(t.Name) && j.spec.Need.Fits(t.Cap) && (lead == 0 || t.Boot < lead) {
 			lead = t.Boot
 		}
 	}
@@ -632,16 +643,34 @@
 }
 
 func (d *demand) fits(j *job, r *room, zoneOK func(string) bool) bool {
-	return j.spec.Need.Fits(r.free) && (!r.spot || j.spec.Spot) && j.typeAllowed(r.typ) && zoneOK(r.zone)
+	return j.spec.Need.Fits(r.free) && (!r.spot || j.spec.Spot) && j.spec.typeAllowed(r.typ) && zoneOK(r.zone)
 }
 
-// rentFor orders one more machine for the job: the one whose useful part is cheapest.
+// rentFor orders one more machine for n tasks of the job.
 func (d *demand) rentFor(j *job, n int, zoneOK func(string) bool) *room {
-	var best offer
+	of, ok := d.cheapest(&j.spec, n, zoneOK)
+	if !ok {
+		return nil
+	}
+	return d.add(of, "tasks wait: "+j.spec.Class)
+}
+
+// rentMost is how many machines the cloud rents with one request.
+const rentMost = 50
+
+// open reports whether one more machine may be asked for: not while the last
+// request for such machines was refused or has no answer, since there may be
+// no more of them, and the cloud takes few calls.
+func (d *demand) open(of offer) bool {
+	return d.now >= d.c.refused[of] && !d.asked[of] && d.orders[of] < rentMost
+}
+
+// cheapest finds the machine whose useful part is cheapest for n such tasks.
+func (d *demand) cheapest(s *JobSpec, n int, zoneOK func(string) bool) (best offer, ok bool) {
 	bestPrice := 0.0
 	for _, t := range d.c.typeOrder {
-		fits := j.spec.Need.copies(t.Cap)
-		if fits == 0 || !j.typeAllowed(t.Name) {
+		fits := s.Need.copies(t.Cap)
+		if fits == 0 || !s.typeAllowed(t.Name) {
 			continue
 		}
 		for _, z := range t.Zones {
@@ -650,7 +679,7 @@
 			}
 			for _, spot := range []bool{true, false} {
 				of := offer{t.Name, z, spot}
-				if spot && !j.spec.Spot || d.now < d.c.refused[of] {
+				if spot && !s.Spot || !d.open(of) {
 					continue
 				}
 				price := t.Price
@@ -658,16 +687,13 @@
 					price = t.SpotPrice
 				}
 				price /= float64(min(fits, n))
-				if bestPrice == 0 || price < bestPrice {
-					best, bestPrice = of, price
+				if !ok || price < bestPrice {
+					best, bestPrice, ok = of, price, true
 				}
 			}
 		}
 	}
-	if bestPrice == 0 {
-		return nil
-	}
-	return d.add(best, "tasks wait: "+j.spec.Class)
+	return best, ok
 }
 
 func (d *demand) add(of offer, why string) *room {
@@ -720,7 +746,7 @@
 		for _, t := range c.typeOrder {
 			for _, z := range t.Zones {
 				of := offer{t.Name, z, false}
-				if !c.spareNeed.Fits(t.Cap) || have[z] >= want || d.now < c.refused[of] {
+				if !c.spareNeed.Fits(t.Cap) || have[z] >= want || !d.open(of) {
 					continue
 				}
 				// Room that may never be used is not worth a machine that is
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -143,11 +143,11 @@
 	return true
 }
 
-func (j *job) typeAllowed(name string) bool {
-	if j.spec.Types == nil {
+func (s *JobSpec) typeAllowed(name string) bool {
+	if s.Types == nil {
 		return true
 	}
-	for _, t := range j.spec.Types {
+	for _, t := range s.Types {
 		if t == name {
 			return true
 		}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -137,7 +137,7 @@
 
 // allowed reports whether the job may run on the machine at all.
 func (c *Core) allowed(j *job, m *machine) bool {
-	return (!m.spot || j.spec.Spot) && j.typeAllowed(m.typeName) && j.zoneAllowed(m.zone)
+	return (!m.spot || j.spec.Spot) && j.spec.typeAllowed(m.typeName) && j.zoneAllowed(m.zone)
 }
 
 // pick chooses the machine for one more task of a job: where it starts
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -206,6 +206,7 @@
 	// beats, without commands, so that workers outlast an outage of the state
 	// service.
 	AnswerGrace Micros
+	ReturnPause Micros // between two returns of machines
 	ListLag     Micros // the cloud's list is late by this, or by twice as much
 	ChunkSize   int    // tasks in one record of finished ranges
 	// RecordPause lets machines that come up shortly after one another share a
@@ -213,7 +214,8 @@
 	RecordPause Micros
 	// MachinesPerRecord is how many machines share one record.
 	MachinesPerRecord int
-	LateTimes         float64 // a late job is still worth something within this many times its due time
+	WaitClasses       []string // with an aim for how soon tasks start
+	LateTimes         float64  // a late job is still worth something within this many times its due time
 	Tuning            Tuning
 }
 
@@ -221,6 +223,7 @@
 type Tuning struct {
 	Idle         Micros // an idle machine is returned after this
 	RefusalPause Micros // an offer that was refused rests this long
+	Hold         Micros // what was used at a peak is held for about this long
 	Quarantine   Micros // a machine that fails starts rests this long
 	Suspect      Micros // a silent machine is probed after this
 	SpareTasks   int    // service tasks that room is kept for, per zone
