--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1015,6 +1015,7 @@
 			}
 			w.submit(JobSpec{ID: "job-1", Class: "sweep", Tasks: 8})
 			round()
+			w.pass(Second)
 			w.cancel("job-1")
 			for range 30 {
 				w.pass(3 * Second)
