--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -101,7 +101,7 @@
 // DefaultSettings are what the program runs with without a settings file.
 func DefaultSettings() Settings {
 	return Settings{
-		LeaderLeaseS: 3, AnswerGraceS: 60, IdleReturnS: 10, RefusalPauseS: 15, HoldS: 300, QuarantineS: 120,
+		LeaderLeaseS: 3, AnswerGraceS: 60, IdleReturnS: 10, RefusalPauseS: 15, HoldS: 600, QuarantineS: 120,
 		SuspectS: 4.5, SpareTasks: 3, ListEveryS: 10,
 	}
 }
