--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -831,6 +831,17 @@
 		w.pass(5 * Second)
 		w.want("nothing twice", len(w.rents), 1)
 	})
+	t.Run("a machine that is overdue does not count as coming", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		w.submit(JobSpec{ID: "job-1", Tasks: 1, Zone: "b"})
+		w.pass(Second)
+		w.c.Rented(w.now, w.now, w.rents[0].Request, RentGranted, []string{"n-1"})
+		w.pass(25 * Second)
+		w.want("rented while it is coming", len(w.rents), 1)
+		w.pass(10 * Second)
+		w.want("rented when it is overdue", len(w.rents), 2)
+	})
 	t.Run("refused capacity is remembered, names are not used again", func(t *testing.T) {
 		w := newWorld(t, Team{Name: "blue"})
 		w.begin(100, nil, Snapshot{})
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -465,7 +465,7 @@
 func (c *Core) coming(now Micros) []*room {
 	var coming []*room
 	for _, m := range c.order {
-		if m.booting && !m.returning && m.typ != nil && now-m.seen < 2*m.typ.Boot {
+		if m.coming(now) {
 			coming = append(coming, &room{offer{m.typeName, m.zone, m.spot}, m.typ.Cap})
 		}
 	}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -44,6 +44,7 @@
 	finishing bool         // the final record is
 	writeFrom Micros       // not before this
 	cancelled bool
+	started   bool // all its tasks have been seen running or done
 
 	attempt               uint64 // of the gang's current start
 	stopping              bool   // the gang is being stopped
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -134,6 +134,13 @@
 		now >= m.quarantine && now >= m.blocked && now-m.heard < c.silence()
 }
 
+// coming reports whether the machine is about to come up. Most take up to half
+// as long again as the catalog says; what takes longer may take several times
+// as long or never come, and nothing should wait for it.
+func (m *machine) coming(now Micros) bool {
+	return m.booting && !m.returning && m.typ != nil && now-m.seen < m.typ.Boot*3/2+2*Second
+}
+
 // silence is how long a machine may go unheard before it is given no more
 // tasks: a report and its greatest spread, and one lost packet.
 func (c *Core) silence() Micros { return c.cfg.ReportGap*5/4 + Second }
@@ -343,6 +350,11 @@
 		}
 		p.state = t.State
 		c.countRunning(p, t.State == Running)
+		if j := p.j; j != nil && !j.started && j.running+j.done == len(j.status) {
+			j.started = true
+			c.out = append(c.out, Note{Text: "all tasks started", Debug: true, Args: []any{
+				"job", j.spec.ID, "class", j.spec.Class, "team", j.spec.Team, "tasks", len(j.status), "after_ms", (now - j.submitted) / Millisecond}})
+		}
 		return
 	}
 	if wasExited {
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -37,7 +37,7 @@
 	var room int64
 	var jobs []*job
 	for _, m := range c.order {
-		if m.booting && !m.returning && m.typ != nil && now-m.seen < 2*m.typ.Boot {
+		if m.coming(now) {
 			room += m.typ.Cap.CPU // about to come
 		}
 		if c.usable(m, now) {
