--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -275,9 +275,10 @@
 			Hold: core.Seconds(s.HoldS), Quarantine: core.Seconds(s.QuarantineS), Suspect: core.Seconds(s.SuspectS), SpareTasks: s.SpareTasks,
 		},
 	}
+	c.StartWithin = map[string]core.Micros{}
 	for _, o := range p.Params.Objectives {
 		if o.Kind == "wait" {
-			c.WaitClasses = append(c.WaitClasses, o.Class)
+			c.StartWithin[o.Class] = core.Seconds(o.WithinS)
 		}
 		c.LateTimes = max(c.LateTimes, o.Times)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,6 +68,9 @@
 	rankAt        Micros
 	spare         map[string]int // service tasks that could start at once, by zone
 	spareNeed     Res
+	spareWant     int     // service tasks that room is wanted for
+	spareInZone   int     // and in a zone
+	spareRate     float64 // megabytes a second at which images are fetched in time
 	writes        map[uint64]func(now Micros, o WriteOutcome)
 	writeID       uint64
 	requests      uint64
@@ -76,31 +79,14 @@
 
 // class is what has been seen of a class of jobs.
 type class struct {
-	ratio float64 // run time by estimate; 0: nothing seen yet
-	wait  bool    // there is an aim for how soon its tasks start
+	ratio  float64 // run time by estimate; 0: nothing seen yet
+	within Micros  // its tasks are to start within this; 0: no such aim
 
 	// Of batch jobs with such an aim: see lookBack.
 	sample    *JobSpec
 	cpu, peak int64
 
-	// Of services: what the next ones will need, and when they came.
-	need  Res
-	first Micros
-	last  Micros
-	count int
-}
-
-// expected reports whether more services of the class are to be expected:
-// three times the usual pause has not passed yet.
-func (a *class) expected(now Micros) bool {
-	if a.count == 0 {
-		return false
-	}
-	pause := 10 * Second
-	if a.count > 1 {
-		pause = max(pause, (a.last-a.first)/Micros(a.count-1))
-	}
-	return now-a.last < 3*pause
+	services arrivals
 }
 
 // rent is a rental that was asked for, until all its machines are up or gone.
@@ -118,7 +104,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, teams: map[string]*team{}, types: map[string]*MachineType{},
-		classes: map[string]*class{}, images: map[string]int{},
+		spare: map[string]int{}, classes: map[string]*class{}, images: map[string]int{},
 	}
 	for _, t := range cfg.Teams {
 		c.teams[t.Name] = &team{Team: t}
@@ -162,7 +148,7 @@
 func (c *Core) class(name string) *class {
 	k := c.classes[name]
 	if k == nil {
-		k = &class{wait: slices.Contains(c.cfg.WaitClasses, name)}
+		k = &class{within: c.cfg.StartWithin[name]}
 		c.classes[name] = k
 	}
 	return k
@@ -206,7 +192,7 @@
 	c.vacating = nil
 	c.peakFromFleet, c.lookedBack = true, now
 	for _, k := range c.classes {
-		k.need, k.first, k.last, k.count = Res{}, 0, 0, 0
+		k.services = arrivals{}
 	}
 	c.writes = map[uint64]func(Micros, WriteOutcome){}
 	c.out = nil
@@ -357,19 +343,8 @@
 	c.enqueue(j)
 	c.dirty = true
 	if rec.Spec.Kind == Service {
-		c.arrived(j)
-	}
-}
-
-func (c *Core) arrived(j *job) {
-	a := j.class
-	if a.count == 0 {
-		a.first, a.last = j.submitted, j.submitted
+		j.class.services.seen(j)
 	}
-	a.need = j.spec.Need
-	a.first = min(a.first, j.submitted)
-	a.last = max(a.last, j.submitted)
-	a.count++
 }
 
 func (c *Core) cancel(j *job, now Micros) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -967,7 +967,9 @@
 			if c.batch {
 				w.submit(JobSpec{ID: "job-3", Tasks: 1, Zone: "a"})
 			}
-			round()
+			for range 60 { // until no more services are expected
+				round()
+			}
 			w.c.jobs["job-1"].spec.Zone = ""
 			for range 5 {
 				round()
@@ -1014,7 +1016,7 @@
 			w := newWorld(t, Team{Name: "blue"})
 			w.c.cfg.Tuning.Hold = 1000 * Second
 			if aim {
-				w.c.cfg.WaitClasses = []string{"sweep"}
+				w.c.cfg.StartWithin = map[string]Micros{"sweep": 2 * Second}
 			}
 			w.begin(100, nil, Snapshot{})
 			fs := []*fake{w.machine("n-1", "a").beat(), w.machine("n-2", "b").beat()}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -111,7 +111,7 @@
 				c.giveBack(m, now, "drained")
 			}
 		case m.used == (Res{}) && m.idle > 0 && now-m.idle >= c.cfg.Tuning.Idle && now-m.rented >= 60*Second:
-			if !m.spot && c.neededSpare(m) || *short+m.typ.Cap.CPU > 0 {
+			if c.neededSpare(m) || *short+m.typ.Cap.CPU > 0 {
 				continue
 			}
 			*short += m.typ.Cap.CPU
@@ -267,12 +267,7 @@
 			left += c.spareNeed.copies(o.free().Sub(taken[o]))
 		}
 	}
-	return left >= 2*c.cfg.Tuning.SpareTasks
-}
-
-// neededSpare reports whether services could lack room without the machine.
-func (c *Core) neededSpare(m *machine) bool {
-	return c.spareNeed != (Res{}) && c.spare[m.zone]-c.spareNeed.copies(m.free()) < c.cfg.Tuning.SpareTasks
+	return left >= c.spareWant
 }
 
 // giveBack has a machine returned. What was not sent to it yet goes elsewhere.
@@ -708,67 +703,6 @@
 	return r
 }
 
-// spare keeps room for services that are expected, in two zones.
-func (d *demand) spare() {
-	c := d.c
-	if c.spareNeed == (Res{}) {
-		return
-	}
-	have := map[string]int{}
-	for z, n := range c.spare {
-		have[z] += n
-	}
-	for _, r := range d.coming {
-		if !r.spot {
-			have[r.zone] += c.spareNeed.copies(r.free)
-		}
-	}
-	want := c.cfg.Tuning.SpareTasks
-	good, cheapest := 0, 0.0
-	for _, n := range have {
-		if n >= want {
-			good++
-		}
-	}
-	price := func(t *MachineType, missing int) float64 {
-		return t.Price / float64(min(c.spareNeed.copies(t.Cap), missing))
-	}
-	for _, t := range c.typeOrder {
-		if c.spareNeed.Fits(t.Cap) {
-			if p := price(t, want); cheapest == 0 || p < cheapest {
-				cheapest = p
-			}
-		}
-	}
-	for ; good < 2; good++ {
-		var best offer
-		bestPrice := 0.0
-		for _, t := range c.typeOrder {
-			for _, z := range t.Zones {
-				of := offer{t.Name, z, false}
-				if !c.spareNeed.Fits(t.Cap) || have[z] >= want || !d.open(of) {
-					continue
-				}
-				// Room that may never be used is not worth a machine that is
-				// dear for its size; it is tried again when the cheap ones are
-				// no longer refused.
-				p := price(t, want-have[z])
-				if p <= spareAtMost*cheapest && (bestPrice == 0 || p < bestPrice) {
-					best, bestPrice = of, p
-				}
-			}
-		}
-		if bestPrice == 0 {
-			return
-		}
-		r := d.add(best, "spare room for services")
-		have[r.zone] += c.spareNeed.copies(r.free)
-	}
-}
-
-// spareAtMost is how many times the cheapest price spare room may cost.
-const spareAtMost = 2.0
-
 // Listed takes a whole list of the cloud's machines; it is late, so a machine
 // missing from it says nothing.
 func (c *Core) Listed(now Micros, list []Listed) {
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -16,7 +16,7 @@
 		k.cpu = 0
 	}
 	for _, j := range c.queue {
-		if k := j.class; k.wait && j.spec.Kind != Service {
+		if k := j.class; k.within > 0 && j.spec.Kind != Service {
 			if k.sample == nil {
 				c.held = append(c.held, k)
 			}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -113,28 +113,6 @@
 	return true
 }
 
-// countSpare counts, by zone, the service tasks that could start at once.
-func (c *Core) countSpare(now Micros) {
-	c.spareNeed = Res{}
-	for _, a := range c.classes {
-		if !a.expected(now) {
-			continue
-		}
-		c.spareNeed.CPU = max(c.spareNeed.CPU, a.need.CPU)
-		c.spareNeed.GPU = max(c.spareNeed.GPU, a.need.GPU)
-		c.spareNeed.Mem = max(c.spareNeed.Mem, a.need.Mem)
-	}
-	c.spare = map[string]int{}
-	if c.spareNeed == (Res{}) {
-		return
-	}
-	for _, m := range c.order {
-		if !m.spot && c.usable(m, now) {
-			c.spare[m.zone] += c.spareNeed.copies(m.free())
-		}
-	}
-}
-
 // allowed reports whether the job may run on the machine at all.
 func (c *Core) allowed(j *job, m *machine) bool {
 	return (!m.spot || j.spec.Spot) && j.spec.typeAllowed(m.typeName) && j.zoneAllowed(m.zone)
@@ -153,13 +131,8 @@
 		if !j.spec.Need.Fits(free) || !c.allowed(j, m) {
 			continue
 		}
-		if j.spec.Kind != Service && !m.spot && c.spareNeed != (Res{}) {
-			// Room for services that are expected, since their start is waited
-			// for: on every machine, as each has other images in its cache.
-			left := c.spareNeed.copies(free.Sub(j.spec.Need))
-			if left < 1 || c.spare[m.zone]-c.spareNeed.copies(free)+left < c.cfg.Tuning.SpareTasks {
-				continue
-			}
+		if j.spec.Kind != Service && c.takesSpare(j.spec.Need, m) {
+			continue
 		}
 		cost := c.startCost(j, m)
 		if j.spec.Spot && !m.spot {
