--- a/cmd/aspenstall/main.go
+++ b/cmd/aspenstall/main.go
@@ -98,7 +98,7 @@
 		return err
 	}
 	if m := p.Params.Limits.MaxConnections; m > 0 {
-		l = netutil.LimitListener(l, max(m*6/10, 8))
+		l = netutil.LimitListener(l, max(m*3/4, 8))
 	}
 	pl, err := net.Listen("tcp", p.ClusterListen)
 	if err != nil {
@@ -114,9 +114,11 @@
 		ReadHeaderTimeout: 10 * time.Second,
 		ReadTimeout:       20 * time.Second,
 		WriteTimeout:      20 * time.Second,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    16 << 10,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		// Users and workers send something every few seconds; what is silent for
+		// longer is gone, and a machine that dies leaves its connection open.
+		IdleTimeout:    time.Duration(max(5*p.Params.Workers.ReportS, 20) * float64(time.Second)),
+		MaxHeaderBytes: 16 << 10,
+		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	go n.Run(ctx)
 	log.Info("listening", "address", p.Listen, "version", version)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -900,7 +900,8 @@
 			continue
 		}
 		if now >= c.leaseOver(m.answered) {
-			c.note("machine lost: its lease is over", "machine", m.name, "tasks", len(m.tasks))
+			c.note("machine lost: its lease is over", "machine", m.name, "tasks", len(m.tasks), "session", m.session,
+				"answered_ms_ago", (now-m.answered)/Millisecond, "heard_ms_ago", (now-m.heard)/Millisecond, "seen_ms_ago", (now-m.seen)/Millisecond)
 			m.lost = true
 			c.clear(m, now)
 			c.settle(m)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -459,6 +459,32 @@
 	return []MachinesRecord{r}
 }
 
+// TestSessionLease: a new session's lease counts from when it began, not from
+// the last answer, which belongs to the session before. A machine whose beats
+// did not get through was given tasks directly, and counted as lost while they
+// ran.
+func TestSessionLease(t *testing.T) {
+	w := newWorld(t, blue)
+	w.begin(100, nil, Snapshot{})
+	f := w.machine("n-1", "a").beat()
+	w.pass(15 * Second)
+	// A direct command is refused: the worker has begun its next session.
+	r := f.r
+	r.Session, r.Seq = 2, 1
+	w.c.Commanded(w.now, "n-1", 100, Refused, &r)
+	f.r = r
+	w.submit(JobSpec{ID: "job-1", Tasks: 1})
+	f.direct()
+	w.want("started directly", f.live(), "job-1/0 ")
+	for range 5 {
+		w.pass(3 * Second)
+		f.direct()
+		w.want("lost", w.c.machines["n-1"].lost, false)
+	}
+	w.pass(3 * Second)
+	w.want("lost, its lease is over", w.c.machines["n-1"].lost, true)
+}
+
 // TestTakeover: a new leader starts nothing that may still run somewhere, and
 // counts it, until every recorded machine has answered under the new token or
 // its lease is over.
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -287,6 +287,8 @@
 		m.noDo = false
 	}
 	if newSession {
+		// Its lease runs from when it began, whatever was answered before.
+		m.answered = max(m.answered, now)
 		c.touch(m)
 	}
 	if r.Notice >= 0 && !m.draining {
