Nothing is given to machines whose reports do not get through

Guards against the same: what is started directly on a machine whose beats are not answered dies with its lease.

--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -131,7 +131,10 @@
 // usable reports whether tasks may be given to the machine now.
 func (c *Core) usable(m *machine, now Micros) bool {
 	return m.typ != nil && m.settled && !m.lost && !m.booting && !m.draining && !m.returning &&
-		now >= m.quarantine && now >= m.blocked && now-m.heard < c.silence()
+		now >= m.quarantine && now >= m.blocked && now-m.heard < c.silence() &&
+		// It answers direct commands, but its reports do not get through: its
+		// lease runs out soon, with what it is given.
+		now-m.answered < c.cfg.Lease/2
 }
 
 // coming reports whether the machine is about to come up. Most take up to half
