Guarantees that name GPUs alone are reclaimed; victims in a gang's zone

A shape that found no room is not tried twice in a pass, gangs included; what a takeover holds is counted once a pass.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,11 +10,25 @@
 type team struct {
 	Team
 	used   Res
+	held   Res                 // while a takeover settles: of tasks that may run unseen
 	placed [Production + 1]int // tasks that hold, by priority
 }
 
-// over reports whether the team uses more than its min.
-func (t *team) over() bool { return t.used.CPU > t.Min.CPU || t.used.GPU > t.Min.GPU }
+// over reports whether the team uses more than its min: of what that names, or
+// anything if it names nothing.
+func (t *team) over() bool {
+	if t.Min.CPU == 0 && t.Min.GPU == 0 {
+		return t.used.CPU > 0 || t.used.GPU > 0
+	}
+	return t.Min.CPU > 0 && t.used.CPU > t.Min.CPU || t.Min.GPU > 0 && t.used.GPU > t.Min.GPU
+}
+
+// lends reports whether the team is not below its min without need, of which it
+// takes some, and without what else is taken from it.
+func (t *team) lends(need, taken Res) bool {
+	left := t.used.Sub(taken).Sub(need)
+	return (need.CPU == 0 || left.CPU >= t.Min.CPU) && (need.GPU == 0 || left.GPU >= t.Min.GPU)
+}
 
 // Core is the scheduler's state. Its methods are events; Step returns what is
 // to be done about them. It is not safe for concurrent use.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -340,6 +340,40 @@
 	w.want("up to the team's limit", n[1]+n[2], 3)
 }
 
+// TestGuaranteedGPUs: a min that names GPUs alone is a guarantee, although tasks
+// take CPUs as well: what is borrowed of it comes back.
+func TestGuaranteedGPUs(t *testing.T) {
+	w := newWorld(t, Team{Name: "blue", Min: Res{GPU: 2000}}, Team{Name: "green", Min: Res{GPU: 2000}})
+	w.begin(100, nil, Snapshot{})
+	var fs []*fake
+	for i := range 2 {
+		f := w.machine(fmt.Sprintf("n-%d", i), "a")
+		f.r.Type = "g"
+		fs = append(fs, f.beat())
+	}
+	round := func() {
+		for range 4 {
+			w.pass(Second)
+			for _, f := range fs {
+				f.direct()
+				f.beat()
+			}
+		}
+	}
+	w.submit(JobSpec{ID: "job-1", Tasks: 4, Need: Res{1000, 1000, 1000}})
+	round()
+	w.want("borrowed", w.c.jobs["job-1"].running, 4)
+	w.submit(JobSpec{ID: "job-2", Team: "green", Tasks: 4, Need: Res{1000, 1000, 1000}})
+	round()
+	w.want("the lender's", w.c.jobs["job-2"].running, 2)
+	w.want("the borrower's", w.c.jobs["job-1"].running, 2)
+	w.submit(JobSpec{ID: "job-3", Team: "green", Tasks: 4, Need: Res{1000, 0, 1000}})
+	round()
+	w.submit(JobSpec{ID: "job-4", Tasks: 16, Need: Res{1000, 0, 1000}})
+	round()
+	w.want("CPUs are not guaranteed by it", w.c.jobs["job-3"].running, 4)
+}
+
 // TestRecordedFirst: no start goes to a machine that is not recorded, nor for a
 // job that is not recorded as opened.
 func TestRecordedFirst(t *testing.T) {
@@ -767,6 +801,21 @@
 		w.want("gang after eviction", w.c.jobs["job-2"].running, 6)
 		w.want("left", w.c.jobs["job-0"].on, 2)
 	})
+	t.Run("victims in the zone where the gang fits", func(t *testing.T) {
+		w, fs := setup(t)
+		fs = append(fs, w.machine("n-3", "b").beat())
+		w.submit(JobSpec{ID: "job-0", Tasks: 4, Zone: "a", Priority: Low})
+		w.submit(JobSpec{ID: "job-1", Tasks: 8, Zone: "b", Priority: Low, Checkpoint: Second, SaveCost: 6 * Second})
+		round(w, fs)
+		// The victims in zone a are cheaper, but only zone b has room for all.
+		w.submit(JobSpec{ID: "job-2", Kind: Gang, Tasks: 2, Need: Res{8000, 0, 1000}, Priority: High, OneZone: true})
+		for range 3 {
+			w.pass(Second)
+			round(w, fs)
+		}
+		w.want("gang", w.c.jobs["job-2"].running, 2)
+		w.want("left alone", w.c.jobs["job-0"].running, 4)
+	})
 	t.Run("a task that exits stops the rest, and all start again with one attempt", func(t *testing.T) {
 		w, fs := setup(t)
 		w.submit(spec)
@@ -840,7 +889,7 @@
 				f.beat()
 			}
 		}
-		w.want("borrowers stay", w.c.reclaim(j, Res{}, w.now, &reclaimPlan{}) == nil, true)
+		w.want("borrowers stay", w.c.reclaim(j, Res{}, w.now, "", &reclaimPlan{}) == nil, true)
 	})
 }
 
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -1,6 +1,9 @@
 package core
 
-import "sort"
+import (
+	"sort"
+	"strings"
+)
 
 type taskStatus uint8
 
@@ -17,6 +20,7 @@
 	team      *team
 	class     *class
 	image     int
+	types     string // the types that it allows, to be compared quickly
 	due       Micros // steady clock; 0: none
 	rank      int    // 0: on time, then the later the less it is worth; see rankJobs
 	submitted Micros // steady clock
@@ -58,7 +62,7 @@
 
 func newJob(rec JobRecord, submitted Micros) *job {
 	j := &job{
-		spec: rec.Spec, rec: rec, submitted: submitted,
+		spec: rec.Spec, rec: rec, submitted: submitted, types: strings.Join(rec.Spec.Types, " "),
 		status:  make([]taskStatus, rec.Spec.Tasks),
 		live:    map[int]*placement{},
 		zones:   map[string]int{},
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -2,10 +2,15 @@
 
 import "sort"
 
-// within reports whether a request on top of used stays within a guarantee.
-// Memory is not part of a quota.
+// within reports whether a request on top of used stays within a guarantee. A
+// team may be guaranteed GPUs alone, or CPUs alone: what its min does not name
+// does not count, but GPUs that are asked for must be named. Memory is not part
+// of a quota.
 func within(used, req, lim Res) bool {
-	return used.CPU+req.CPU <= lim.CPU && used.GPU+req.GPU <= lim.GPU
+	if req.GPU > 0 && lim.GPU == 0 || req.GPU == 0 && lim.CPU == 0 {
+		return false
+	}
+	return (lim.CPU == 0 || used.CPU+req.CPU <= lim.CPU) && (lim.GPU == 0 || used.GPU+req.GPU <= lim.GPU)
 }
 
 // overMax reports whether the request would take the team past its max; a max
@@ -17,15 +22,26 @@
 // teamUse is what a team's tasks use or may be using: what is placed, and
 // during takeover the tasks that may be on machines not heard of yet.
 func (c *Core) teamUse(t *team) Res {
-	use := t.used
-	if c.unsettled > 0 {
-		for _, j := range c.jobs {
-			if j.held && j.spec.Team == t.Name {
-				use = use.Add(j.spec.Need.Times(j.pending))
-			}
+	if c.unsettled == 0 {
+		return t.used
+	}
+	return t.used.Add(t.held)
+}
+
+// countHeld brings up to date what may be running unseen: once for a pass, since
+// it looks at every job.
+func (c *Core) countHeld() {
+	if c.unsettled == 0 {
+		return
+	}
+	for _, t := range c.teams {
+		t.held = Res{}
+	}
+	for _, j := range c.jobs {
+		if j.held {
+			j.team.held = j.team.held.Add(j.spec.Need.Times(j.pending))
 		}
 	}
-	return use
 }
 
 // shape is what decides whether any task of a job can be placed now; a pass
@@ -35,6 +51,9 @@
 	spot, service bool
 	team          string
 	priority      Priority
+	types, zone   string
+	gang          int // its tasks
+	oneZone       bool
 }
 
 // schedule gives room to waiting tasks in the queue's order.
@@ -42,20 +61,26 @@
 	if !c.lookForRoom(now) {
 		return
 	}
+	c.countHeld()
 	full := map[shape]bool{}
 	for _, j := range c.queue {
 		if j.pending == 0 || j.held || j.stopping || now < j.notBefore {
 			continue
 		}
-		if j.spec.Kind == Gang {
-			c.scheduleGang(j, now)
-			continue
+		gang := j.spec.Kind == Gang
+		plain := (gang || !j.spec.OneZone) && !j.spec.Spread && j.errors == nil
+		key := shape{need: j.spec.Need, spot: j.spec.Spot, service: j.spec.Kind == Service, team: j.spec.Team,
+			priority: j.spec.Priority, types: j.types, zone: j.spec.Zone}
+		if gang {
+			key.gang, key.oneZone = j.spec.Tasks, j.spec.OneZone
 		}
-		plain := j.spec.Types == nil && j.spec.Zone == "" && !j.spec.OneZone && !j.spec.Spread && j.errors == nil
-		key := shape{j.spec.Need, j.spec.Spot, j.spec.Kind == Service, j.spec.Team, j.spec.Priority}
 		if plain && full[key] {
 			continue
 		}
+		if gang {
+			full[key] = !c.scheduleGang(j, now) && plain
+			continue
+		}
 		t := j.team
 		use := c.teamUse(t)
 		for {
@@ -66,7 +91,7 @@
 			m := c.pick(j, now, "")
 			if m == nil {
 				var plan reclaimPlan
-				if m = c.reclaim(j, use, now, &plan); m == nil {
+				if m = c.reclaim(j, use, now, "", &plan); m == nil {
 					full[key] = plain
 					break
 				}
@@ -166,8 +191,8 @@
 // reclaim looks for one machine on which stopping tasks makes room for a task
 // of the job. Within the team's min, the victims belong to teams over theirs,
 // and no such team is taken below it; beyond, they are the team's own tasks of
-// lower priority.
-func (c *Core) reclaim(j *job, use Res, now Micros, plan *reclaimPlan) *machine {
+// lower priority. only restricts the zone.
+func (c *Core) reclaim(j *job, use Res, now Micros, only string, plan *reclaimPlan) *machine {
 	if j.failures > 0 && len(j.errors) >= 2 {
 		// A job that fails wherever it runs would evict borrowers on every retry.
 		return nil
@@ -180,7 +205,7 @@
 	var bestVictims []*placement
 	var bestCost int64
 	for _, m := range c.order {
-		if m.vacating || !c.usable(m, now) || !c.allowed(j, m) || !j.spec.Need.Fits(m.typ.Cap) || j.errors[m.name] {
+		if only != "" && m.zone != only || m.vacating || !c.usable(m, now) || !c.allowed(j, m) || !j.spec.Need.Fits(m.typ.Cap) || j.errors[m.name] {
 			continue
 		}
 		victims, cost := c.victims(j, m, guaranteed, now, plan)
@@ -275,9 +300,7 @@
 		}
 		if guaranteed {
 			t := p.j.team
-			gone := taken[t.Name].Add(plan.taken[t.Name]).Add(p.need)
-			left := t.used.Sub(gone)
-			if left.CPU < t.Min.CPU || left.GPU < t.Min.GPU {
+			if !t.lends(p.need, taken[t.Name].Add(plan.taken[t.Name])) {
 				continue
 			}
 			taken[t.Name] = taken[t.Name].Add(p.need)
@@ -310,15 +333,16 @@
 	}
 }
 
-// scheduleGang places all tasks of a gang or none of them.
-func (c *Core) scheduleGang(j *job, now Micros) {
+// scheduleGang places all tasks of a gang or none of them. It reports false if
+// there is no room for them.
+func (c *Core) scheduleGang(j *job, now Micros) bool {
 	if j.on > 0 || j.pending < len(j.status) {
-		return
+		return true
 	}
 	t := j.team
 	use := c.teamUse(t)
 	if overMax(use, j.spec.Need.Times(j.spec.Tasks), t.Max) {
-		return
+		return true
 	}
 	zones := []string{""}
 	if j.spec.OneZone {
@@ -327,10 +351,11 @@
 	for _, victims := range []bool{false, true} {
 		for _, z := range zones {
 			if c.tryGang(j, z, use, victims, now) {
-				return
+				return true
 			}
 		}
 	}
+	return false
 }
 
 func (c *Core) tryGang(j *job, zone string, use Res, mayEvict bool, now Micros) bool {
@@ -344,10 +369,7 @@
 		}
 		m := c.pick(j, now, zone)
 		if m == nil && mayEvict {
-			m = c.reclaim(j, use, now, &plan)
-			if m != nil && zone != "" && m.zone != zone {
-				m = nil
-			}
+			m = c.reclaim(j, use, now, zone, &plan)
 		}
 		if m == nil {
 			for _, p := range placed {
