Hold what a class may need before a machine comes, not its whole peak; count GPUs

Cause: after the opening burst the storm bureau kept 300 of 600 machines idle for ten minutes and rented 1261 spot machines to replace what it held: the peak of the backlog was held, in CPUs (57 of 64) where GPUs bind (8 of 8), also for a class whose aim renting can meet, and after jobs had stopped coming. Of two start aims of a class the later one was taken. Now: use plus the worst rise within a boot, at most the peak, while jobs are expected. Dearest idle machines go first. A new leader rents nothing for two reports, until it knows what is free.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -278,7 +278,10 @@
 	c.StartWithin = map[string]core.Micros{}
 	for _, o := range p.Params.Objectives {
 		if o.Kind == "wait" {
-			c.StartWithin[o.Class] = core.Seconds(o.WithinS)
+			// The earliest of several aims is what room is held for.
+			if was, ok := c.StartWithin[o.Class]; !ok || core.Seconds(o.WithinS) < was {
+				c.StartWithin[o.Class] = core.Seconds(o.WithinS)
+			}
 		}
 		c.LateTimes = max(c.LateTimes, o.Times)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,41 +54,42 @@
 	rentOf    map[string]*rent // of machines that are coming
 	unsettled int
 
-	dirty         bool       // room, work or quota changed: place again
-	touched       []*machine // to be told something, perhaps
-	retouch       []*machine // the same, after a pause: a write for them failed
-	probes        []*machine // to be probed
-	probing       int        // probes that are under way
-	ended         []*job     // with finished tasks or a final record to be written
-	placeAt       Micros
-	placed        Micros     // last time
-	roomy         []*machine // that the tasks to be placed may fit on, for one pass
-	summaryAt     Micros
-	vacateAt      Micros
-	vacating      []*machine
-	held          []*class // for which CPUs are held
-	lookedBack    Micros
-	peakFromFleet bool // the peaks are not known yet
-	wantRaise     bool
-	raising       Micros
-	fleetAt       Micros
-	probeAt       Micros
-	refused       map[offer]Micros
-	backlog       []*machine // to be returned
-	returnOut     bool       // a return is under way
-	returnFrom    Micros     // not before this
-	classes       map[string]*class
-	images        map[string]int // a number for each image, to compare quickly
-	rankAt        Micros
-	spare         map[string]int // service tasks that could start at once, by zone
-	spareNeed     Res
-	spareWant     int     // service tasks that room is wanted for
-	spareInZone   int     // and in a zone
-	spareRate     float64 // megabytes a second at which images are fetched in time
-	writes        map[uint64]func(now Micros, o WriteOutcome)
-	writeID       uint64
-	requests      uint64
-	out           []Action
+	dirty       bool       // room, work or quota changed: place again
+	touched     []*machine // to be told something, perhaps
+	retouch     []*machine // the same, after a pause: a write for them failed
+	probes      []*machine // to be probed
+	probing     int        // probes that are under way
+	ended       []*job     // with finished tasks or a final record to be written
+	placeAt     Micros
+	placed      Micros     // last time
+	roomy       []*machine // that the tasks to be placed may fit on, for one pass
+	summaryAt   Micros
+	vacateAt    Micros
+	vacating    []*machine
+	held        []*class // for which machines are held
+	lookedBack  Micros
+	begun       Micros // the term
+	holdFleet   bool   // what is to be held is not known yet
+	wantRaise   bool
+	raising     Micros
+	fleetAt     Micros
+	probeAt     Micros
+	refused     map[offer]Micros
+	backlog     []*machine // to be returned
+	returnOut   bool       // a return is under way
+	returnFrom  Micros     // not before this
+	classes     map[string]*class
+	images      map[string]int // a number for each image, to compare quickly
+	rankAt      Micros
+	spare       map[string]int // service tasks that could start at once, by zone
+	spareNeed   Res
+	spareWant   int     // service tasks that room is wanted for
+	spareInZone int     // and in a zone
+	spareRate   float64 // megabytes a second at which images are fetched in time
+	writes      map[uint64]func(now Micros, o WriteOutcome)
+	writeID     uint64
+	requests    uint64
+	out         []Action
 }
 
 // class is what has been seen of a class of jobs.
@@ -96,11 +97,8 @@
 	ratio  float64 // run time by estimate; 0: nothing seen yet
 	within Micros  // its tasks are to start within this; 0: no such aim
 
-	// Of batch jobs with such an aim: see lookBack.
-	sample    *JobSpec
-	cpu, peak int64
-
 	services arrivals
+	batches  holding // of a class with such an aim
 }
 
 // rent is a rental that was asked for, until all its machines are up or gone.
@@ -204,9 +202,9 @@
 	c.refused = map[offer]Micros{}
 	c.backlog, c.returnOut, c.returnFrom = nil, false, 0
 	c.vacating = nil
-	c.peakFromFleet, c.lookedBack = true, now
+	c.begun, c.holdFleet, c.lookedBack, c.held = now, true, now, nil
 	for _, k := range c.classes {
-		k.services = arrivals{}
+		k.services, k.batches = arrivals{}, holding{}
 	}
 	c.writes = map[uint64]func(Micros, WriteOutcome){}
 	c.out = nil
@@ -358,6 +356,8 @@
 	c.dirty = true
 	if rec.Spec.Kind == Service {
 		j.class.services.seen(j)
+	} else {
+		j.class.batches.seen(j)
 	}
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -32,13 +32,17 @@
 	}
 	c.lookBack(now)
 	coming := c.coming(now)
-	short := c.shortOfPeak(now, coming)
+	short := c.shortOfHeld(now, coming)
 	c.returns(now, &short)
-	if !c.holding() {
+	if !c.holding(now) {
 		c.consolidate(now)
 	}
 	c.pursueRents(now)
-	c.rentForDemand(now, coming)
+	// After a takeover most machines are heard of within a report's time; before,
+	// what is free on them is not known, and all that waits would be rented for.
+	if c.unsettled == 0 || now-c.begun > 2*c.cfg.ReportGap {
+		c.rentForDemand(now, coming)
+	}
 	if now >= c.summaryAt {
 		c.summaryAt = now + 10*Second
 		c.summary(now)
@@ -78,7 +82,7 @@
 }
 
 // returns gives back machines that are lost, drained, overdue or idle.
-func (c *Core) returns(now Micros, short *int64) {
+func (c *Core) returns(now Micros, short *Res) {
 	c.countSpare(now)
 	up, heard := 0, 0
 	for _, m := range c.order {
@@ -89,6 +93,7 @@
 			}
 		}
 	}
+	var idle []*machine
 	for _, m := range c.order {
 		if m.returning {
 			continue
@@ -111,15 +116,20 @@
 				c.giveBack(m, now, "drained")
 			}
 		case m.used == (Res{}) && m.idle > 0 && now-m.idle >= c.cfg.Tuning.Idle && now-m.rented >= 60*Second:
-			if c.neededSpare(m) || *short+m.typ.Cap.CPU > 0 {
-				continue
-			}
-			*short += m.typ.Cap.CPU
-			if !m.spot && c.spareNeed != (Res{}) {
-				c.spare[m.zone] -= c.spareNeed.copies(m.free())
-			}
-			c.giveBack(m, now, "idle")
+			idle = append(idle, m)
+		}
+	}
+	// The dearest go first.
+	slices.SortStableFunc(idle, func(a, b *machine) int { return cmp.Compare(b.price(), a.price()) })
+	for _, m := range idle {
+		if c.neededSpare(m) || short.Add(m.typ.Cap).lacks() {
+			continue
+		}
+		*short = short.Add(m.typ.Cap)
+		if !m.spot && c.spareNeed != (Res{}) {
+			c.spare[m.zone] -= c.spareNeed.copies(m.free())
 		}
+		c.giveBack(m, now, "idle")
 	}
 }
 
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -5,87 +5,152 @@
 	"slices"
 )
 
-// Batch jobs of a class whose tasks are to start within seconds can't wait for
-// machines to be rented: as many CPUs as the class used at its peak are held for
-// a while after it.
+// Batch jobs of a class whose tasks are to start sooner than a machine can be
+// rented need machines that are there already: what the class uses, and as much
+// more as it came to need within the time that a machine takes, at the worst
+// that is remembered, but no more than it used at its peak.
 
-// lookBack brings up to date what each such class used at its peak, which is
-// forgotten slowly.
+// holding is what is known of such a class.
+type holding struct {
+	arrivals
+	sample *JobSpec // the last one's
+	use    Res      // what its jobs use and wait for
+	peak   Res      // the most of that, forgotten slowly
+	rise   Res      // the most by which it rose while a machine comes, forgotten slowly
+	window []usage  // in the last such time
+}
+
+// usage is what a class used at a time.
+type usage struct {
+	at  Micros
+	use Res
+}
+
+// look takes what the class uses now.
+func (h *holding) look(now, lead Micros, left float64) {
+	h.peak = h.use.most(h.peak.scaled(left))
+	h.rise = h.rise.scaled(left)
+	for len(h.window) > 0 && now-h.window[0].at > lead {
+		h.window = h.window[1:]
+	}
+	for _, was := range h.window {
+		h.rise = h.rise.most(h.use.Sub(was.use))
+	}
+	h.window = append(h.window, usage{now, h.use})
+}
+
+// want is what is to be there for the class.
+func (c *Core) want(k *class, now Micros) Res {
+	h := &k.batches
+	var fetch Micros
+	lead := Micros(math.MaxInt64)
+	for _, t := range c.typeOrder {
+		if h.sample.Need.Fits(t.Cap) && h.sample.typeAllowed(t.Name) && t.Boot < lead {
+			lead = t.Boot
+			if t.FetchMBps > 0 {
+				fetch = Micros(h.mb * float64(Second) / float64(t.FetchMBps))
+			}
+		}
+	}
+	if !h.expected(now) || k.within >= lead+fetch {
+		return h.use
+	}
+	return h.peak.least(h.use.Add(h.rise))
+}
+
+// lookBack brings up to date what is known of such classes.
 func (c *Core) lookBack(now Micros) {
 	for _, k := range c.held {
-		k.cpu = 0
+		k.batches.use = Res{}
 	}
 	for _, j := range c.queue {
 		if k := j.class; k.within > 0 && j.spec.Kind != Service {
-			if k.sample == nil {
+			h := &k.batches
+			if h.sample == nil {
 				c.held = append(c.held, k)
+				h.window = []usage{{at: now}}
 			}
-			k.sample = &j.spec
-			k.cpu += j.spec.Need.Times(j.pending + len(j.live)).CPU
+			h.sample = &j.spec
+			h.use = h.use.Add(j.spec.Need.Times(j.pending + len(j.live)))
 		}
 	}
 	if c.unsettled > 0 {
 		c.lookedBack = now
 		return
 	}
-	if c.peakFromFleet {
+	if c.holdFleet {
 		// What the former leader held is what there is: it is not let go only
 		// because nobody remembers why.
-		c.peakFromFleet = false
-		if short := c.shortOfPeak(now, c.coming(now)); len(c.held) > 0 && short < 0 {
-			c.held[0].peak -= short
+		c.holdFleet = false
+		for _, k := range c.held {
+			k.batches.peak = k.batches.use
+		}
+		if len(c.held) > 0 {
+			h := &c.held[0].batches
+			more := Res{}.Sub(c.shortOfHeld(now, nil)).most(Res{})
+			h.peak, h.rise = h.use.Add(more), more
 		}
 	}
 	left := math.Exp(-float64(now-c.lookedBack) / float64(max(c.cfg.Tuning.Hold, 1)))
 	c.lookedBack = now
 	for _, k := range c.held {
-		k.peak = max(k.cpu, int64(float64(k.peak)*left))
+		h := &k.batches
+		lead := c.lead(h.sample.Need)
+		if now-c.begun < lead {
+			h.window = nil // what had been waiting when the term began is no rise
+		}
+		h.look(now, lead, left)
 	}
 }
 
-// shortOfPeak says how many CPUs are missing from what is held; if negative,
-// as many can go.
-func (c *Core) shortOfPeak(now Micros, coming []*room) int64 {
+// shortOfHeld says what is missing from what is held; where negative, as much
+// can go.
+func (c *Core) shortOfHeld(now Micros, coming []*room) Res {
 	if len(c.held) == 0 {
-		return math.MinInt64
+		return Res{math.MinInt32, math.MinInt32, math.MinInt32}
 	}
-	var short int64
+	var short Res
 	for _, k := range c.held {
-		short += k.peak
+		short = short.Add(c.want(k, now))
 	}
 	for _, r := range coming {
-		short -= r.free.CPU
+		short = short.Sub(r.free)
 	}
 	for _, m := range c.order {
 		if !c.usable(m, now) {
 			continue
 		}
-		short -= m.typ.Cap.CPU
+		short = short.Sub(m.typ.Cap)
 		for _, p := range m.tasks {
 			if p.holds() && (p.j == nil || !slices.Contains(c.held, p.j.class)) {
-				short += p.need.CPU
+				short = short.Add(p.need)
 			}
 		}
 	}
 	return short
 }
 
-// holding reports whether any CPUs are held: then room on machines that a few
+// lacks reports whether CPUs or GPUs are missing. Memory comes with them.
+func (r Res) lacks() bool { return r.CPU > 0 || r.GPU > 0 }
+
+// holding reports whether anything is held: then room on machines that a few
 // services keep is of use.
-func (c *Core) holding() bool {
-	return slices.ContainsFunc(c.held, func(k *class) bool { return k.peak >= k.sample.Need.CPU })
+func (c *Core) holding(now Micros) bool {
+	return slices.ContainsFunc(c.held, func(k *class) bool {
+		return k.batches.sample.Need.Fits(c.want(k, now))
+	})
 }
 
 // hold rents what is missing from what is held.
 func (d *demand) hold() {
-	short := d.c.shortOfPeak(d.now, d.coming)
+	short := d.c.shortOfHeld(d.now, d.coming)
 	for _, k := range d.c.held {
-		for short > 0 {
-			of, ok := d.cheapest(k.sample, math.MaxInt, func(string) bool { return true })
+		for short.lacks() {
+			of, ok := d.cheapest(k.batches.sample, math.MaxInt, func(string) bool { return true })
 			if !ok {
 				break
 			}
-			short -= d.add(of, "held for tasks that are to start at once").free.CPU
+			short = short.Sub(d.add(of, "held for tasks that are to start at once").free)
 		}
 	}
 }
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -90,6 +90,13 @@
 	return m.typ.Cap.Sub(m.used)
 }
 
+func (m *machine) price() float64 {
+	if m.spot {
+		return m.typ.SpotPrice
+	}
+	return m.typ.Price
+}
+
 // hasLate reports whether a direct start to the machine went unanswered.
 func (m *machine) hasLate() bool {
 	return slices.ContainsFunc(m.tasks, func(p *placement) bool { return p.late })
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -54,6 +54,18 @@
 // Fits reports whether r is within o in every resource.
 func (r Res) Fits(o Res) bool { return r.CPU <= o.CPU && r.GPU <= o.GPU && r.Mem <= o.Mem }
 
+// most and least combine r and o by resource.
+func (r Res) most(o Res) Res {
+	return Res{max(r.CPU, o.CPU), max(r.GPU, o.GPU), max(r.Mem, o.Mem)}
+}
+func (r Res) least(o Res) Res {
+	return Res{min(r.CPU, o.CPU), min(r.GPU, o.GPU), min(r.Mem, o.Mem)}
+}
+
+func (r Res) scaled(by float64) Res {
+	return Res{int64(float64(r.CPU) * by), int64(float64(r.GPU) * by), int64(float64(r.Mem) * by)}
+}
+
 // copies says how many of r fit into o.
 func (r Res) copies(o Res) int {
 	n := int64(1 << 30)
