Gangs that have not started wait on; what they lack is replaced with the same attempt

A machine lost before the start cost the whole gang as well. Now such a task waits again in place, told by the answer to its beat alone, and a lost one is replaced; also after a takeover.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -597,7 +597,7 @@
 	if p.j.spec.Checkpoint > 0 && (by == 0 || now+p.j.spec.SaveCost < by) {
 		grace = p.j.spec.SaveCost + Second
 	}
-	if p.j.spec.Kind == Gang {
+	if p.j.spec.Kind == Gang && !p.j.waiting() {
 		c.stopGang(p.j, now, grace)
 		return
 	}
@@ -617,17 +617,55 @@
 	c.gangSettle(j)
 }
 
-// gangLost stops the rest of a gang that lost a task.
+// gangLost deals with a gang that lost a task. One that has not started waits
+// for a replacement, which schedule looks for; what its other machines have
+// fetched meanwhile is not lost. Otherwise the rest is stopped.
 func (c *Core) gangLost(p *placement, now Micros) {
 	if p.j == nil || p.j.spec.Kind != Gang || p.j.cancelled || p.attempt != p.j.attempt || p.j.stopping {
 		return
 	}
-	if p.j.done > 0 || c.jobs[p.job] != p.j {
+	if p.j.done > 0 || c.jobs[p.job] != p.j || p.j.live[p.index] != nil {
+		return
+	}
+	if p.j.waiting() && p.cause != CausePeers && (p.cause != CauseAlone || p.j.held) {
+		if p.j.lacksFrom == 0 {
+			p.j.lacksFrom = now
+		}
 		return
 	}
 	c.stopGang(p.j, now, 0)
 }
 
+const (
+	// gangPatience is how long the machines of a gang that has not started are
+	// kept for want of another.
+	gangPatience = 10 * Second
+	// waitsMost is how often a gang task waits for the others for as long as a
+	// worker lets it. Images can take longer to fetch than that.
+	waitsMost = 4
+)
+
+// waiting reports whether a gang has been placed and is not known to have run.
+func (j *job) waiting() bool { return j.spec.Kind == Gang && j.on > 0 && j.ran != j.attempt }
+
+// waitAgain lets a gang task that exited because the others were not there yet
+// wait once more where it is: its image is there by now, and theirs, which may
+// take longer than a worker lets a task wait, will be. Stopping the gang would
+// end their fetches, and begin the same again. Only the answer to a beat may
+// tell the worker: a direct command could arrive after all this is over.
+func (c *Core) waitAgain(p *placement) bool {
+	j := p.j
+	if p.cause != CauseAlone || p.unwanted || p.late || p.waits >= waitsMost || j == nil || c.jobs[p.job] != j ||
+		j.cancelled || j.stopping || j.done > 0 || p.attempt != j.attempt || j.ran == j.attempt ||
+		p.m.draining || p.m.returning || p.m.lost {
+		return false
+	}
+	p.waits++
+	p.again, p.state = true, Waiting
+	c.hold(p)
+	return true
+}
+
 func (c *Core) gangSettle(j *job) {
 	if j.stopping && len(j.live) == 0 {
 		j.stopping = false
@@ -731,6 +769,11 @@
 	for _, p := range m.tasks {
 		// A machine that is being returned may be alive for as long as the cloud
 		// takes: it is still told what to stop.
+		if p.again && beat && !p.unwanted && !m.returning {
+			forget = append(forget, p.command(Forget))
+			start = append(start, p.command(Start))
+			continue
+		}
 		if m.returning || p.inDo || p.shown || p.unwanted || p.sent && !(beat && p.resend) {
 			continue
 		}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -126,6 +126,7 @@
 	r     Report
 	cmds  []Command // from the answer to the last beat
 	lossy bool      // direct commands go unanswered
+	slow  bool      // what is started has to fetch its image
 }
 
 func (w *world) machine(name, zone string) *fake {
@@ -154,7 +155,11 @@
 		i := f.index(c.Job, c.Index, c.Attempt)
 		switch {
 		case c.Op == Start && i < 0:
-			f.r.Tasks = append(f.r.Tasks, TaskReport{Job: c.Job, Index: c.Index, Attempt: c.Attempt, State: Running})
+			state := Running
+			if f.slow {
+				state = Fetching
+			}
+			f.r.Tasks = append(f.r.Tasks, TaskReport{Job: c.Job, Index: c.Index, Attempt: c.Attempt, State: state})
 		case c.Op == Stop && i >= 0:
 			f.exit(i, CauseStopped)
 		case c.Op == Forget && i >= 0:
@@ -839,6 +844,109 @@
 	})
 }
 
+// TestGangWaits: a gang that has not started keeps what it has, and what it
+// lacks is replaced with the same attempt.
+func TestGangWaits(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(w *world, fs []*fake) // the gang's two tasks are on n-0 and n-1
+		want string                     // its tasks on n-0, n-1, n-2: f for the first attempt, n for a new one
+	}{
+		{"a task that waited for too long waits again", func(w *world, fs []*fake) {
+			fs[0].exit(0, CauseAlone)
+		}, "[f f ]"},
+		{"but not for ever", func(w *world, fs []*fake) {
+			for range waitsMost + 1 {
+				if len(fs[0].r.Tasks) > 0 {
+					fs[0].exit(0, CauseAlone)
+				}
+				fs[0].beat()
+				fs[0].beat()
+			}
+		}, "[n n ]"},
+		{"the answer that says so is lost", func(w *world, fs []*fake) {
+			fs[0].exit(0, CauseAlone)
+			r := fs[0].r
+			r.Seq++
+			fs[0].r.Seq++
+			w.c.Beat(w.now, &r)
+		}, "[f f ]"},
+		{"a lost machine is replaced", func(w *world, fs []*fake) {
+			w.c.Returned(w.now, []string{"n-0"}, true)
+			fs[0].r.Tasks = nil
+		}, "[ f f]"},
+		{"a machine that is taken away is replaced once its task is gone", func(w *world, fs []*fake) {
+			fs[0].r.Notice = 20 * Second
+		}, "[ f f]"},
+		{"no room for what is lacking", func(w *world, fs []*fake) {
+			w.c.Returned(w.now, []string{"n-2"}, true)
+			fs[0].r.Notice = 20 * Second
+			for range 4 {
+				fs[0].beat()
+				fs[1].beat()
+				w.pass(3 * Second)
+			}
+		}, "[  ]"},
+		{"a gang that runs starts anew", func(w *world, fs []*fake) {
+			fs[0].r.Tasks[0].State, fs[1].r.Tasks[0].State = Running, Running
+			fs[0].beat()
+			fs[1].beat()
+			fs[0].r.Notice = 20 * Second
+		}, "[ n n]"},
+		{"a new leader completes it", func(w *world, fs []*fake) {
+			var jobs []JobRecord
+			for _, j := range w.c.jobs {
+				jobs = append(jobs, j.rec)
+			}
+			fs[0].r.Tasks = nil // it was never told
+			w.begin(200, jobs, Snapshot{Machines: recorded("n-0", "n-1", "n-2"), Open: []string{"job-1"}})
+		}, "[f f ]"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, Team{Name: "blue"})
+			w.begin(100, nil, Snapshot{})
+			var fs []*fake
+			for i := range 3 {
+				f := w.machine(fmt.Sprintf("n-%d", i), "a").beat()
+				f.slow = true
+				fs = append(fs, f)
+			}
+			round := func() {
+				for _, f := range fs {
+					if w.c.machines[f.r.Machine] != nil {
+						f.direct()
+						f.beat()
+					}
+				}
+			}
+			w.submit(JobSpec{ID: "job-1", Kind: Gang, Tasks: 2, Need: Res{8000, 0, 1000}, OneZone: true})
+			round()
+			first := w.c.jobs["job-1"].attempt
+			for _, f := range fs[:2] {
+				w.want("fetching", len(f.r.Tasks) == 1 && f.r.Tasks[0].State == Fetching, true)
+				f.r.Tasks[0].State = Waiting
+				f.beat()
+			}
+			c.do(w, fs)
+			for range 4 {
+				w.pass(Second)
+				round()
+			}
+			got := make([]string, len(fs))
+			for i, f := range fs {
+				for _, task := range f.r.Tasks {
+					if task.State != Exited && task.Attempt == first {
+						got[i] += "f"
+					} else if task.State != Exited {
+						got[i] += "n"
+					}
+				}
+			}
+			w.want("on machines", fmt.Sprint(got), c.want)
+		})
+	}
+}
+
 // TestFaults: machines that fail several jobs are emptied and returned; a job
 // that fails everywhere backs off and evicts nobody.
 func TestFaults(t *testing.T) {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -51,6 +51,8 @@
 	started   bool // all its tasks have been seen running or done
 
 	attempt               uint64 // of the gang's current start
+	ran                   uint64 // the attempt whose tasks were last seen running
+	lacksFrom             Micros // since when a gang that has not started lacks a task; 0: it does not
 	stopping              bool   // the gang is being stopped
 	errors                map[string]bool
 	firstStart, lastStart Micros // of tasks that were seen running
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -30,6 +30,8 @@
 	runningAt Micros
 	beatMark  bool // shown by the report being taken over
 	resend    bool // repeat the start in the answer to this beat
+	again     bool // a gang task that gave up waiting: to be forgotten and started once more
+	waits     int  // how often it was
 }
 
 func (p *placement) holds() bool { return !(p.shown && p.state == Exited) }
@@ -90,6 +92,13 @@
 	return m.typ.Cap.Sub(m.used)
 }
 
+// knows reports whether the machine has had an attempt of a task.
+func (m *machine) knows(j *job, index int, attempt uint64) bool {
+	return slices.ContainsFunc(m.tasks, func(p *placement) bool {
+		return p.job == j.spec.ID && p.index == index && p.attempt == attempt
+	})
+}
+
 func (m *machine) price() float64 {
 	if m.spot {
 		return m.typ.SpotPrice
@@ -158,9 +167,13 @@
 // add puts a placement on its machine and counts it.
 func (c *Core) add(p *placement) {
 	p.m.tasks = append(p.m.tasks, p)
-	if !p.holds() {
-		return
+	if p.holds() {
+		c.hold(p)
 	}
+}
+
+// hold counts a placement.
+func (c *Core) hold(p *placement) {
 	p.m.used = p.m.used.Add(p.need)
 	p.m.idle = 0
 	if p.j == nil {
@@ -341,8 +354,15 @@
 		c.add(p)
 	}
 	p.beatMark = true
+	if p.again && !p.unwanted && t.State == Exited && t.Cause == CauseAlone {
+		return // it has not been told yet
+	}
+	p.again = false
 	wasExited := p.shown && p.state == Exited
 	if t.State != Exited {
+		if p.j != nil && (t.State == Running || t.State == Saving) {
+			p.j.ran = p.attempt
+		}
 		if t.State == Running && p.state != Running {
 			p.runningAt = now
 			if p.j != nil {
@@ -377,6 +397,9 @@
 	p.state, p.cause = Exited, t.Cause
 	if held {
 		c.release(p, now)
+		if c.waitAgain(p) {
+			return
+		}
 	}
 	c.exited(p, now)
 	c.touch(m)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -68,6 +68,10 @@
 			continue
 		}
 		gang := j.spec.Kind == Gang
+		if gang && j.on > 0 {
+			c.completeGang(j, now)
+			continue
+		}
 		plain := (gang || !j.spec.OneZone) && !j.spec.Spread && j.errors == nil
 		key := shape{need: j.spec.Need, spot: j.spec.Spot, service: j.spec.Kind == Service, team: j.spec.Team,
 			priority: j.spec.Priority, types: j.types, zone: j.spec.Zone}
@@ -336,12 +340,43 @@
 // scheduleGang places all tasks of a gang or none of them. It reports false if
 // there is no room for them.
 func (c *Core) scheduleGang(j *job, now Micros) bool {
-	if j.on > 0 || j.pending < len(j.status) {
+	if j.pending < len(j.status) {
 		return true
 	}
+	j.lacksFrom = 0
+	return c.placeGang(j, c.nextAttempt(), now)
+}
+
+// completeGang replaces what a gang that has not started lacks, with the same
+// attempt, so that the others go on waiting. If there is no room for it before
+// long, it starts anew.
+func (c *Core) completeGang(j *job, now Micros) {
+	if !j.waiting() {
+		return
+	}
+	for _, p := range j.live {
+		if p.attempt != j.attempt || p.unwanted {
+			return // not before it is gone
+		}
+	}
+	if j.lacksFrom == 0 {
+		j.lacksFrom = now // taken over from a leader that had not told them all
+	}
+	c.placeGang(j, j.attempt, now)
+	switch {
+	case j.pending == 0:
+		j.lacksFrom = 0
+	case now-j.lacksFrom > gangPatience:
+		c.note("gang starts anew: no room for what it lacks", "job", j.spec.ID, "tasks", j.pending)
+		c.stopGang(j, now, 0)
+	}
+}
+
+// placeGang places the waiting tasks of a gang.
+func (c *Core) placeGang(j *job, attempt uint64, now Micros) bool {
 	t := j.team
 	use := c.teamUse(t)
-	if overMax(use, j.spec.Need.Times(j.spec.Tasks), t.Max) {
+	if overMax(use, j.spec.Need.Times(j.pending), t.Max) {
 		return true
 	}
 	zones := []string{""}
@@ -350,7 +385,7 @@
 	}
 	for _, victims := range []bool{false, true} {
 		for _, z := range zones {
-			if c.tryGang(j, z, use, victims, now) {
+			if c.tryGang(j, z, attempt, use, victims, now) {
 				return true
 			}
 		}
@@ -358,8 +393,7 @@
 	return false
 }
 
-func (c *Core) tryGang(j *job, zone string, use Res, mayEvict bool, now Micros) bool {
-	attempt := c.nextAttempt()
+func (c *Core) tryGang(j *job, zone string, attempt uint64, use Res, mayEvict bool, now Micros) bool {
 	var plan reclaimPlan
 	var placed []*placement
 	for {
@@ -371,11 +405,11 @@
 		if m == nil && mayEvict {
 			m = c.reclaim(j, use, now, zone, &plan)
 		}
-		if m == nil {
+		// A worker that knows this attempt of the task would not start it.
+		if m == nil || m.knows(j, i, attempt) {
 			for _, p := range placed {
 				c.remove(p, now)
 			}
-			j.attempt = 0
 			return false
 		}
 		placed = append(placed, c.put(j, i, m, attempt, now))
