Gangs wait for machines with their image; dropped plans leave no trace

A plan for a gang that did not fit was undone by removing placements: it left the image noted on machines that never got it, reset idle times and asked for another pass at once. Now plans only promise; a given-up fetch is forgotten; and a gang waits up to half a fetch for machines with its image if enough are likely to fall free.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,6 +79,8 @@
 	returnOut   bool       // a return is under way
 	returnFrom  Micros     // not before this
 	classes     map[string]*class
+	imagesOn    map[int]int    // machines that have an image
+	imagesAt    Micros         // as of then
 	images      map[string]int // a number for each image, to compare quickly
 	rankAt      Micros
 	spare       map[string]int // service tasks that could start at once, by zone
@@ -116,7 +118,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, teams: map[string]*team{}, types: map[string]*MachineType{},
-		spare: map[string]int{}, classes: map[string]*class{}, images: map[string]int{},
+		spare: map[string]int{}, classes: map[string]*class{}, images: map[string]int{}, imagesOn: map[int]int{},
 	}
 	for _, t := range cfg.Teams {
 		c.teams[t.Name] = &team{Team: t}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -806,6 +806,52 @@
 		w.want("gang after eviction", w.c.jobs["job-2"].running, 6)
 		w.want("left", w.c.jobs["job-0"].on, 2)
 	})
+	t.Run("a plan that is dropped leaves no trace", func(t *testing.T) {
+		w, fs := setup(t)
+		round(w, fs)
+		m := w.c.machines["n-1"]
+		idle := m.idle
+		big := spec
+		big.Tasks = 9
+		w.submit(big)
+		w.pass(5 * Second)
+		w.want("idle since, images", fmt.Sprint(m.idle, m.images), fmt.Sprint(idle, []image(nil)))
+		w.want("another pass at once", w.c.Wake() < w.now+Second, false)
+	})
+	t.Run("it rather waits for its image than for a fetch, but not for long", func(t *testing.T) {
+		for _, c := range []struct {
+			name   string
+			within Micros
+			frees  bool // the machine with the image falls free
+			wait   Micros
+			want   string
+		}{
+			{"falls free", 0, true, Second, "1 0"},
+			{"does not", 0, false, Second, "0 0"},
+			{"has not for half a fetch", 0, false, 5 * Second, "0 1"},
+			{"there is no time to wait", 11 * Second, false, Second, "0 1"},
+		} {
+			w := newWorld(t, Team{Name: "blue"})
+			if c.within > 0 {
+				w.c.cfg.StartWithin = map[string]Micros{"train": c.within}
+			}
+			w.begin(100, nil, Snapshot{})
+			fs := []*fake{w.machine("n-1", "a").beat()}
+			w.submit(JobSpec{ID: "job-0", Tasks: 1, Need: Res{8000, 0, 1000}, Image: "big", ImageMB: 8000})
+			round(w, fs)
+			fs = append(fs, w.machine("n-2", "a").beat())
+			w.submit(JobSpec{ID: "job-1", Class: "train", Kind: Gang, Tasks: 1, Need: Res{8000, 0, 1000}, Image: "big", ImageMB: 8000, Estimate: Second})
+			if c.frees {
+				fs[0].exit(0, CauseDone)
+			}
+			fs[0].beat()
+			w.pass(c.wait)
+			round(w, fs)
+			w.pass(Second / 10)
+			round(w, fs)
+			w.want(c.name, fmt.Sprint(strings.Count(fs[0].live(), "job-1"), strings.Count(fs[1].live(), "job-1")), c.want)
+		}
+	})
 	t.Run("victims in the zone where the gang fits", func(t *testing.T) {
 		w, fs := setup(t)
 		fs = append(fs, w.machine("n-3", "b").beat())
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -52,6 +52,7 @@
 
 	attempt               uint64 // of the gang's current start
 	ran                   uint64 // the attempt whose tasks were last seen running
+	waitFrom              Micros // since when a gang waits for room; 0: it does not
 	lacksFrom             Micros // since when a gang that has not started lacks a task; 0: it does not
 	stopping              bool   // the gang is being stopped
 	errors                map[string]bool
@@ -94,6 +95,17 @@
 	return -1
 }
 
+// waitingTasks lists the tasks that are pending.
+func (j *job) waitingTasks() []int {
+	out := make([]int, 0, j.pending)
+	for i, s := range j.status {
+		if s == taskPending {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // set moves a task to a status and keeps the counts.
 func (j *job) set(i int, s taskStatus) {
 	old := j.status[i]
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -30,6 +30,7 @@
 	runningAt Micros
 	beatMark  bool // shown by the report being taken over
 	resend    bool // repeat the start in the answer to this beat
+	fetching  bool // last it was reported, it waited for its image
 	again     bool // a gang task that gave up waiting: to be forgotten and started once more
 	waits     int  // how often it was
 }
@@ -144,6 +145,17 @@
 	}
 }
 
+// dropImage forgets an image that a task waited for and that no other does: a
+// machine then gives its fetch up.
+func (m *machine) dropImage(id int) {
+	for _, p := range m.tasks {
+		if p.j != nil && p.j.image == id && p.holds() {
+			return
+		}
+	}
+	m.images = slices.DeleteFunc(m.images, func(im image) bool { return im.id == id })
+}
+
 // usable reports whether tasks may be given to the machine now.
 func (c *Core) usable(m *machine, now Micros) bool {
 	return m.typ != nil && m.settled && !m.lost && !m.booting && !m.draining && !m.returning &&
@@ -202,6 +214,9 @@
 		return
 	}
 	c.countRunning(p, false)
+	if p.shown && p.fetching {
+		m.dropImage(p.j.image)
+	}
 	t := p.j.team
 	t.used = t.used.Sub(p.need)
 	t.placed[p.j.spec.Priority]--
@@ -354,6 +369,9 @@
 		c.add(p)
 	}
 	p.beatMark = true
+	if t.State != Exited || t.Cause != CauseStopped {
+		p.fetching = t.State == Fetching // other ends come after it has its image
+	}
 	if p.again && !p.unwanted && t.State == Exited && t.Cause == CauseAlone {
 		return // it has not been told yet
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -92,7 +92,7 @@
 			if i < 0 || overMax(use, j.spec.Need, t.Max) {
 				break
 			}
-			m := c.pick(j, now, "")
+			m := c.pick(j, now, "", false)
 			if m == nil {
 				var plan reclaimPlan
 				if m = c.reclaim(j, use, now, "", &plan); m == nil {
@@ -109,11 +109,7 @@
 
 func (c *Core) put(j *job, i int, m *machine, attempt uint64, now Micros) *placement {
 	p := &placement{j: j, job: j.spec.ID, index: i, attempt: attempt, m: m, need: j.spec.Need, at: now}
-	if !m.spot && c.spareNeed != (Res{}) {
-		c.spare[m.zone] -= c.spareNeed.copies(m.free())
-		defer func() { c.spare[m.zone] += c.spareNeed.copies(m.free()) }()
-	}
-	c.add(p)
+	c.recount(m, func() { c.add(p) })
 	m.useImage(j.image, j.spec.ImageMB)
 	c.touch(m)
 	return p
@@ -148,12 +144,13 @@
 }
 
 // pick chooses the machine for one more task of a job: where it starts
-// soonest, then where it wastes least. only restricts the zone.
-func (c *Core) pick(j *job, now Micros, only string) *machine {
+// soonest, then where it wastes least. only restricts the zone, cached to where
+// its image is.
+func (c *Core) pick(j *job, now Micros, only string, cached bool) *machine {
 	var best *machine
 	var bestCost int64
 	for _, m := range c.roomy {
-		if only != "" && m.zone != only || j.errors[m.name] && len(j.errors) < 3 {
+		if only != "" && m.zone != only || j.errors[m.name] && len(j.errors) < 3 || cached && !m.hasImage(j.image) {
 			continue
 		}
 		free := m.free()
@@ -344,6 +341,9 @@
 		return true
 	}
 	j.lacksFrom = 0
+	if j.waitFrom == 0 {
+		j.waitFrom = now
+	}
 	return c.placeGang(j, c.nextAttempt(), now)
 }
 
@@ -372,7 +372,8 @@
 	}
 }
 
-// placeGang places the waiting tasks of a gang.
+// placeGang places the waiting tasks of a gang. It reports false if there is no
+// room for them.
 func (c *Core) placeGang(j *job, attempt uint64, now Micros) bool {
 	t := j.team
 	use := c.teamUse(t)
@@ -383,43 +384,114 @@
 	if j.spec.OneZone {
 		zones = c.zones()
 	}
-	for _, victims := range []bool{false, true} {
+	try := func(how gangTry) bool {
 		for _, z := range zones {
-			if c.tryGang(j, z, attempt, use, victims, now) {
+			if c.tryGang(j, z, attempt, use, how, now) {
 				return true
 			}
 		}
+		return false
 	}
-	return false
+	if c.awaitsImage(j, now) && (try(gangTry{cached: true}) || try(gangTry{dry: true})) {
+		return true
+	}
+	return try(gangTry{}) || try(gangTry{evict: true})
 }
 
-func (c *Core) tryGang(j *job, zone string, attempt uint64, use Res, mayEvict bool, now Micros) bool {
-	var plan reclaimPlan
-	var placed []*placement
-	for {
-		i := j.nextPending()
-		if i < 0 {
-			break
+// gangTry says how room is looked for.
+type gangTry struct {
+	cached bool // only where the image is
+	evict  bool
+	dry    bool // to know whether there is any
+}
+
+// awaitsImage reports whether a gang rather waits for machines that have its
+// image than takes others that are free: all of it is held up by its slowest
+// fetch. It does so for half as long as the fetch takes, if that leaves it in
+// time for its aim, and if as many machines as it needs are likely to fall free
+// meanwhile.
+func (c *Core) awaitsImage(j *job, now Micros) bool {
+	var fetch Micros
+	for _, t := range c.typeOrder {
+		if t.FetchMBps > 0 && j.spec.typeAllowed(t.Name) {
+			fetch = max(fetch, Micros(j.spec.ImageMB)*Second/Micros(t.FetchMBps))
+		}
+	}
+	patience := fetch / 2
+	if late := fetch * 4 / 3; j.class.within > late {
+		patience = min(patience, j.class.within-late)
+	}
+	if now-j.waitFrom >= patience {
+		return false
+	}
+	return float64(c.withImage(j.image, now))*float64(patience) > float64(j.pending)*float64(j.estimate())
+}
+
+// withImage says how many machines had an image lately.
+func (c *Core) withImage(id int, now Micros) int {
+	if now-c.imagesAt >= Second {
+		c.imagesAt = now
+		clear(c.imagesOn)
+		for _, m := range c.order {
+			for _, im := range m.images {
+				c.imagesOn[im.id]++
+			}
 		}
-		m := c.pick(j, now, zone)
-		if m == nil && mayEvict {
+	}
+	return c.imagesOn[id]
+}
+
+// tryGang looks for a machine for each of a gang's waiting tasks, and gives them
+// out only if there is one for all.
+func (c *Core) tryGang(j *job, zone string, attempt uint64, use Res, how gangTry, now Micros) bool {
+	var plan reclaimPlan
+	tasks := j.waitingTasks()
+	on := make([]*machine, 0, len(tasks))
+	for _, i := range tasks {
+		m := c.pick(j, now, zone, how.cached)
+		if m == nil && how.evict {
 			m = c.reclaim(j, use, now, zone, &plan)
 		}
 		// A worker that knows this attempt of the task would not start it.
 		if m == nil || m.knows(j, i, attempt) {
-			for _, p := range placed {
-				c.remove(p, now)
-			}
-			return false
+			break
 		}
-		placed = append(placed, c.put(j, i, m, attempt, now))
+		c.promise(j, m, 1)
+		on = append(on, m)
 		use = use.Add(j.spec.Need)
 	}
-	j.attempt = attempt
+	for _, m := range on {
+		c.promise(j, m, -1)
+	}
+	if len(on) < len(tasks) || how.dry {
+		return len(on) == len(tasks)
+	}
+	j.attempt, j.waitFrom = attempt, 0
+	for n, m := range on {
+		c.put(j, tasks[n], m, attempt, now)
+	}
 	c.evict(&plan, j, now)
 	return true
 }
 
+// promise counts a task of a plan on a machine, or takes it off again: nothing
+// of a plan that is dropped is left, in the machine's cache or anywhere else.
+func (c *Core) promise(j *job, m *machine, sign int) {
+	c.recount(m, func() { m.used = m.used.Add(j.spec.Need.Times(sign)) })
+	j.zones[m.zone] += sign
+}
+
+// recount keeps the count of spare room right over a change of a machine's use.
+func (c *Core) recount(m *machine, change func()) {
+	if m.spot || c.spareNeed == (Res{}) {
+		change()
+		return
+	}
+	was := c.spareNeed.copies(m.free())
+	change()
+	c.spare[m.zone] += c.spareNeed.copies(m.free()) - was
+}
+
 // zones lists the zones of the catalog.
 func (c *Core) zones() []string {
 	seen := map[string]bool{}
