--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -281,6 +281,7 @@
 		return
 	}
 	// Every place has been heard of or is over: what was not seen runs nowhere.
+	c.note("takeover settled")
 	for _, j := range c.jobs {
 		c.unhold(j)
 	}
