Gangs: the zone with the shortest fetch, patience by the aims; save only where it loses less

Cause: a one-zone gang took the first zone with room though its image lay in the other; a gang waited half a fetch for its image whatever its aims left; a task that saves in 6 s was saved although its checkpoint was 5 s old on the average, and what it was stopped for waited.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -275,13 +275,11 @@
 			Hold: core.Seconds(s.HoldS), Quarantine: core.Seconds(s.QuarantineS), Suspect: core.Seconds(s.SuspectS), SpareTasks: s.SpareTasks,
 		},
 	}
-	c.StartWithin = map[string]core.Micros{}
+	c.StartWithin = map[string][]core.Micros{}
 	for _, o := range p.Params.Objectives {
 		if o.Kind == "wait" {
-			// The earliest of several aims is what room is held for.
-			if was, ok := c.StartWithin[o.Class]; !ok || core.Seconds(o.WithinS) < was {
-				c.StartWithin[o.Class] = core.Seconds(o.WithinS)
-			}
+			c.StartWithin[o.Class] = append(c.StartWithin[o.Class], core.Seconds(o.WithinS))
+			slices.Sort(c.StartWithin[o.Class])
 		}
 		c.LateTimes = max(c.LateTimes, o.Times)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,8 +96,8 @@
 
 // class is what has been seen of a class of jobs.
 type class struct {
-	ratio  float64 // run time by estimate; 0: nothing seen yet
-	within Micros  // its tasks are to start within this; 0: no such aim
+	ratio  float64  // run time by estimate; 0: nothing seen yet
+	within []Micros // aims for how soon its tasks start, the earliest first
 
 	services arrivals
 	batches  holding // of a class with such an aim
@@ -596,7 +596,9 @@
 		return
 	}
 	grace := Micros(0)
-	if p.j.spec.Checkpoint > 0 && (by == 0 || now+p.j.spec.SaveCost < by) {
+	// Going back to the last checkpoint loses half an interval, on the average;
+	// saving holds the machine up for as long as it takes.
+	if p.j.spec.SaveCost < p.j.spec.Checkpoint/2 && (by == 0 || now+p.j.spec.SaveCost < by) {
 		grace = p.j.spec.SaveCost + Second
 	}
 	if p.j.spec.Kind == Gang && !p.j.waiting() {
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -52,7 +52,7 @@
 			}
 		}
 	}
-	if !h.expected(now) || k.within >= lead+fetch {
+	if !h.expected(now) || k.within[0] >= lead+fetch {
 		return h.use
 	}
 	return h.peak.least(h.use.Add(h.rise))
@@ -64,7 +64,7 @@
 		k.batches.use = Res{}
 	}
 	for _, j := range c.queue {
-		if k := j.class; k.within > 0 && j.spec.Kind != Service {
+		if k := j.class; len(k.within) > 0 && j.spec.Kind != Service {
 			h := &k.batches
 			if h.sample == nil {
 				c.held = append(c.held, k)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -322,7 +322,7 @@
 		return 0
 	}
 	if p.j != nil && p.j.spec.Checkpoint > 0 {
-		return p.j.spec.SaveCost
+		return min(p.j.spec.SaveCost, p.j.spec.Checkpoint/2)
 	}
 	return now - p.runningAt
 }
@@ -384,32 +384,53 @@
 	if j.spec.OneZone {
 		zones = c.zones()
 	}
-	try := func(how gangTry) bool {
+	find := func(how gangTry) (best gangPlan) {
 		for _, z := range zones {
-			if c.tryGang(j, z, attempt, use, how, now) {
-				return true
+			p := c.planGang(j, z, attempt, use, how, now)
+			if p.on != nil && (best.on == nil || p.slowest < best.slowest) {
+				best = p
 			}
 		}
-		return false
+		return best
 	}
-	if c.awaitsImage(j, now) && (try(gangTry{cached: true}) || try(gangTry{dry: true})) {
-		return true
+	if c.awaitsImage(j, now) {
+		p := find(gangTry{cached: true})
+		if p.on != nil {
+			c.commitGang(j, attempt, &p, now)
+			return true
+		}
+		if find(gangTry{}).on != nil {
+			return true
+		}
+	}
+	for _, evict := range []bool{false, true} {
+		if p := find(gangTry{evict: evict}); p.on != nil {
+			c.commitGang(j, attempt, &p, now)
+			return true
+		}
 	}
-	return try(gangTry{}) || try(gangTry{evict: true})
+	return false
+}
+
+// gangPlan is a machine for each of a gang's waiting tasks.
+type gangPlan struct {
+	tasks   []int
+	on      []*machine // nil: there is no room for all
+	reclaim reclaimPlan
+	slowest int64 // the longest fetch
 }
 
 // gangTry says how room is looked for.
 type gangTry struct {
 	cached bool // only where the image is
 	evict  bool
-	dry    bool // to know whether there is any
 }
 
 // awaitsImage reports whether a gang rather waits for machines that have its
 // image than takes others that are free: all of it is held up by its slowest
-// fetch. It does so for half as long as the fetch takes, if that leaves it in
-// time for its aim, and if as many machines as it needs are likely to fall free
-// meanwhile.
+// fetch. It does so for as long as the fetch takes, as far as that leaves it in
+// time for the earliest of its aims that it can meet with a fetch, and if as many
+// machines as it needs are likely to fall free meanwhile.
 func (c *Core) awaitsImage(j *job, now Micros) bool {
 	var fetch Micros
 	for _, t := range c.typeOrder {
@@ -417,9 +438,12 @@
 			fetch = max(fetch, Micros(j.spec.ImageMB)*Second/Micros(t.FetchMBps))
 		}
 	}
-	patience := fetch / 2
-	if late := fetch * 4 / 3; j.class.within > late {
-		patience = min(patience, j.class.within-late)
+	patience := fetch
+	for _, within := range j.class.within {
+		if late := fetch * 4 / 3; within > late {
+			patience = min(patience, within-late)
+			break
+		}
 	}
 	if now-j.waitFrom >= patience {
 		return false
@@ -441,21 +465,20 @@
 	return c.imagesOn[id]
 }
 
-// tryGang looks for a machine for each of a gang's waiting tasks, and gives them
-// out only if there is one for all.
-func (c *Core) tryGang(j *job, zone string, attempt uint64, use Res, how gangTry, now Micros) bool {
-	var plan reclaimPlan
-	tasks := j.waitingTasks()
-	on := make([]*machine, 0, len(tasks))
-	for _, i := range tasks {
+// planGang looks for a machine for each of a gang's waiting tasks.
+func (c *Core) planGang(j *job, zone string, attempt uint64, use Res, how gangTry, now Micros) (plan gangPlan) {
+	plan.tasks = j.waitingTasks()
+	on := make([]*machine, 0, len(plan.tasks))
+	for _, i := range plan.tasks {
 		m := c.pick(j, now, zone, how.cached)
 		if m == nil && how.evict {
-			m = c.reclaim(j, use, now, zone, &plan)
+			m = c.reclaim(j, use, now, zone, &plan.reclaim)
 		}
 		// A worker that knows this attempt of the task would not start it.
 		if m == nil || m.knows(j, i, attempt) {
 			break
 		}
+		plan.slowest = max(plan.slowest, c.startCost(j, m))
 		c.promise(j, m, 1)
 		on = append(on, m)
 		use = use.Add(j.spec.Need)
@@ -463,15 +486,18 @@
 	for _, m := range on {
 		c.promise(j, m, -1)
 	}
-	if len(on) < len(tasks) || how.dry {
-		return len(on) == len(tasks)
+	if len(on) == len(plan.tasks) {
+		plan.on = on
 	}
+	return plan
+}
+
+func (c *Core) commitGang(j *job, attempt uint64, plan *gangPlan, now Micros) {
 	j.attempt, j.waitFrom = attempt, 0
-	for n, m := range on {
-		c.put(j, tasks[n], m, attempt, now)
+	for n, m := range plan.on {
+		c.put(j, plan.tasks[n], m, attempt, now)
 	}
-	c.evict(&plan, j, now)
-	return true
+	c.evict(&plan.reclaim, j, now)
 }
 
 // promise counts a task of a plan on a machine, or takes it off again: nothing
--- a/internal/core/spare.go
+++ b/internal/core/spare.go
@@ -73,8 +73,8 @@
 		c.spareNeed.CPU = max(c.spareNeed.CPU, a.need.CPU)
 		c.spareNeed.GPU = max(c.spareNeed.GPU, a.need.GPU)
 		c.spareNeed.Mem = max(c.spareNeed.Mem, a.need.Mem)
-		if k.within > 0 {
-			c.spareRate = max(c.spareRate, a.mb/(float64(k.within)/float64(Second)))
+		if len(k.within) > 0 {
+			c.spareRate = max(c.spareRate, a.mb/(float64(k.within[0])/float64(Second)))
 		}
 		want += spareShare*a.rateAt(now)*float64(c.lead(a.need)) + a.size
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -226,8 +226,8 @@
 	RecordPause Micros
 	// MachinesPerRecord is how many machines share one record.
 	MachinesPerRecord int
-	StartWithin       map[string]Micros // aims for how soon a class's tasks start
-	LateTimes         float64           // a late job is still worth something within this many times its due time
+	StartWithin       map[string][]Micros // aims for how soon a class's tasks start, the earliest first
+	LateTimes         float64             // a late job is still worth something within this many times its due time
 	Tuning            Tuning
 }
 
