Gangs that borrow are victims as a whole, or not at all

Kept from the source: reclaim within min takes from teams over theirs. Until now a running gang of more than one task was never a victim, so where borrowers run gangs a guarantee could not be regained. All the room a gang frees counts for the plan, its team is not pushed below its min by all of it, and others go first.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -852,6 +852,24 @@
 			w.want(c.name, fmt.Sprint(strings.Count(fs[0].live(), "job-1"), strings.Count(fs[1].live(), "job-1")), c.want)
 		}
 	})
+	t.Run("a gang that borrows goes as a whole, or not at all", func(t *testing.T) {
+		for _, c := range []struct {
+			min  int64 // of the gang's team
+			want string
+		}{{0, "0 4"}, {4000, "2 0"}} {
+			w := newWorld(t, Team{Name: "blue", Min: Res{CPU: c.min}}, Team{Name: "green", Min: Res{CPU: 16000}})
+			w.begin(100, nil, Snapshot{})
+			fs := []*fake{w.machine("n-1", "a").beat(), w.machine("n-2", "b").beat()}
+			w.submit(JobSpec{ID: "job-1", Kind: Gang, Tasks: 2, Need: Res{8000, 0, 1000}})
+			round(w, fs)
+			w.submit(JobSpec{ID: "job-2", Kind: Gang, Tasks: 4, Need: Res{4000, 0, 1000}, Team: "green"})
+			for range 4 {
+				w.pass(Second)
+				round(w, fs)
+			}
+			w.want("running", fmt.Sprint(w.c.jobs["job-1"].running, w.c.jobs["job-2"].running), c.want)
+		}
+	})
 	t.Run("victims in the zone where the gang fits", func(t *testing.T) {
 		w, fs := setup(t)
 		fs = append(fs, w.machine("n-3", "b").beat())
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,9 @@
 package core
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 // within reports whether a request on top of used stays within a guarantee. A
 // team may be guaranteed GPUs alone, or CPUs alone: what its min does not name
@@ -228,7 +231,7 @@
 		plan.victims = append(plan.victims, v)
 		plan.chosen[v] = true
 		plan.taken[v.j.spec.Team] = plan.taken[v.j.spec.Team].Add(v.need)
-		plan.freed[best] = plan.freed[best].Add(v.need)
+		plan.freed[v.m] = plan.freed[v.m].Add(v.need)
 	}
 	return best
 }
@@ -258,8 +261,7 @@
 	switch {
 	case p.j == nil || !p.holds() || p.unwanted || p.j == j:
 		return false
-	case p.j.spec.Kind == Gang && (p.j.stopping || len(p.j.live) > 1):
-		// Stopping one task of a gang loses all of them, on other machines too.
+	case p.j.stopping:
 		return false
 	case guaranteed:
 		return p.j.team != j.team && p.j.team.over()
@@ -290,25 +292,36 @@
 		if x.j.spec.Priority != y.j.spec.Priority {
 			return x.j.spec.Priority < y.j.spec.Priority
 		}
-		return x.lost(now) < y.lost(now)
+		return x.lost(now)*Micros(x.size()) < y.lost(now)*Micros(y.size())
 	})
 	taken := map[string]Res{}
 	var out []*placement
+	if plan.freed[m] != (Res{}) {
+		out = []*placement{} // others of the plan may have made room enough
+	}
 	var cost int64
 	for _, p := range cands {
 		if j.spec.Need.Fits(free) {
 			break
 		}
-		if guaranteed {
-			t := p.j.team
-			if !t.lends(p.need, taken[t.Name].Add(plan.taken[t.Name])) {
+		if p.j.spec.Kind == Gang && slices.Contains(out, p) {
+			continue // its gang goes already
+		}
+		with := p.stopsWith()
+		need := p.need.Times(len(with))
+		if t := p.j.team; guaranteed {
+			if !t.lends(need, taken[t.Name].Add(plan.taken[t.Name])) {
 				continue
 			}
-			taken[t.Name] = taken[t.Name].Add(p.need)
+			taken[t.Name] = taken[t.Name].Add(need)
 		}
-		free = free.Add(p.need)
-		out = append(out, p)
-		cost += int64(p.lost(now)) + int64(p.j.spec.Priority)*int64(60*Second)
+		for _, v := range with {
+			if v.m == m {
+				free = free.Add(v.need)
+			}
+			cost += int64(v.lost(now)) + int64(v.j.spec.Priority)*int64(60*Second)
+		}
+		out = append(out, with...)
 	}
 	if !j.spec.Need.Fits(free) {
 		return nil, 0
@@ -316,6 +329,23 @@
 	return out, cost
 }
 
+// size is how many tasks stop with it.
+func (p *placement) size() int {
+	if p.j.spec.Kind == Gang {
+		return len(p.j.live)
+	}
+	return 1
+}
+
+// stopsWith lists what stops if the task is stopped: of a gang, all tasks, on
+// other machines too.
+func (p *placement) stopsWith() []*placement {
+	if p.j.spec.Kind == Gang {
+		return p.j.placements()
+	}
+	return []*placement{p}
+}
+
 // lost is the work that is repeated if the task is stopped now.
 func (p *placement) lost(now Micros) Micros {
 	if !p.shown || p.state != Running {
