--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1463,4 +1463,16 @@
 	w.c.lookForRoom(w.now)
 	w.want("machines looked at for each task", len(w.c.roomy), 1)
 	w.want("no victims are looked for where there can be none", w.c.mayReclaim(w.c.jobs["job-100"], false), false)
+
+	// Gangs that find no room, nor victims who would make any, are looked at once
+	// a pass for all of their shape, and not again before something changes.
+	for i := range 50 {
+		w.c.Job(w.now, w.now, JobRecord{Spec: JobSpec{ID: fmt.Sprintf("job-2%02d", i), Team: "blue", Kind: Gang, Tasks: 4, Priority: High,
+			Need: Res{8000, 0, 1000}, Types: []string{"g"}, OneZone: true, Image: "im"}, Stamp: 5})
+	}
+	w.pass(Second / 2)
+	w.c.looked = 0
+	w.pass(Second)
+	// A pass a second; victims in each of two zones and tries without any.
+	w.want("machines looked at for gangs", w.c.looked >= 1000 && w.c.looked <= 2100, true)
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -70,6 +70,7 @@
 			used[k] += m.used.CPU
 		}
 	}
+	defer func() { c.looked = 0 }()
 	waiting := 0
 	for _, j := range c.queue {
 		waiting += j.pending
@@ -77,7 +78,7 @@
 	c.out = append(c.out, Note{Text: "fleet", Debug: true, Args: []any{
 		"up", up, "booting", booting, "idle", idle, "ordinary_cpus", cpus[0] / 1000, "used", used[0] / 1000,
 		"spot_cpus", cpus[1] / 1000, "spot_used", used[1] / 1000, "jobs", len(c.queue), "tasks_waiting", waiting,
-		"spare", c.spare,
+		"spare", c.spare, "looked_at", c.looked,
 	}})
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -150,6 +150,7 @@
 // soonest, then where it wastes least. only restricts the zone, cached to where
 // its image is.
 func (c *Core) pick(j *job, now Micros, only string, cached bool) *machine {
+	c.looked += len(c.roomy)
 	var best *machine
 	var bestCost int64
 	for _, m := range c.roomy {
@@ -205,6 +206,7 @@
 	if !c.mayReclaim(j, guaranteed) {
 		return nil
 	}
+	c.looked += len(c.order)
 	var best *machine
 	var bestVictims []*placement
 	var bestCost int64
@@ -374,7 +376,7 @@
 	if j.waitFrom == 0 {
 		j.waitFrom = now
 	}
-	return c.placeGang(j, c.nextAttempt(), now)
+	return c.placeGang(j, 0, now)
 }
 
 // completeGang replaces what a gang that has not started lacks, with the same
@@ -402,8 +404,8 @@
 	}
 }
 
-// placeGang places the waiting tasks of a gang. It reports false if there is no
-// room for them.
+// placeGang places the waiting tasks of a gang, with a new attempt if none is
+// given. It reports false if there is no room for them.
 func (c *Core) placeGang(j *job, attempt uint64, now Micros) bool {
 	t := j.team
 	use := c.teamUse(t)
@@ -523,6 +525,9 @@
 }
 
 func (c *Core) commitGang(j *job, attempt uint64, plan *gangPlan, now Micros) {
+	if attempt == 0 {
+		attempt = c.nextAttempt()
+	}
 	j.attempt, j.waitFrom = attempt, 0
 	for n, m := range plan.on {
 		c.put(j, plan.tasks[n], m, attempt, now)
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -65,30 +66,8 @@
 // TestDays plays whole days against the real controllers under fake time and
 // looks for broken rules and for work that does not get done.
 func TestDays(t *testing.T) {
-	type act struct {
-		at time.Duration
-		do func(w *standin.World)
-	}
-	kill := func(i int) func(*standin.World) { return func(w *standin.World) { w.Kill(i) } }
-	start := func(i int) func(*standin.World) { return func(w *standin.World) { w.StartNode(i) } }
-	killAll := func(w *standin.World) {
-		for i := range 3 {
-			w.Kill(i)
-		}
-	}
-	startAll := func(w *standin.World) {
-		for i := range 3 {
-			w.StartNode(i)
-		}
-	}
 	s := time.Second
-	for _, day := range []struct {
-		name  string
-		seed  uint64
-		setup func(w *standin.World)
-		acts  []act
-		kept  bool // no worker's lease may run out
-	}{
+	for _, day := range []day{
 		{name: "quiet", seed: 1},
 		{name: "answers lost", seed: 2, setup: func(w *standin.World) {
 			w.StateFaults.LoseAnswer, w.StateFaults.LoseRequest = 0.05, 0.05
@@ -165,108 +144,252 @@
 			{35 * s, kill(0)}, {45 * s, start(0)}, {47 * s, func(w *standin.World) { w.Cloud.Workers()[0].Die() }},
 			{60 * s, killAll}, {63 * s, startAll}, {90 * s, kill(1)}, {91 * s, start(1)},
 		}},
+	} {
+		t.Run(day.name, func(t *testing.T) { play(t, day, platform(), machineTypes, mixedJobs) })
+	}
+}
+
+// act is something that happens at a time of a day.
+type act struct {
+	at time.Duration
+	do func(w *standin.World)
+}
+
+// day is a day to be played.
+type day struct {
+	name  string
+	seed  uint64
+	setup func(w *standin.World)
+	acts  []act
+	kept  bool // no worker's lease may run out
+}
+
+// users is who submits jobs on a day.
+type users struct {
+	w      *standin.World
+	r      *rand.Rand
+	group  sync.WaitGroup
+	mu     sync.Mutex
+	undone []string
+}
+
+func (u *users) after(d time.Duration, f func()) {
+	u.group.Go(func() { time.Sleep(d); f() })
+}
+
+// sometime does so within so many seconds.
+func (u *users) sometime(seconds int, f func()) {
+	u.after(time.Duration(u.r.IntN(seconds))*time.Second, f)
+}
+
+func (u *users) must(id, state string) {
+	if !u.w.Await(id, state, 400*time.Second) {
+		u.mu.Lock()
+		u.undone = append(u.undone, id+" is not "+state)
+		u.mu.Unlock()
+	}
+}
+
+func (u *users) run(job standin.Spec) {
+	if u.w.Submit(job) {
+		u.must(job.ID, "done")
+	}
+}
+
+// play plays a day under fake time.
+func play(t *testing.T, day day, p config.Platform, types []standin.MachineType, jobs func(t *testing.T, u *users)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := standin.NewWorld(day.seed, p, types)
+		defer w.Close()
+		if day.setup != nil {
+			day.setup(w)
+		}
+		startAll(w)
+		u := &users{w: w, r: rand.New(rand.NewPCG(day.seed, 7))}
+		for _, a := range day.acts {
+			u.after(a.at, func() { a.do(w) })
+		}
+		jobs(t, u)
+		u.group.Wait()
+		time.Sleep(60 * time.Second) // what is late arrives, what is cancelled must be gone
+		for _, b := range w.Broken() {
+			t.Error(b)
+		}
+		for _, id := range u.undone {
+			t.Error(id)
+		}
+		if n := w.Lapsed(); day.kept && n > 0 {
+			t.Errorf("%d workers' leases ran out", n)
+		}
+		if w.Starts() == 0 {
+			t.Error("nothing ran")
+		}
+	})
+}
+
+// mixedJobs are arrays, gangs and services side by side.
+func mixedJobs(t *testing.T, u *users) {
+	const s = time.Second
+	w, r := u.w, u.r
+	for i := range 12 {
+		job := array(100+i, 1+r.IntN(12), 5+10*r.Float64())
+		cancelled := i%5 == 4
+		if i%3 == 1 {
+			job.Team, job.Urgency = "green", "idle"
+		}
+		u.sometime(100, func() {
+			if !cancelled {
+				u.run(job)
+			} else if w.Submit(job) {
+				time.Sleep(6 * s)
+				w.Cancel(job.ID)
+			}
+		})
+	}
+	for i := range 4 {
+		job := gang(200+i, 2+r.IntN(3), 8)
+		u.sometime(100, func() { u.run(job) })
+	}
+	for i := range 2 {
+		job := array(400+i, 4, 6)
+		job.Team, job.GPUs, job.Types = "green", 1, []string{"g16"}
+		u.sometime(60, func() { u.run(job) })
+	}
+	for i := range 4 {
+		job := service(300+i, 1+i%3)
+		u.sometime(60, func() {
+			if !w.Submit(job) {
+				return
+			}
+			u.must(job.ID, "running")
+			time.Sleep(60 * s)
+			w.Cancel(job.ID)
+		})
+	}
+	u.after(0, func() { // runs throughout
+		if job := service(390, 3); w.Submit(job) {
+			time.Sleep(120 * s)
+			w.Cancel(job.ID)
+		}
+	})
+	u.after(50*s, func() {
+		if got := w.Poll("job-999999"); got != "unknown" && got != "" {
+			t.Errorf("a job that nobody submitted is %q", got)
+		}
+	})
+}
+
+// wholeMachines is a platform of machines with eight GPUs, for which three teams
+// have guarantees and limits, in GPUs alone.
+func wholeMachines() (config.Platform, []standin.MachineType) {
+	p := platform()
+	p.Params.Teams = p.Params.Teams[:0]
+	for _, t := range []struct {
+		name     string
+		min, max float64
+	}{{"river", 16, 48}, {"radar", 32, 64}, {"models", 16, 48}} {
+		p.Params.Teams = append(p.Params.Teams, struct {
+			Name    string  `json:"name"`
+			CPUs    float64 `json:"cpus"`
+			CPUsMax float64 `json:"cpus_max"`
+			GPUs    float64 `json:"gpus"`
+			GPUsMax float64 `json:"gpus_max"`
+		}{Name: t.name, GPUs: t.min, GPUsMax: t.max})
+	}
+	p.Params.Workers.ReportS, p.Params.Workers.LeaseS = 6, 34
+	p.Params.Workers.GangWaitS, p.Params.Workers.GangPeerS, p.Params.Workers.CancelS = 12, 4, 64
+	p.Params.State.ValueKB, p.Params.State.TxnOps = 8, 24
+	p.Params.Cloud.RPS = 10
+	return p, []standin.MachineType{{Name: "h8", CPUs: 64, GPUs: 8, MemGB: 512, CacheGB: 60, FetchGBps: 0.5,
+		Price: 18, SpotPrice: 8, BootS: 20, Zones: []string{"a", "b"}}}
+}
+
+// gangJobs are gangs of whole machines, some in one zone, and arrays of single
+// GPUs that borrow what their teams leave. Some images take longer to fetch than
+// a worker lets a gang task wait.
+func gangJobs(t *testing.T, u *users) {
+	r := u.r
+	for i := range 10 {
+		job := gang(200+i, []int{1, 2, 4}[i%3], 10+20*r.Float64())
+		job.Team, job.CPUs, job.GPUs, job.MemGB = []string{"radar", "river"}[i%2], 57, 8, 410
+		job.Spot, job.OneZone = i%2 == 1, i%2 == 0
+		job.Image, job.ImageGB = fmt.Sprint("gang", i%3), []float64{3, 6, 12}[i%3]
+		u.sometime(90, func() { u.run(job) })
+	}
+	for i := range 8 {
+		job := array(100+i, 8+r.IntN(24), 5+15*r.Float64())
+		job.Team, job.CPUs, job.GPUs, job.MemGB = "models", 6, 1, 48
+		job.CheckpointS, job.SaveS, job.DueS = 4, 1, 200.0
+		cancelled := i == 3
+		u.sometime(60, func() {
+			if !cancelled {
+				u.run(job)
+			} else if u.w.Submit(job) {
+				time.Sleep(10 * time.Second)
+				u.w.Cancel(job.ID)
+			}
+		})
+	}
+	u.after(30*time.Second, func() {
+		for want, job := range map[string]standin.Spec{
+			"more than its team's limit": {Tasks: 9, GPUs: 8}, "more than any machine": {Tasks: 1, GPUs: 9},
+		} {
+			bad := gang(299, job.Tasks, 5)
+			bad.Team, bad.GPUs = "radar", job.GPUs
+			if got := u.w.Post(1, &bad); got != http.StatusUnprocessableEntity {
+				t.Errorf("a gang that needs %s is answered %d", want, got)
+			}
+		}
+	})
+}
+
+// TestGangDays plays days of whole machines, gangs and borrowed GPUs.
+func TestGangDays(t *testing.T) {
+	const s = time.Second
+	few := func(w *standin.World) { w.Cloud.Capacity = 9 }
+	wave := func(w *standin.World) {
+		for i, k := range w.Cloud.Workers() {
+			switch i % 3 {
+			case 0:
+				k.Die()
+			case 1:
+				k.SetNotice(8)
+			}
+		}
+	}
+	for _, day := range []day{
+		{name: "quiet", seed: 21},
+		{name: "fewer machines than work", seed: 22, setup: few},
+		{name: "takeover in mid-gang", seed: 23, setup: few, acts: []act{
+			{41 * s, kill(0)}, {47 * s, start(0)}, {60 * s, kill(1)}, {66 * s, start(1)}, {80 * s, killAll}, {86 * s, startAll},
+		}},
+		{name: "machines are taken in a wave", seed: 24, acts: []act{{50 * s, wave}, {75 * s, wave}}},
+		{name: "late and lost commands", seed: 25, setup: func(w *standin.World) {
+			w.WorkerFaults.LoseAnswer, w.WorkerFaults.Late, w.WorkerFaults.LateBy = 0.1, 0.1, 25*time.Second
+		}, acts: []act{{45 * s, kill(0)}, {51 * s, start(0)}, {60 * s, wave}}},
 	} {
 		t.Run(day.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := standin.NewWorld(day.seed, platform(), machineTypes)
-				defer w.Close()
-				if day.setup != nil {
-					day.setup(w)
-				}
-				startAll(w)
-				r := rand.New(rand.NewPCG(day.seed, 7))
-				var users sync.WaitGroup
-				user := func(after time.Duration, f func()) {
-					users.Go(func() { time.Sleep(after); f() })
-				}
-				for _, a := range day.acts {
-					user(a.at, func() { a.do(w) })
-				}
-				var mu sync.Mutex
-				var undone []string
-				must := func(id, state string) {
-					if !w.Await(id, state, 400*s) {
-						mu.Lock()
-						undone = append(undone, id+" is not "+state)
-						mu.Unlock()
-					}
-				}
-				for i := range 12 {
-					job := array(100+i, 1+r.IntN(12), 5+10*r.Float64())
-					cancelled := i%5 == 4
-					if i%3 == 1 {
-						job.Team, job.Urgency = "green", "idle"
-					}
-					user(time.Duration(r.IntN(100))*s, func() {
-						if !w.Submit(job) {
-							return
-						}
-						if cancelled {
-							time.Sleep(6 * s)
-							w.Cancel(job.ID)
-							return
-						}
-						must(job.ID, "done")
-					})
-				}
-				for i := range 4 {
-					job := gang(200+i, 2+r.IntN(3), 8)
-					user(time.Duration(r.IntN(100))*s, func() {
-						if w.Submit(job) {
-							must(job.ID, "done")
-						}
-					})
-				}
-				for i := range 2 {
-					job := array(400+i, 4, 6)
-					job.Team, job.GPUs, job.Types = "green", 1, []string{"g16"}
-					user(time.Duration(r.IntN(60))*s, func() {
-						if w.Submit(job) {
-							must(job.ID, "done")
-						}
-					})
-				}
-				for i := range 4 {
-					job := service(300+i, 1+i%3)
-					user(time.Duration(r.IntN(60))*s, func() {
-						if !w.Submit(job) {
-							return
-						}
-						must(job.ID, "running")
-						time.Sleep(60 * s)
-						w.Cancel(job.ID)
-					})
-				}
-				user(0, func() { // runs throughout
-					if job := service(390, 3); w.Submit(job) {
-						time.Sleep(120 * s)
-						w.Cancel(job.ID)
-					}
-				})
-				user(50*s, func() {
-					if got := w.Poll("job-999999"); got != "unknown" && got != "" {
-						t.Errorf("a job that nobody submitted is %q", got)
-					}
-				})
-				users.Wait()
-				time.Sleep(60 * s) // what is late arrives, what is cancelled must be gone
-				for _, b := range w.Broken() {
-					t.Error(b)
-				}
-				for _, u := range undone {
-					t.Error(u)
-				}
-				if n := w.Lapsed(); day.kept && n > 0 {
-					t.Errorf("%d workers' leases ran out", n)
-				}
-				if w.Starts() == 0 {
-					t.Error("nothing ran")
-				}
-			})
+			p, types := wholeMachines()
+			play(t, day, p, types, gangJobs)
 		})
 	}
 }
 
+func kill(i int) func(*standin.World)  { return func(w *standin.World) { w.Kill(i) } }
+func start(i int) func(*standin.World) { return func(w *standin.World) { w.StartNode(i) } }
+
+func killAll(w *standin.World) {
+	for i := range 3 {
+		w.Kill(i)
+	}
+}
+
+func startAll(w *standin.World) {
+	for i := range 3 {
+		w.StartNode(i)
+	}
+}
+
 func cutNode(w *standin.World, i int, other string, cut bool) { w.Net.Cut(w.NodeAddr(i), other, cut) }
 
 func cutWorkers(w *standin.World, i int, cut bool) {
