--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -316,6 +316,13 @@
 		job.Image, job.ImageGB = fmt.Sprint("gang", i%3), []float64{3, 6, 12}[i%3]
 		u.sometime(90, func() { u.run(job) })
 	}
+	// One of its machines has the image, the others fetch it for twice as long as
+	// the one waits.
+	for i, tasks := range []int{1, 3} {
+		job := gang(250+i, tasks, 10)
+		job.Team, job.CPUs, job.GPUs, job.MemGB, job.Image, job.ImageGB = "radar", 57, 8, 410, "large", 12
+		u.after(time.Duration(60*i)*time.Second, func() { u.run(job) })
+	}
 	for i := range 8 {
 		job := array(100+i, 8+r.IntN(24), 5+15*r.Float64())
 		job.Team, job.CPUs, job.GPUs, job.MemGB = "models", 6, 1, 48
