--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1475,4 +1475,14 @@
 	w.pass(Second)
 	// A pass a second; victims in each of two zones and tries without any.
 	w.want("machines looked at for gangs", w.c.looked >= 1000 && w.c.looked <= 2100, true)
+
+	// CPUs alone make no room: GPUs or memory may be what is used up.
+	for _, c := range []struct {
+		used Res
+		want int
+	}{{Res{}, 1}, {Res{Mem: 32000}, 0}, {Res{GPU: 1}, 0}} {
+		m.used = c.used
+		w.c.lookForRoom(w.now)
+		w.want(fmt.Sprint("machines with room where this is used: ", c.used), len(w.c.roomy), c.want)
+	}
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -122,19 +122,21 @@
 // pass looks only at those: in a full fleet they are few. It reports whether
 // any task waits.
 func (c *Core) lookForRoom(now Micros) bool {
-	least := int64(-1)
+	least, waits := Res{}, false
 	for _, j := range c.queue {
-		if j.pending > 0 && (least < 0 || j.spec.Need.CPU < least) {
-			least = j.spec.Need.CPU
+		if j.pending > 0 && waits {
+			least = least.least(j.spec.Need)
+		} else if j.pending > 0 {
+			least, waits = j.spec.Need, true
 		}
 	}
-	if least < 0 {
+	if !waits {
 		return false
 	}
 	c.countSpare(now)
 	c.roomy = c.roomy[:0]
 	for _, m := range c.order {
-		if !m.vacating && c.usable(m, now) && m.typ.Cap.CPU-m.used.CPU >= least {
+		if !m.vacating && c.usable(m, now) && least.Fits(m.free()) {
 			c.roomy = append(c.roomy, m)
 		}
 	}
