Machines of unknown types go back; the stand-in's gangs begin from a copy; docs

A machine whose type the catalog does not name made the idle check read a type that was not there. The stand-in iterated over a gang's tasks while one left, which ended a test run once.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,7 @@
 	placeAt     Micros
 	placed      Micros     // last time
 	roomy       []*machine // that the tasks to be placed may fit on, for one pass
+	looked      int        // machines looked at for room and victims: what placing costs
 	summaryAt   Micros
 	vacateAt    Micros
 	vacating    []*machine
@@ -80,7 +81,6 @@
 	returnFrom  Micros     // not before this
 	classes     map[string]*class
 	imagesOn    map[int]int    // machines that have an image
-	looked      int            // machines looked at for room and victims: what placing costs
 	imagesAt    Micros         // as of then
 	images      map[string]int // a number for each image, to compare quickly
 	rankAt      Micros
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -112,6 +112,8 @@
 			// likely on this side, and good machines would be deleted.
 			c.giveBack(m, now, silentWhy)
 		case !m.settled:
+		case m.typ == nil && m.used == (Res{}):
+			c.giveBack(m, now, "of a type that is not in the catalog")
 		case m.draining, m.vacating:
 			if m.used == (Res{}) {
 				c.giveBack(m, now, "drained")
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -100,6 +100,7 @@
 	})
 }
 
+// price is what the machine costs an hour.
 func (m *machine) price() float64 {
 	if m.spot {
 		return m.typ.SpotPrice
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -186,15 +187,17 @@
 	}
 	g.ready[t] = k
 	full := len(g.ready) == t.spec.Tasks && !g.running
+	var members map[*lot]*Worker
 	if full {
 		g.running = true
+		members = maps.Clone(g.ready) // a task may leave while the others begin
 	}
 	w.mu.Unlock()
 	if !full {
 		return
 	}
 	go func() {
-		for t, k := range g.ready {
+		for t, k := range members {
 			k.mu.Lock()
 			if t.State == "gathering" {
 				t.timer.Stop()
