--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -150,6 +150,17 @@
 	return f
 }
 
+// rounds lets all workers report so many times, a second apart.
+func (w *world) rounds(n int, fs []*fake) {
+	for range n {
+		w.pass(Second)
+		for _, f := range fs {
+			f.direct()
+			f.beat()
+		}
+	}
+}
+
 func (f *fake) execute(cmds []Command) {
 	for _, c := range cmds {
 		i := f.index(c.Job, c.Index, c.Attempt)
@@ -252,15 +263,7 @@
 			for i := range c.machines {
 				fs = append(fs, w.machine(fmt.Sprintf("n-%d", i), "a").beat())
 			}
-			round := func() {
-				for range 4 {
-					w.pass(Second)
-					for _, f := range fs {
-						f.direct()
-						f.beat()
-					}
-				}
-			}
+			round := func() { w.rounds(4, fs) }
 			w.submit(c.first)
 			round()
 			w.submit(c.then)
@@ -356,15 +359,7 @@
 		f.r.Type = "g"
 		fs = append(fs, f.beat())
 	}
-	round := func() {
-		for range 4 {
-			w.pass(Second)
-			for _, f := range fs {
-				f.direct()
-				f.beat()
-			}
-		}
-	}
+	round := func() { w.rounds(4, fs) }
 	w.submit(JobSpec{ID: "job-1", Tasks: 4, Need: Res{1000, 1000, 1000}})
 	round()
 	w.want("borrowed", w.c.jobs["job-1"].running, 4)
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -13,21 +13,21 @@
 	"aspenstall/internal/standin"
 )
 
-func platform() config.Platform {
-	var p config.Platform
+// addTeam adds a team with its guarantees and limits, in CPUs and in GPUs.
+func addTeam(p *config.Platform, name string, cpus, cpusMax, gpus, gpusMax float64) {
 	p.Params.Teams = append(p.Params.Teams, struct {
 		Name    string  `json:"name"`
 		CPUs    float64 `json:"cpus"`
 		CPUsMax float64 `json:"cpus_max"`
 		GPUs    float64 `json:"gpus"`
 		GPUsMax float64 `json:"gpus_max"`
-	}{Name: "blue", CPUs: 16, CPUsMax: 40}, struct {
-		Name    string  `json:"name"`
-		CPUs    float64 `json:"cpus"`
-		CPUsMax float64 `json:"cpus_max"`
-		GPUs    float64 `json:"gpus"`
-		GPUsMax float64 `json:"gpus_max"`
-	}{Name: "green", CPUs: 8, CPUsMax: 24, GPUs: 1, GPUsMax: 2})
+	}{name, cpus, cpusMax, gpus, gpusMax})
+}
+
+func platform() config.Platform {
+	var p config.Platform
+	addTeam(&p, "blue", 16, 40, 0, 0)
+	addTeam(&p, "green", 8, 24, 1, 2)
 	p.Params.Workers.ReportS, p.Params.Workers.LeaseS = 3, 16
 	p.Params.Workers.GangWaitS, p.Params.Workers.GangPeerS, p.Params.Workers.CancelS = 30, 8, 40
 	p.Params.State.RPS, p.Params.State.WriteRPS, p.Params.State.ValueKB, p.Params.State.TxnOps = 200, 100, 4, 12
@@ -284,18 +284,9 @@
 func wholeMachines() (config.Platform, []standin.MachineType) {
 	p := platform()
 	p.Params.Teams = p.Params.Teams[:0]
-	for _, t := range []struct {
-		name     string
-		min, max float64
-	}{{"river", 16, 48}, {"radar", 32, 64}, {"models", 16, 48}} {
-		p.Params.Teams = append(p.Params.Teams, struct {
-			Name    string  `json:"name"`
-			CPUs    float64 `json:"cpus"`
-			CPUsMax float64 `json:"cpus_max"`
-			GPUs    float64 `json:"gpus"`
-			GPUsMax float64 `json:"gpus_max"`
-		}{Name: t.name, GPUs: t.min, GPUsMax: t.max})
-	}
+	addTeam(&p, "river", 0, 0, 16, 48)
+	addTeam(&p, "radar", 0, 0, 32, 64)
+	addTeam(&p, "models", 0, 0, 16, 48)
 	p.Params.Workers.ReportS, p.Params.Workers.LeaseS = 6, 34
 	p.Params.Workers.GangWaitS, p.Params.Workers.GangPeerS, p.Params.Workers.CancelS = 12, 4, 64
 	p.Params.State.ValueKB, p.Params.State.TxnOps = 8, 24
