--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1321,29 +1321,27 @@
 			w.want("not asked for twice", len(w.rents), 1)
 		}
 	})
-	t.Run("a machine of a type that nobody knows goes back", func(t *testing.T) {
-		w := newWorld(t, Team{Name: "blue"})
-		w.begin(100, nil, Snapshot{})
-		f := w.machine("n-1", "a")
-		f.r.Type = "new"
-		for range 25 {
-			f.direct()
-			f.beat()
-			w.pass(3 * Second)
-		}
-		w.want("back", len(w.backs), 1)
-	})
-	t.Run("a machine taken over empty goes back", func(t *testing.T) {
-		w := newWorld(t, Team{Name: "blue"})
-		w.begin(100, nil, Snapshot{Machines: recorded("n-1")})
-		f := w.machine("n-1", "a")
-		for range 25 {
-			f.direct()
-			f.beat()
-			w.pass(3 * Second)
-		}
-		w.want("back", len(w.backs), 1)
-	})
+	for _, c := range []struct {
+		name string
+		typ  string
+		snap Snapshot
+	}{
+		{"a machine of a type that nobody knows goes back", "new", Snapshot{}},
+		{"a machine taken over empty goes back", "m", Snapshot{Machines: recorded("n-1")}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, Team{Name: "blue"})
+			w.begin(100, nil, c.snap)
+			f := w.machine("n-1", "a")
+			f.r.Type = c.typ
+			for range 25 {
+				f.direct()
+				f.beat()
+				w.pass(3 * Second)
+			}
+			w.want("back", len(w.backs), 1)
+		})
+	}
 	t.Run("a machine that never comes up goes back", func(t *testing.T) {
 		w := newWorld(t, Team{Name: "blue"})
 		w.begin(100, nil, Snapshot{})
