Probes of machines that are deleted meanwhile no longer count as under way

At most 32 probes are under way; the result of one whose machine had been deleted was dropped with the machine and its place never came free. After a wave of deletions a leader probed nobody for the rest of its term: 109 machines that hung at 320 s were found when their leases ran out (341 to 347 s) and not after the 4.5 s that suspect-s says. Change: deleting a machine ends its probe. Ruled out: a longer probe timeout, and more probes at a time: neither frees the places.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -859,10 +859,7 @@
 		return
 	}
 	m.doing = false
-	if m.probed > 0 {
-		m.probed = 0
-		c.probing--
-	}
+	c.probeOver(m)
 	c.touch(m)
 	for _, p := range m.tasks {
 		if !p.inDo {
@@ -1013,6 +1010,14 @@
 // comes, and each connection costs processor time.
 const probesMost = 32
 
+// probeOver notes that a probe has its result, or will not be waited for.
+func (c *Core) probeOver(m *machine) {
+	if m.probed > 0 {
+		m.probed = 0
+		c.probing--
+	}
+}
+
 // reachable reports whether a direct command can be sent to the machine now.
 func (c *Core) reachable(m *machine) bool {
 	return !m.doing && m.address != "" && !m.lost && !m.booting && c.machines[m.name] == m
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -353,6 +353,7 @@
 func (c *Core) removeMachine(m *machine, now Micros) {
 	c.clear(m, now)
 	c.settle(m)
+	c.probeOver(m) // its result finds no machine any more
 	delete(c.machines, m.name)
 	i := sort.Search(len(c.order), func(i int) bool { return c.order[i].name >= m.name })
 	c.order = append(c.order[:i:i], c.order[i+1:]...)
