Leases count down in a cut; lost machines are kept a boot's time; the log says what money buys

Cause: a leader went on sending permissions to a deputy that it did not hear, and took each as a new one, so no lease in a zone that never comes back would have ended. A permission counts from the deputy's reply that it names, on both sides now. A machine whose lease is over in a zone that is cut off goes back only when another could be there by then. Also: the fleet line at debug says what the machines cost an hour by what they do.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -970,10 +970,10 @@
 		if c.leaseEnded(m, now) {
 			c.note("machine lost: its lease is over", "machine", m.name, "tasks", len(m.tasks), "session", m.session,
 				"answered_ms_ago", (now-m.answered)/Millisecond, "heard_ms_ago", (now-m.heard)/Millisecond, "seen_ms_ago", (now-m.seen)/Millisecond)
-			m.lost = true
+			m.lost, m.lostAt = true, now
 			c.clear(m, now)
 			c.settle(m)
-			c.giveBack(m, now, "lost")
+			c.fleetAt = now // it goes back, or is waited for
 			continue
 		}
 		if m.returning {
--- a/internal/core/deputy.go
+++ b/internal/core/deputy.go
@@ -29,9 +29,9 @@
 	spoke Micros // its last message of any kind
 }
 
-// Permit notes that a permission goes out, good for so long after the deputy's
-// last reply, which is earlier than now.
-func (d *Deputy) Permit(now, grace Micros) { d.until = max(d.until, now+grace) }
+// Permit notes that a permission goes out. It is good for so long after a reply
+// of the deputy's that the leader got at a time; sent again, it is no longer.
+func (d *Deputy) Permit(replied, grace Micros) { d.until = max(d.until, replied+grace) }
 
 // Heard takes its reply to what was asked at a time: which process replies, and
 // how long ago that last answered a worker in the leader's place, negative for
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -50,15 +51,56 @@
 	}
 }
 
-// summary tells an operator how full the fleet is.
+// spending is what the fleet costs an hour, by what it is spent on.
+type spending struct {
+	boot, idle         float64 // machines that are not up yet, or without tasks
+	run, wait, service float64 // the parts of machines that tasks of batches run on, or wait on, and services' parts
+	left               float64 // the parts of those machines that nothing uses
+}
+
+// add counts a machine.
+func (s *spending) add(m *machine) {
+	price := m.price()
+	switch {
+	case m.booting:
+		s.boot += price
+		return
+	case m.used == (Res{}):
+		s.idle += price
+		return
+	}
+	left := 1.0
+	for _, p := range m.tasks {
+		if !p.holds() {
+			continue
+		}
+		part := min(p.need.share(m.typ.Cap), left)
+		left -= part
+		switch {
+		case p.j != nil && p.j.spec.Kind == Service:
+			s.service += price * part
+		case p.shown && p.state == Running:
+			s.run += price * part
+		default:
+			s.wait += price * part
+		}
+	}
+	s.left += price * left
+}
+
+// summary tells an operator how full the fleet is, and what it is paid for.
 func (c *Core) summary(now Micros) {
 	var up, booting, idle int
 	var cpus, used [2]int64
+	var money spending
 	for _, m := range c.order {
 		k := 0
 		if m.spot {
 			k = 1
 		}
+		if m.typ != nil && !m.lost {
+			money.add(m)
+		}
 		switch {
 		case m.booting:
 			booting++
@@ -79,10 +121,15 @@
 	c.out = append(c.out, Note{Text: "fleet", Debug: true, Args: []any{
 		"up", up, "booting", booting, "idle", idle, "ordinary_cpus", cpus[0] / 1000, "used", used[0] / 1000,
 		"spot_cpus", cpus[1] / 1000, "spot_used", used[1] / 1000, "jobs", len(c.queue), "tasks_waiting", waiting,
-		"spare", c.spare, "looked_at", c.looked,
+		"spare", c.spare, "spare_want", c.spareWant, "looked_at", c.looked,
+		"cost_boot", cents(money.boot), "cost_idle", cents(money.idle), "cost_run", cents(money.run),
+		"cost_wait", cents(money.wait), "cost_service", cents(money.service), "cost_left", cents(money.left),
 	}})
 }
 
+// cents is an amount of money for the log.
+func cents(x float64) float64 { return math.Round(x*100) / 100 }
+
 // returns gives back machines that are lost, drained, overdue or idle.
 func (c *Core) returns(now Micros, short *Res) {
 	c.countSpare(now)
@@ -102,7 +149,10 @@
 		}
 		switch {
 		case m.lost:
-			c.giveBack(m, now, "lost")
+			// The cut may end before another machine could be there.
+			if m.typ == nil || !c.cutOff(m.zone, now) || now-m.lostAt >= m.typ.Boot {
+				c.giveBack(m, now, "lost")
+			}
 		case m.booting:
 			if m.typ != nil && now-m.seen > 3*m.typ.Boot+10*Second {
 				c.giveBack(m, now, "never came up")
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -53,6 +53,7 @@
 	recorded bool
 	settled  bool   // everything on it is known to this leader
 	lost     bool   // its lease has run out
+	lostAt   Micros
 	booting  bool   // never heard of
 	seen     Micros // when we learnt of it
 	rented   Micros // when it was rented, by our clock
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -68,6 +68,17 @@
 	return Res{int64(float64(r.CPU) * by), int64(float64(r.GPU) * by), int64(float64(r.Mem) * by)}
 }
 
+// share is the part of o that r takes, by the resource of which it takes most.
+func (r Res) share(o Res) float64 {
+	most := 0.0
+	for _, p := range [3][2]int64{{r.CPU, o.CPU}, {r.GPU, o.GPU}, {r.Mem, o.Mem}} {
+		if p[1] > 0 {
+			most = max(most, float64(p[0])/float64(p[1]))
+		}
+	}
+	return most
+}
+
 // copies says how many of r fit into o.
 func (r Res) copies(o Res) int {
 	n := int64(1 << 30)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -29,6 +29,7 @@
 	at      time.Time
 	stateOK bool
 	nonce   uint64 // of its last reply to this node as the leader
+	replied core.Micros
 	// agreed: asked then, it knew of no change of a job that this node does not.
 	agreed core.Micros
 	deputy core.Deputy // what it may have answered in this node's place
@@ -62,7 +63,9 @@
 				s.Counts = n.changedCounts(sent)
 				k := n.peers[p.Member]
 				s.Echo = k.nonce
-				k.deputy.Permit(asked, n.grace)
+				if s.Echo != 0 {
+					k.deputy.Permit(k.replied, n.grace)
+				}
 			}
 			reply(s)
 		})
@@ -83,7 +86,7 @@
 func (n *Node) replied(name string, told, answer *peer.Status, asked core.Micros) {
 	k := n.peers[name]
 	if t := n.term; t != nil && told.Token == t.stamp {
-		k.nonce = answer.Nonce
+		k.nonce, k.replied = answer.Nonce, n.now()
 		k.deputy.Heard(asked, n.now(), answer.Life, core.Micros(answer.AnsweredAgo))
 	}
 	if answer.Seen <= n.view.revision {
