--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -192,9 +192,9 @@
 	// vacateShare is how long a service is left in peace between two moves, on
 	// the average: each move takes it down for as long as its image takes, and
 	// they must not add up.
-	vacateShare = 420 * Second
+	vacateShare = 140 * Second
 	// vacateMost is how many services are moved to empty a machine.
-	vacateMost = 6
+	vacateMost = 16
 	// vacateTries is how many machines are looked at closely in one pass.
 	vacateTries = 8
 )
