A kind of task looks at the machines once in a pass, not each task at all of them

Change: within a pass, tasks that ask for the same share what they saw (choose.go): a heap a zone, a machine's cost looked at again when it is on top, and machines that changed entered anew. pick and reclaim both use it; gangs with a plan under way still look at all, since a plan makes some machines cheaper. Reclaim has a file of its own.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,9 +63,11 @@
 	probing     int        // probes that are under way
 	ended       []*job     // with finished tasks or a final record to be written
 	placeAt     Micros
-	placed      Micros     // last time
-	roomy       []*machine // that the tasks to be placed may fit on, for one pass
-	looked      int        // machines looked at for room and victims: what placing costs
+	placed      Micros            // last time
+	roomy       []*machine        // that the tasks to be placed may fit on, for one pass
+	lookouts    map[kind]*lookout // what each kind of task has seen in a pass
+	changed     []*machine        // whose use changed in the pass
+	looked      int               // machines looked at for room and victims: what placing costs
 	summaryAt   Micros
 	vacateAt    Micros
 	vacating    []*machine
@@ -122,7 +124,7 @@
 	c := &Core{
 		cfg: cfg, teams: map[string]*team{}, types: map[string]*MachineType{},
 		spare: map[string]int{}, classes: map[string]*class{}, images: map[string]int{}, imagesOn: map[int]int{},
-		zoneOf: map[string]*zone{}, deputies: map[string][]*Deputy{},
+		zoneOf: map[string]*zone{}, deputies: map[string][]*Deputy{}, lookouts: map[kind]*lookout{},
 	}
 	for _, t := range cfg.Teams {
 		c.teams[t.Name] = &team{Team: t}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -51,8 +51,8 @@
 
 	chunk    *chunk // the record that it is in, or will be
 	recorded bool
-	settled  bool   // everything on it is known to this leader
-	lost     bool   // its lease has run out
+	settled  bool // everything on it is known to this leader
+	lost     bool // its lease has run out
 	lostAt   Micros
 	booting  bool   // never heard of
 	seen     Micros // when we learnt of it
@@ -208,6 +208,7 @@
 func (c *Core) release(p *placement, now Micros) {
 	m := p.m
 	m.used = m.used.Sub(p.need)
+	c.changed = append(c.changed, m)
 	c.dirty = true
 	if m.used == (Res{}) {
 		m.idle = now
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,10 +1,5 @@
 package core
 
-import (
-	"slices"
-	"sort"
-)
-
 // within reports whether a request on top of used stays within a guarantee. A
 // team may be guaranteed GPUs alone, or CPUs alone: what its min does not name
 // does not count, but GPUs that are asked for must be named. Memory is not part
@@ -61,6 +56,8 @@
 
 // schedule gives room to waiting tasks in the queue's order.
 func (c *Core) schedule(now Micros) {
+	clear(c.lookouts)
+	c.changed = c.changed[:0]
 	if !c.lookForRoom(now) {
 		return
 	}
@@ -145,38 +142,35 @@
 
 // allowed reports whether the job may run on the machine at all.
 func (c *Core) allowed(j *job, m *machine) bool {
-	return (!m.spot || j.spec.Spot) && j.spec.typeAllowed(m.typeName) && j.zoneAllowed(m.zone)
+	return c.kindAllowed(j, m) && j.zoneAllowed(m.zone)
+}
+
+// kindAllowed reports whether it may run on such a machine.
+func (c *Core) kindAllowed(j *job, m *machine) bool {
+	return (!m.spot || j.spec.Spot) && j.spec.typeAllowed(m.typeName)
 }
 
 // pick chooses the machine for one more task of a job: where it starts
 // soonest, then where it wastes least. only restricts the zone, cached to where
 // its image is.
 func (c *Core) pick(j *job, now Micros, only string, cached bool) *machine {
-	c.looked += len(c.roomy)
-	var best *machine
-	var bestCost int64
-	for _, m := range c.roomy {
-		if only != "" && m.zone != only || j.errors[m.name] && len(j.errors) < 3 || cached && !m.hasImage(j.image) {
-			continue
-		}
+	key := kindOf(j)
+	key.cached = cached
+	return c.choose(key, c.roomy, j, only, func(m *machine) (int64, bool) {
 		free := m.free()
-		if !j.spec.Need.Fits(free) || !c.allowed(j, m) {
-			continue
+		if !j.spec.Need.Fits(free) || !c.kindAllowed(j, m) || cached && !m.hasImage(j.image) || m.vacating || !c.usable(m, now) {
+			return 0, false
 		}
 		if j.spec.Kind != Service && c.takesSpare(j.spec.Need, m) {
-			continue
+			return 0, false
 		}
 		cost := c.startCost(j, m)
 		if j.spec.Spot && !m.spot {
 			cost += int64(5 * Second)
 		}
 		left := free.Sub(j.spec.Need)
-		cost += left.CPU * int64(20*Millisecond) / 1000
-		if best == nil || cost < bestCost {
-			best, bestCost = m, cost
-		}
-	}
-	return best
+		return cost + left.CPU*int64(20*Millisecond)/1000, true
+	}, func(m *machine) bool { return j.errors[m.name] && len(j.errors) < 3 })
 }
 
 // startCost is how long the task would wait for its image there.
@@ -187,187 +181,6 @@
 	return j.spec.ImageMB * int64(Second) / m.typ.FetchMBps * int64(1+m.fetching)
 }
 
-// reclaimPlan is a set of victims that is not acted on yet.
-type reclaimPlan struct {
-	victims []*placement
-	chosen  map[*placement]bool
-	taken   map[string]Res // by team
-	freed   map[*machine]Res
-}
-
-// reclaim looks for one machine on which stopping tasks makes room for a task
-// of the job. Within the team's min, the victims belong to teams over theirs,
-// and no such team is taken below it; beyond, they are the team's own tasks of
-// lower priority. only restricts the zone.
-func (c *Core) reclaim(j *job, use Res, now Micros, only string, plan *reclaimPlan) *machine {
-	if j.failures > 0 && len(j.errors) >= 2 {
-		// A job that fails wherever it runs would evict borrowers on every retry.
-		return nil
-	}
-	guaranteed := within(use, j.spec.Need, j.team.Min)
-	if !c.mayReclaim(j, guaranteed) {
-		return nil
-	}
-	c.looked += len(c.order)
-	var best *machine
-	var bestVictims []*placement
-	var bestCost int64
-	for _, m := range c.order {
-		if only != "" && m.zone != only || m.vacating || !c.usable(m, now) || !c.allowed(j, m) || !j.spec.Need.Fits(m.typ.Cap) || j.errors[m.name] {
-			continue
-		}
-		victims, cost := c.victims(j, m, guaranteed, now, plan)
-		if victims == nil {
-			continue
-		}
-		cost += c.startCost(j, m)
-		if best == nil || cost < bestCost {
-			best, bestVictims, bestCost = m, victims, cost
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	if plan.chosen == nil {
-		plan.chosen, plan.taken, plan.freed = map[*placement]bool{}, map[string]Res{}, map[*machine]Res{}
-	}
-	for _, v := range bestVictims {
-		plan.victims = append(plan.victims, v)
-		plan.chosen[v] = true
-		plan.taken[v.j.spec.Team] = plan.taken[v.j.spec.Team].Add(v.need)
-		plan.freed[v.m] = plan.freed[v.m].Add(v.need)
-	}
-	return best
-}
-
-// mayReclaim reports whether there can be victims at all, without a look at
-// the machines.
-func (c *Core) mayReclaim(j *job, guaranteed bool) bool {
-	if guaranteed {
-		for _, t := range c.teams {
-			if t != j.team && t.over() {
-				return true
-			}
-		}
-		return false
-	}
-	for _, n := range j.team.placed[:j.spec.Priority] {
-		if n > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// maybeVictim reports whether a task may be stopped to make room for one of
-// the job, its team's min aside.
-func (p *placement) maybeVictim(j *job, guaranteed bool) bool {
-	switch {
-	case p.j == nil || !p.holds() || p.unwanted || p.j == j:
-		return false
-	case p.j.stopping:
-		return false
-	case guaranteed:
-		return p.j.team != j.team && p.j.team.over()
-	}
-	return p.j.team == j.team && p.j.spec.Priority < j.spec.Priority
-}
-
-// victims chooses tasks on one machine; nil if they would not make room.
-func (c *Core) victims(j *job, m *machine, guaranteed bool, now Micros, plan *reclaimPlan) ([]*placement, int64) {
-	free := m.free().Add(plan.freed[m])
-	most := free
-	for _, p := range m.tasks {
-		if p.maybeVictim(j, guaranteed) {
-			most = most.Add(p.need)
-		}
-	}
-	if !j.spec.Need.Fits(most) {
-		return nil, 0
-	}
-	var cands []*placement
-	for _, p := range m.tasks {
-		if p.maybeVictim(j, guaranteed) && !plan.chosen[p] {
-			cands = append(cands, p)
-		}
-	}
-	sort.SliceStable(cands, func(a, b int) bool {
-		x, y := cands[a], cands[b]
-		if x.j.spec.Priority != y.j.spec.Priority {
-			return x.j.spec.Priority < y.j.spec.Priority
-		}
-		return x.lost(now)*Micros(x.size()) < y.lost(now)*Micros(y.size())
-	})
-	taken := map[string]Res{}
-	var out []*placement
-	if plan.freed[m] != (Res{}) {
-		out = []*placement{} // others of the plan may have made room enough
-	}
-	var cost int64
-	for _, p := range cands {
-		if j.spec.Need.Fits(free) {
-			break
-		}
-		if p.j.spec.Kind == Gang && slices.Contains(out, p) {
-			continue // its gang goes already
-		}
-		with := p.stopsWith()
-		need := p.need.Times(len(with))
-		if t := p.j.team; guaranteed {
-			if !t.lends(need, taken[t.Name].Add(plan.taken[t.Name])) {
-				continue
-			}
-			taken[t.Name] = taken[t.Name].Add(need)
-		}
-		for _, v := range with {
-			if v.m == m {
-				free = free.Add(v.need)
-			}
-			cost += int64(v.lost(now)) + int64(v.j.spec.Priority)*int64(60*Second)
-		}
-		out = append(out, with...)
-	}
-	if !j.spec.Need.Fits(free) {
-		return nil, 0
-	}
-	return out, cost
-}
-
-// size is how many tasks stop with it.
-func (p *placement) size() int {
-	if p.j.spec.Kind == Gang {
-		return len(p.j.live)
-	}
-	return 1
-}
-
-// stopsWith lists what stops if the task is stopped: of a gang, all tasks, on
-// other machines too.
-func (p *placement) stopsWith() []*placement {
-	if p.j.spec.Kind == Gang {
-		return p.j.placements()
-	}
-	return []*placement{p}
-}
-
-// lost is the work that is repeated if the task is stopped now.
-func (p *placement) lost(now Micros) Micros {
-	if !p.shown || p.state != Running {
-		return 0
-	}
-	if p.j != nil && p.j.spec.Checkpoint > 0 {
-		return min(p.j.spec.SaveCost, p.j.spec.Checkpoint/2)
-	}
-	return now - p.runningAt
-}
-
-func (c *Core) evict(plan *reclaimPlan, j *job, now Micros) {
-	for _, v := range plan.victims {
-		c.note("reclaim", "for", j.spec.ID, "team", j.spec.Team, "victim", v.job, "task", v.index, "victim_team", v.j.spec.Team, "machine", v.m.name)
-		c.stopTask(v, now, 0)
-	}
-}
-
 // scheduleGang places all tasks of a gang or none of them. It reports false if
 // there is no room for them.
 func (c *Core) scheduleGang(j *job, now Micros) bool {
@@ -546,6 +359,7 @@
 
 // recount keeps the count of spare room right over a change of a machine's use.
 func (c *Core) recount(m *machine, change func()) {
+	c.changed = append(c.changed, m)
 	if m.spot || c.spareNeed == (Res{}) {
 		change()
 		return
