Stand-in gangs: no task is done once another has left

Cause: TestDays/all_at_once failed about once in forty plays (not_done, 1 of 3 tasks): a task that ended by its timer, in the moment between another's leaving and the rest noticing, was counted as done, though the protocol has a gang complete together. A fault of the stand-in, older than this change.

--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -326,12 +326,12 @@
 }
 
 func (k *Worker) exit(t *lot, why string, saved bool) {
+	why = k.w.gangLeft(t, why)
 	t.State, t.Why, t.Saved = "exited", why, saved
 	if why == "done" {
 		k.w.check.done(t)
 	}
 	k.leave(t)
-	k.w.gangLeft(t, why)
 	k.poke()
 }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -85,7 +85,8 @@
 type gang struct {
 	ready   map[*lot]*Worker
 	running bool
-	over    bool
+	over    bool // a task has left
+	done    bool // it was done
 }
 
 // Addresses of the services.
@@ -283,27 +284,31 @@
 	}()
 }
 
-// gangLeft lets the rest of a gang notice that a task has left. The tasks of a
-// gang complete together: if one is done, all are.
-func (w *World) gangLeft(t *lot, why string) {
+// gangLeft lets the rest of a gang notice that a task leaves, and says why it
+// does. The tasks of a gang complete together: if one is done, all are, and none
+// is once another has gone.
+func (w *World) gangLeft(t *lot, why string) string {
 	if t.spec == nil || t.spec.Shape != "ensemble" {
-		return
+		return why
 	}
 	job, _, _ := strings.Cut(t.Task, "/")
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	g := w.gangs[fmt.Sprintf("%s#%d", job, t.Attempt)]
 	if g == nil {
-		return
+		return why
 	}
 	delete(g.ready, t)
+	if g.over && !g.done && why == "done" {
+		return "mates_gone"
+	}
 	if !g.running || g.over {
-		return
+		return why
 	}
 	g.over = true
 	after, with := w.gangPeers/2, "mates_gone"
 	if why == "done" {
-		after, with = 0, "done"
+		after, with, g.done = 0, "done", true
 		for i := range t.spec.Tasks {
 			w.check.done(&lot{Task: wire.TaskName(job, i)})
 		}
@@ -311,6 +316,7 @@
 	for o, k := range g.ready {
 		time.AfterFunc(after, func() { k.end(o, with, false) })
 	}
+	return why
 }
 
 // request sends one request of a user's and returns status and body.
