A leader that hears nobody gives nothing back; a takeover's last machines wait half as long

The guard counted who had been heard within a report's gap, and for most of that gap that are nearly all. A new leader's records counted as heard, so it had no guard at all for its first seconds. Change: the whole fleet is judged by the moment, as its zones are; records do not count as heard; of the last twentieth of a takeover's machines, those that two probes in a row did not reach are suspect after half of suspect-s. Each guard's test was seen failing without it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,6 +54,7 @@
 	rentOf    map[string]*rent // of machines that are coming
 	unsettled int
 	zoneOf    map[string]*zone
+	deaf      bool                 // hardly any machine is heard
 	deputies  map[string][]*Deputy // by zone
 
 	dirty       bool       // room, work or quota changed: place again
@@ -895,13 +896,22 @@
 		return
 	}
 	m.noDo = true
-	if now-m.heard >= c.cfg.Tuning.Suspect && !m.silent {
+	m.misses++
+	if !m.silent && c.isSilent(m, now) {
 		m.silent = true
 		c.fleetAt = now // its tasks wait for what is done about it
 	}
 	c.note("direct command failed", "machine", m.name, "delivered", map[Outcome]string{NotSent: "no", Unanswered: "unknown"}[o])
 }
 
+// isSilent reports whether a machine that a direct command did not reach is to be
+// taken as silent. What nearly all others of a takeover do not wait for any more
+// need not be waited for as long: everything that was opened does.
+func (c *Core) isSilent(m *machine, now Micros) bool {
+	last := !m.settled && m.misses >= 2 && c.unsettled*20 <= len(c.order)
+	return now-m.heard >= c.cfg.Tuning.Suspect || last && now-m.heard >= c.cfg.Tuning.Suspect/2
+}
+
 func (c *Core) dropUnwantedUnsent(m *machine, now Micros) {
 	for i := len(m.tasks) - 1; i >= 0; i-- {
 		if i < len(m.tasks) {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -133,15 +133,6 @@
 // returns gives back machines that are lost, drained, overdue or idle.
 func (c *Core) returns(now Micros, short *Res) {
 	c.countSpare(now)
-	up, heard := 0, 0
-	for _, m := range c.order {
-		if !m.booting && !m.lost {
-			up++
-			if now-m.heard <= c.cfg.ReportGap {
-				heard++
-			}
-		}
-	}
 	var idle []*machine
 	for _, m := range c.order {
 		if m.returning {
@@ -157,11 +148,10 @@
 			if m.typ != nil && now-m.seen > 3*m.typ.Boot+10*Second {
 				c.giveBack(m, now, "never came up")
 			}
-		case m.silent && heard*3 >= up && !(c.cutOff(m.zone, now) && c.keepsServices(m)):
+		case m.silent && !c.deaf && !(c.cutOff(m.zone, now) && c.keepsServices(m)):
 			// Deleting it frees its tasks at once; waiting for its lease would
-			// take longer. But when few others are heard, the fault is more
-			// likely on this side, and good machines would be deleted; and what
-			// serves in a zone that is cut off goes on serving.
+			// take longer. But when few others are heard, good machines would be
+			// deleted; and what serves in a zone that is cut off goes on serving.
 			c.giveBack(m, now, silentWhy)
 		case !m.settled:
 		case m.typ == nil && m.used == (Res{}):
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -67,6 +67,7 @@
 	noDo   bool   // the last direct command could not be delivered: wait for a beat
 	probe  bool   // in Core.probes
 	probed Micros // since when a probe is under way; 0: none is
+	misses int    // direct commands in a row that did not get through
 	silent bool   // a probe of a suspect went unanswered
 	dirty  bool   // in Core.touched
 	later  bool   // in Core.retouch
@@ -158,6 +159,9 @@
 	m.images = slices.DeleteFunc(m.images, func(im image) bool { return im.id == id })
 }
 
+// heardWithin reports whether the machine has been heard by this leader lately.
+func (m *machine) heardWithin(now, d Micros) bool { return m.session > 0 && now-m.heard <= d }
+
 // usable reports whether tasks may be given to the machine now.
 func (c *Core) usable(m *machine, now Micros) bool {
 	return m.typ != nil && m.settled && !m.lost && !m.booting && !m.draining && !m.returning &&
@@ -309,7 +313,7 @@
 	newSession := r.Session != m.session
 	m.session, m.seq = r.Session, r.Seq
 	m.token = max(m.token, r.Token)
-	m.heard = now
+	m.heard, m.misses = now, 0
 	if m.silent {
 		m.silent = false
 		if m.returning && m.returnWhy == silentWhy {
--- a/internal/core/zone.go
+++ b/internal/core/zone.go
@@ -21,17 +21,27 @@
 	// by which it is judged, and cutMoment how long that is at the least.
 	cutHeard  = 12
 	cutMoment = Second
+	// firstLook is how long a new leader needs to have asked every machine.
+	firstLook = 2 * Second
 	// cutShare: a zone is cut off when less than one in so many is heard of
 	// those that are to be, and others are heard as a rule.
 	cutShare = 8
+	// deafShare: when less than one in so many is heard of all that are to be, the
+	// fault is more likely on this side.
+	deafShare = 3
 	// deputySpoke is how lately a controller of the zone must have spoken when
 	// the zone fell silent, for it to be taken as answering the workers.
 	deputySpoke = 15 * Second
 )
 
 // judgeZones counts what is heard of each zone and finds those that are cut off:
-// nothing is heard of them from one moment on, while others are heard.
+// nothing is heard of them from one moment on, while others are heard. If hardly
+// anything is heard of any, it is this leader that is.
 func (c *Core) judgeZones(now Micros) {
+	c.deaf = true
+	if now-c.begun < firstLook {
+		return
+	}
 	for _, z := range c.zoneOf {
 		z.moment = c.cfg.ReportGap
 		if z.up > 0 {
@@ -49,7 +59,7 @@
 			c.zoneOf[m.zone] = z
 		}
 		z.up++
-		if now-m.heard <= z.moment {
+		if m.heardWithin(now, z.moment) {
 			z.heard++
 		}
 	}
@@ -58,6 +68,7 @@
 		heard += Micros(z.heard)
 		due += z.due(c.cfg.ReportGap)
 	}
+	c.deaf = heard*deafShare < due
 	for name, z := range c.zoneOf {
 		mine := z.due(c.cfg.ReportGap)
 		silent := z.up >= cutLeast && Micros(z.heard)*cutShare < mine && (heard-Micros(z.heard))*2 >= due-mine && due > mine
--- a/internal/core/zone_test.go
+++ b/internal/core/zone_test.go
@@ -183,3 +183,45 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+// TestDeaf: a leader that loses all workers at one moment gives none of them
+// back. It looked at who had been heard within a report's gap, which for most of
+// that time are nearly all: 230 machines were given back at tolling fleet.
+func TestDeaf(t *testing.T) {
+	w, _, a, b := zoned(t, Service)
+	all := append(a[:12:12], b...)
+	w.silence(12, all, nil)
+	w.want("given back", w.returned(), 0)
+	for _, f := range all {
+		f.lossy = false
+	}
+	w.silence(3, nil, all)
+	w.silence(8, a[:2], all[2:])
+	w.want("given back when two are silent", w.returned(), 2)
+
+	w = newWorld(t, blue)
+	w.c.cfg.Tuning.Suspect = Second
+	w.begin(100, nil, Snapshot{Machines: recorded("n-1", "n-2", "n-3")})
+	for _, n := range []string{"n-1", "n-2", "n-3"} {
+		all = append(all, &fake{w: w, r: Report{Machine: n, Session: 1, Notice: -1}})
+	}
+	w.silence(4, all, nil)
+	w.want("given back by a new leader that hears nobody", w.returned(), 0)
+}
+
+// TestLastOfTakeover: the last machine that a takeover waits for is waited for
+// half as long as others: all that was opened before waits with it.
+func TestLastOfTakeover(t *testing.T) {
+	for _, c := range []struct{ silent, back int }{{1, 1}, {4, 0}} {
+		w := newWorld(t, blue)
+		var names []string
+		var fs []*fake
+		for i := range 24 {
+			names = append(names, fmt.Sprintf("n-%02d", i))
+			fs = append(fs, w.machine(names[i], "a"))
+		}
+		w.begin(100, nil, Snapshot{Machines: recorded(names...)})
+		w.silence(5, fs[:c.silent], fs[c.silent:]) // suspects are given up after 7 s
+		w.want(fmt.Sprintf("given back of %d", c.silent), w.returned(), c.back)
+	}
+}
