--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// applyList takes over a whole list that was asked for at a time. Jobs are never deleted, and the leader's
-// key may have been: its absence in the list counts.
+// applyList takes over a whole list that was asked for at a time. Jobs are never
+// deleted, and the leader's key may have been: its absence in the list counts.
 func (n *Node) applyList(entries []wire.Entry, rev uint64, asked core.Micros) {
 	leader := false
 	for i := range entries {
