--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,8 +72,7 @@
 	summaryAt   Micros
 	vacateAt    Micros
 	vacating    []*machine
-	taken       []*machine // that the cloud takes away soon
-	held        []*class   // for which machines are held
+	held        []*class // for which machines are held
 	lookedBack  Micros
 	begun       Micros // the term
 	holdFleet   bool   // what is to be held is not known yet
@@ -211,7 +210,7 @@
 	c.unsettled = 0
 	c.refused = map[offer]Micros{}
 	c.backlog, c.returnOut, c.returnFrom = nil, false, 0
-	c.vacating, c.taken = nil, nil
+	c.vacating = nil
 	c.begun, c.holdFleet, c.lookedBack, c.held = now, true, now, nil
 	for _, k := range c.classes {
 		k.services, k.batches = arrivals{}, holding{}
@@ -596,47 +595,13 @@
 			continue
 		}
 		p := m.tasks[i]
-		if !p.holds() || p.unwanted || p.endsBefore(by-takenMargin, now) {
+		if !p.holds() || p.unwanted {
 			continue
 		}
 		c.stopTask(p, now, by)
 	}
 }
 
-// takenMargin is how long before the cloud takes a machine nothing is left to
-// run on it: what ends must have been reported by then.
-const takenMargin = 2 * Second
-
-// endsBefore reports whether a task that saves nothing is likely to be done by
-// then: it may run on, for if it is stopped all that it did is done again.
-func (p *placement) endsBefore(by, now Micros) bool {
-	if p.j == nil || p.j.spec.Kind != Array || p.j.spec.Checkpoint > 0 || !p.shown || p.state != Running {
-		return false
-	}
-	// One that has outrun its estimate may go on as long again.
-	ran, estimate := now-p.runningAt, p.j.estimate()
-	return now+max(estimate-ran, ran-estimate, estimate/4) <= by
-}
-
-// stopLeft stops what still runs on machines that are about to be taken.
-func (c *Core) stopLeft(now Micros) {
-	left := c.taken[:0]
-	for _, m := range c.taken {
-		switch {
-		case c.machines[m.name] != m:
-		case now < m.takenAt-takenMargin:
-			left = append(left, m)
-		default:
-			for _, p := range slices.Clone(m.tasks) {
-				if p.holds() && !p.unwanted {
-					c.stopTask(p, now, m.takenAt)
-				}
-			}
-		}
-	}
-	c.taken = left
-}
-
 // stopTask stops a task, and with it its gang.
 func (c *Core) stopTask(p *placement, now, by Micros) {
 	if p.j == nil {
@@ -963,7 +928,6 @@
 		return nil
 	}
 	c.expire(now)
-	c.stopLeft(now)
 	if now >= c.rankAt {
 		c.rankAt = now + Second
 		c.rankJobs(now)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1493,25 +1493,3 @@
 		w.want(fmt.Sprint("machines with room where this is used: ", c.used), len(w.c.roomy), c.want)
 	}
 }
-
-// TestNotice: what will be done before the cloud takes a machine runs on, the
-// rest is stopped at once, and what was hoped for in vain shortly before. All
-// was stopped at once, though a third of such tasks had little left to do.
-func TestNotice(t *testing.T) {
-	w := newWorld(t, blue)
-	w.begin(100, nil, Snapshot{})
-	f := w.machine("n-1", "a").beat()
-	w.submit(JobSpec{ID: "job-1", Tasks: 1, Estimate: 10 * Second})
-	w.submit(JobSpec{ID: "job-2", Tasks: 1, Estimate: 60 * Second})
-	w.submit(JobSpec{ID: "job-3", Tasks: 1, Estimate: 10 * Second, Checkpoint: 5 * Second, SaveCost: 4 * Second})
-	w.submit(JobSpec{ID: "job-4", Kind: Service, Tasks: 1})
-	w.rounds(4, []*fake{f})
-	w.want("running", f.live(), "job-1/0 job-2/0 job-3/0 job-4/0 ")
-	f.r.Notice = 20 * Second
-	f.beat()
-	w.want("runs on", f.live(), "job-1/0 ")
-	w.rounds(16, []*fake{f})
-	w.want("still", f.live(), "job-1/0 ")
-	w.rounds(4, []*fake{f})
-	w.want("stopped before the machine goes", f.live(), "")
-}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -73,8 +73,7 @@
 	later  bool   // in Core.retouch
 
 	draining   bool
-	takenAt    Micros // by a notice: when the cloud takes it away
-	vacating   bool   // being emptied to be returned: gets no more tasks
+	vacating   bool // being emptied to be returned: gets no more tasks
 	returning  bool
 	returnWhy  string
 	blocked    Micros // refused a start for want of room: not before this
@@ -340,9 +339,7 @@
 	}
 	if r.Notice >= 0 && !m.draining {
 		c.note("spot notice", "machine", m.name, "in_s", float64(r.Notice)/1e6)
-		m.takenAt = now + r.Notice
-		c.taken = append(c.taken, m)
-		c.drain(m, now, m.takenAt)
+		c.drain(m, now, now+r.Notice)
 	}
 	for _, p := range m.tasks {
 		p.beatMark = false
