Machines are held only for classes that start sooner than a machine can be rented

Cause, from rila fleet's calm log: in the opening some 1200 machines were asked for as "held for tasks that are to start at once". Its arrays have a start aim of 90 s, a machine takes 20 to 35: a class with any start aim was held for with all it used and waited for, so every waiting task had a machine rented whether its job was in time or not, and services were never moved together while an array ran. Change: atOnce decides (aim below boot and fetch); a job whose start aim a rented machine can meet is in time only if that is met too.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1493,3 +1493,23 @@
 		w.want(fmt.Sprint("machines with room where this is used: ", c.used), len(w.c.roomy), c.want)
 	}
 }
+
+// TestHeldAtOnce: machines are held for a class whose tasks are to start sooner
+// than a machine can be rented, and for no other. A class with a start aim of 90 s
+// had a machine rented for every task that waited, in time or not.
+func TestHeldAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		within Micros
+		rents  bool
+	}{{2 * Second, true}, {90 * Second, false}, {28 * Second, true}} {
+		w := newWorld(t, Team{Name: "blue"})
+		w.c.cfg.StartWithin = map[string][]Micros{"sweep": {c.within}}
+		w.begin(100, nil, Snapshot{})
+		f := w.machine("n-1", "a").beat()
+		w.submit(JobSpec{ID: "job-1", Class: "sweep", Tasks: 4, Estimate: 10 * Second, Due: 300 * Second})
+		w.rounds(3, []*fake{f})
+		w.submit(JobSpec{ID: "job-2", Class: "sweep", Tasks: 4, Estimate: 10 * Second, Due: 300 * Second})
+		w.rounds(4, []*fake{f})
+		w.want(fmt.Sprintf("rented for tasks that wait for 10 s, to start within %d s", c.within/Second), len(w.rents) > 0, c.rents)
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -643,8 +643,18 @@
 	wait := Micros(d.work / float64(d.cpus))
 	wait += Micros(float64(d.boot) * float64(d.comingCPUs) / float64(d.cpus))
 	// Estimates are often half of what it takes; and it must not be too late yet to
-	// rent when this turns out too hopeful.
-	return d.now+wait+2*j.estimate()+5*Second+d.lead(j) <= j.due
+	// rent when this turns out too hopeful. The same goes for the first aim for
+	// its tasks' start that a rented machine can meet.
+	lead := d.lead(j)
+	for _, within := range j.class.within {
+		if within > lead {
+			if d.now+wait+5*Second+lead > j.submitted+within {
+				return false
+			}
+			break
+		}
+	}
+	return d.now+wait+2*j.estimate()+5*Second+lead <= j.due
 }
 
 // job covers a job's waiting tasks.
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -39,8 +39,9 @@
 	h.window = append(h.window, usage{now, h.use})
 }
 
-// want is what is to be there for the class.
-func (c *Core) want(k *class, now Micros) Res {
+// atOnce reports whether tasks of a class are to start sooner than a machine can
+// be rented and have their image: only then are machines held for it.
+func (c *Core) atOnce(k *class) bool {
 	h := &k.batches
 	var fetch Micros
 	lead := Micros(math.MaxInt64)
@@ -52,7 +53,13 @@
 			}
 		}
 	}
-	if !h.expected(now) || k.within[0] >= lead+fetch {
+	return k.within[0] < lead+fetch
+}
+
+// want is what is to be there for the class.
+func (c *Core) want(k *class, now Micros) Res {
+	h := &k.batches
+	if !h.expected(now) {
 		return h.use
 	}
 	return h.peak.least(h.use.Add(h.rise))
@@ -85,8 +92,8 @@
 		for _, k := range c.held {
 			k.batches.peak = k.batches.use
 		}
-		if len(c.held) > 0 {
-			h := &c.held[0].batches
+		if held := c.heldNow(); len(held) > 0 {
+			h := &held[0].batches
 			more := Res{}.Sub(c.shortOfHeld(now, nil)).most(Res{})
 			h.peak, h.rise = h.use.Add(more), more
 		}
@@ -103,14 +110,26 @@
 	}
 }
 
+// heldNow lists the classes that machines are held for.
+func (c *Core) heldNow() []*class {
+	var out []*class
+	for _, k := range c.held {
+		if c.atOnce(k) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
 // shortOfHeld says what is missing from what is held; where negative, as much
 // can go.
 func (c *Core) shortOfHeld(now Micros, coming []*room) Res {
-	if len(c.held) == 0 {
+	held := c.heldNow()
+	if len(held) == 0 {
 		return Res{math.MinInt32, math.MinInt32, math.MinInt32}
 	}
 	var short Res
-	for _, k := range c.held {
+	for _, k := range held {
 		short = short.Add(c.want(k, now))
 	}
 	for _, r := range coming {
@@ -122,7 +141,7 @@
 		}
 		short = short.Sub(m.typ.Cap)
 		for _, p := range m.tasks {
-			if p.holds() && (p.j == nil || !slices.Contains(c.held, p.j.class)) {
+			if p.holds() && (p.j == nil || !slices.Contains(held, p.j.class)) {
 				short = short.Add(p.need)
 			}
 		}
@@ -136,7 +155,7 @@
 // holding reports whether anything is held: then room on machines that a few
 // services keep is of use.
 func (c *Core) holding(now Micros) bool {
-	return slices.ContainsFunc(c.held, func(k *class) bool {
+	return slices.ContainsFunc(c.heldNow(), func(k *class) bool {
 		return k.batches.sample.Need.Fits(c.want(k, now))
 	})
 }
@@ -144,7 +163,7 @@
 // hold rents what is missing from what is held.
 func (d *demand) hold() {
 	short := d.c.shortOfHeld(d.now, d.coming)
-	for _, k := range d.c.held {
+	for _, k := range d.c.heldNow() {
 		for short.lacks() {
 			of, ok := d.cheapest(k.batches.sample, math.MaxInt, func(string) bool { return true })
 			if !ok {
