Dead machines in a zone that was cut off are given up five seconds after it is heard again

Change: sparing ends five seconds after the zone was last silent; that the same cut goes on is remembered longer, as before. TestMended was seen failing with the longer time.

--- a/internal/core/zone.go
+++ b/internal/core/zone.go
@@ -10,7 +10,8 @@
 	up       int    // machines that came up
 	heard    int    // those of them that were heard within the moment
 	moment   Micros // in which cutHeard of them are to be heard, as a rule
-	cutUntil Micros // taken as cut off, or as just mended
+	silent   Micros // when it was last found cut off
+	cutUntil Micros // found so again before this, the same cut goes on
 }
 
 const (
@@ -29,6 +30,9 @@
 	// deafShare: when less than one in so many is heard of all that are to be, the
 	// fault is more likely on this side.
 	deafShare = 3
+	// mendTime is how long probes may need to find the machines of a zone that
+	// was cut off.
+	mendTime = 5 * Second
 	// deputySpoke is how lately a controller of the zone must have spoken when
 	// the zone fell silent, for it to be taken as answering the workers.
 	deputySpoke = 15 * Second
@@ -78,8 +82,7 @@
 		if now >= z.cutUntil {
 			c.note("zone cut off", "zone", name, "machines", z.up, "heard", z.heard, "in_ms", z.moment/Millisecond)
 		}
-		// When it is mended its workers find the leader one after the other.
-		z.cutUntil = now + 2*c.cfg.ReportGap + 5*Second
+		z.silent, z.cutUntil = now, now+2*c.cfg.ReportGap+5*Second
 	}
 }
 
@@ -97,10 +100,12 @@
 	return false
 }
 
-// cutOff reports whether a zone is taken as cut off.
+// cutOff reports whether a zone is taken as cut off, or as mended so lately that
+// probes may not have found yet what is there. What they do not find then is
+// dead, and must not hold up a takeover.
 func (c *Core) cutOff(name string, now Micros) bool {
 	z := c.zoneOf[name]
-	return z != nil && now < z.cutUntil
+	return z != nil && z.silent > 0 && now-z.silent <= mendTime
 }
 
 // keepsServices reports whether a machine of a zone that is cut off is kept for
--- a/internal/core/zone_test.go
+++ b/internal/core/zone_test.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// TestMended: once a zone that was cut off is heard again, a machine there that
+// is not is dead. It was spared for two report gaps more, and a takeover with it.
+func TestMended(t *testing.T) {
+	w, d, a, b := zoned(t, Service)
+	w.silence(20, nil, append(a[:12:12], b...))
+	d.Heard(w.now, w.now, 1, -1)
+	w.silence(6, b, a)
+	w.want("given back in the cut", w.returned(), 0)
+	for _, f := range b[1:] {
+		f.lossy = false
+	}
+	w.silence(8, b[:1], append(a[:12:12], b[1:]...))
+	w.want("given back after it", w.returned(), 1)
+}
+
 // TestDeputyLeases: the lease of a machine that a deputy may have answered is
 // not counted down before what that did is known, or can do nothing more.
 func TestDeputyLeases(t *testing.T) {
