--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -179,110 +179,93 @@
 	b.ReportMetric(float64(f.spent.Milliseconds()), "ms-in-core")
 }
 
-var sizes = []int{1500, 5000, 10000}
-
-// BenchmarkSteady is half a minute in which every task that ends has a
-// successor waiting: reports, completions and starts, with the fleet full.
-func BenchmarkSteady(b *testing.B) {
-	for _, n := range sizes {
+// atSizes runs a benchmark on full fleets; what it does is measured by itself.
+func atSizes(b *testing.B, run func(b *testing.B, f *farm, n int)) {
+	for _, n := range []int{1500, 5000, 10000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for range b.N {
 				f := newFarm(n)
 				f.fill(n)
-				f.measure(b, func() {
-					for range 30 {
-						for range n / 600 {
-							f.submit(10*perMachine, "blue", 60*Second)
-						}
-						f.pass(Second)
-					}
-				})
+				run(b, f, n)
 			}
 		})
 	}
 }
 
+// submitEvery submits so many jobs each second for a while.
+func (f *farm) submitEvery(seconds, jobs int) {
+	for range seconds {
+		for range jobs {
+			f.submit(10*perMachine, "blue", 60*Second)
+		}
+		f.pass(Second)
+	}
+}
+
+// until lets time pass until something holds, a minute at the most.
+func (f *farm) until(b *testing.B, what func() bool) {
+	for i := 0; !what(); i++ {
+		if i > 60 {
+			b.Fatal("not within a minute")
+		}
+		f.pass(Second)
+	}
+}
+
+// BenchmarkSteady is half a minute in which every task that ends has a
+// successor waiting: reports, completions and starts, with the fleet full.
+func BenchmarkSteady(b *testing.B) {
+	atSizes(b, func(b *testing.B, f *farm, n int) {
+		f.measure(b, func() { f.submitEvery(30, n/600) })
+	})
+}
+
 // BenchmarkBurst is ten seconds in which as much work comes as the fleet holds,
 // while it is full.
 func BenchmarkBurst(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			for range b.N {
-				f := newFarm(n)
-				f.fill(n)
-				f.measure(b, func() {
-					for range 10 {
-						for range n / 100 {
-							f.submit(10*perMachine, "blue", 60*Second)
-						}
-						f.pass(Second)
-					}
-				})
-			}
-		})
-	}
+	atSizes(b, func(b *testing.B, f *farm, n int) {
+		f.measure(b, func() { f.submitEvery(10, n/100) })
+	})
 }
 
 // BenchmarkReclaim is the time until green, within its min, has taken back a
 // fifth of the fleet from blue, which borrows all of it.
 func BenchmarkReclaim(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			for range b.N {
-				f := newFarm(n)
-				f.fill(n)
-				f.measure(b, func() {
-					for range n / 50 {
-						f.submit(10*perMachine, "green", 60*Second)
-					}
-					for i := 0; f.c.teams["green"].used.CPU < int64(n)*perMachine*200; i++ {
-						if i > 60 {
-							b.Fatal("not reclaimed within a minute")
-						}
-						f.pass(Second)
-					}
-				})
+	atSizes(b, func(b *testing.B, f *farm, n int) {
+		f.measure(b, func() {
+			for range n / 50 {
+				f.submit(10*perMachine, "green", 60*Second)
 			}
+			f.until(b, func() bool { return f.c.teams["green"].used.CPU >= int64(n)*perMachine*200 })
 		})
-	}
+	})
 }
 
 // BenchmarkTakeover is a new leader's beginning, from the records until every
 // machine has reported.
 func BenchmarkTakeover(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			for range b.N {
-				f := newFarm(n)
-				f.fill(n)
-				var jobs []JobRecord
-				snap := Snapshot{}
-				for _, j := range f.c.sortedJobs() {
-					jobs = append(jobs, j.rec)
-					snap.Open = append(snap.Open, j.spec.ID)
-				}
-				for i := 0; i < n; i += 160 {
-					r := MachinesRecord{Key: fmt.Sprint(MachinePrefix, i)}
-					for _, h := range f.order[i:min(i+160, n)] {
-						r.Machines = append(r.Machines, MachineRecord{h.r.Machine, h.r.Address, "t", h.r.Zone, false})
-					}
-					snap.Machines = append(snap.Machines, r)
-				}
-				f.measure(b, func() {
-					f.core(func() { f.c.Begin(f.now, f.now, 200, jobs, snap) })
-					for i := 0; f.c.unsettled > 0; i++ {
-						if i > 60 {
-							b.Fatal("not settled within a minute")
-						}
-						f.pass(Second)
-					}
-				})
-				var m runtime.MemStats
-				runtime.GC()
-				runtime.ReadMemStats(&m)
-				b.ReportMetric(float64(m.HeapAlloc)/float64(n), "B/machine")
-				runtime.KeepAlive(f)
+	atSizes(b, func(b *testing.B, f *farm, n int) {
+		var jobs []JobRecord
+		snap := Snapshot{}
+		for _, j := range f.c.sortedJobs() {
+			jobs = append(jobs, j.rec)
+			snap.Open = append(snap.Open, j.spec.ID)
+		}
+		for i := 0; i < n; i += 160 {
+			r := MachinesRecord{Key: fmt.Sprint(MachinePrefix, i)}
+			for _, h := range f.order[i:min(i+160, n)] {
+				r.Machines = append(r.Machines, MachineRecord{h.r.Machine, h.r.Address, "t", h.r.Zone, false})
 			}
+			snap.Machines = append(snap.Machines, r)
+		}
+		f.measure(b, func() {
+			f.core(func() { f.c.Begin(f.now, f.now, 200, jobs, snap) })
+			f.until(b, func() bool { return f.c.unsettled == 0 })
 		})
-	}
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		b.ReportMetric(float64(m.HeapAlloc)/float64(n), "B/machine")
+		runtime.KeepAlive(f)
+	})
 }
