Nomad's job files: read HCL2 and JSON into a typed model, with bounds

Change: internal/nomad/jobfile reads both forms through one table of what a job file may hold.

Ruled out: hcldec and gohcl, since they stop at the schema's first mismatch and lose where nested values stood; dynblock, since its expansion cannot be bounded.

--- /dev/null
+++ b/internal/nomad/jobfile/json.go
@@ -0,0 +1,185 @@
+package jobfile
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"unicode/utf8"
+)
+
+// scanner reads JSON and remembers where each value stands.
+type scanner struct {
+	f     *File
+	src   []byte
+	dec   *json.Decoder
+	lines []int // where each line begins
+}
+
+func newScanner(f *File, src []byte) *scanner {
+	s := &scanner{f: f, src: src, dec: json.NewDecoder(bytes.NewReader(src)), lines: []int{0}}
+	s.dec.UseNumber()
+	for i, c := range src {
+		if c == '\n' {
+			s.lines = append(s.lines, i+1)
+		}
+	}
+	return s
+}
+
+func (s *scanner) pos(offset int) Pos {
+	offset = min(offset, len(s.src))
+	line := sort.SearchInts(s.lines, offset+1)
+	return Pos{s.f.Name, line, utf8.RuneCount(s.src[s.lines[line-1]:offset]) + 1}
+}
+
+// next is where the next token begins.
+func (s *scanner) next() int {
+	i := int(s.dec.InputOffset())
+	for i < len(s.src) && bytes.IndexByte([]byte(" \t\r\n,:"), s.src[i]) >= 0 {
+		i++
+	}
+	return i
+}
+
+func (s *scanner) value(pointer string, depth int) (any, error) {
+	at := s.next()
+	if depth > maxDepth {
+		return nil, Problems{problemf(s.pos(at), "nested deeper than %d levels", maxDepth)}
+	}
+	if _, ok := s.f.at[pointer]; !ok {
+		s.f.at[pointer] = s.pos(at)
+	}
+	t, err := s.dec.Token()
+	if err != nil {
+		return nil, s.syntax(err)
+	}
+	switch t {
+	case json.Delim('{'):
+		m := map[string]any{}
+		for s.dec.More() {
+			at := s.next()
+			t, err := s.dec.Token()
+			if err != nil {
+				return nil, s.syntax(err)
+			}
+			key := t.(string) // the decoder sees to that
+			ptr := pointer + "/" + escape(key)
+			if _, twice := s.f.at[ptr]; twice {
+				return nil, Problems{problemf(s.pos(at), "%s: given twice", key)}
+			}
+			s.f.at[ptr] = s.pos(at)
+			v, err := s.value(ptr, depth+1)
+			if err != nil {
+				return nil, err
+			}
+			if v != nil {
+				m[key] = v
+			}
+		}
+		_, err = s.dec.Token()
+		return m, s.syntax(err)
+	case json.Delim('['):
+		list := []any{}
+		for s.dec.More() {
+			v, err := s.value(fmt.Sprintf("%s/%d", pointer, len(list)), depth+1)
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, v)
+		}
+		_, err = s.dec.Token()
+		return list, s.syntax(err)
+	}
+	if n, ok := t.(json.Number); ok && !writable(string(n)) {
+		return nil, Problems{problemf(s.pos(at), "%.40s: number out of range", n)}
+	}
+	return t, nil
+}
+
+func (s *scanner) syntax(err error) error {
+	var se *json.SyntaxError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &se):
+		return Problems{problemf(s.pos(int(se.Offset)), "not JSON: %v", err)}
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return Problems{problemf(s.pos(len(s.src)), "not JSON: cut short")}
+	}
+	return Problems{problemf(s.pos(int(s.dec.InputOffset())), "not JSON: %v", err)}
+}
+
+// readJSON reads a job in the JSON form, bare or as clients wrap it. What is
+// null counts as not given.
+func (f *File) readJSON(src []byte, o Options) Problems {
+	if len(o.Vars) > 0 || len(o.VarFiles) > 0 {
+		return Problems{{Pos{File: f.Name}, "the JSON form has no variables"}}
+	}
+	s := newScanner(f, src)
+	v, err := s.value("", 0)
+	if err == nil {
+		if end := s.next(); end < len(src) {
+			err = Problems{problemf(s.pos(end), "not JSON: more than one value")}
+		}
+	}
+	if err != nil {
+		var ps Problems
+		if errors.As(err, &ps) {
+			return ps
+		}
+		return Problems{{Pos{File: f.Name}, err.Error()}}
+	}
+	doc := v.(map[string]any) // it begins with a brace
+	if job, ok := doc["Job"].(map[string]any); ok {
+		for name := range doc {
+			if name != "Job" {
+				return Problems{problemf(f.At("/"+escape(name)), "%s: no such field beside Job", name)}
+			}
+		}
+		at := map[string]Pos{}
+		for p, pos := range f.at {
+			if rest, ok := bytes.CutPrefix([]byte(p), []byte("/Job")); ok {
+				at[string(rest)] = pos
+			}
+		}
+		f.at, doc = at, job
+	}
+	f.doc = doc
+	return f.durations(jobBody, "", doc)
+}
+
+// durations brings durations that are written with a unit into nanoseconds.
+func (f *File) durations(b *body, pointer string, doc map[string]any) Problems {
+	var ps Problems
+	for i := range b.items {
+		it := &b.items[i]
+		ptr := pointer + "/" + escape(it.field)
+		switch v := doc[it.field].(type) {
+		case string:
+			if it.kind != span {
+				continue
+			}
+			ns, ok := duration(v, false)
+			if !ok {
+				ps = append(ps, problemf(f.At(ptr), "%s: want a duration such as \"30s\", or nanoseconds, not %q", it.field, v))
+				delete(doc, it.field)
+				continue
+			}
+			doc[it.field] = ns
+		case map[string]any:
+			if it.body != nil {
+				ps = append(ps, f.durations(it.body, ptr, v)...)
+			}
+		case []any:
+			for k, e := range v {
+				if m, ok := e.(map[string]any); ok && it.body != nil {
+					ps = append(ps, f.durations(it.body, fmt.Sprintf("%s/%d", ptr, k), m)...)
+				}
+			}
+		}
+	}
+	return ps
+}
--- /dev/null
+++ b/internal/nomad/jobfile/model.go
@@ -0,0 +1,311 @@
+package jobfile
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+
+	"aspenstall/internal/core"
+)
+
+// Duration is a duration of the JSON form, which counts nanoseconds there.
+type Duration core.Micros
+
+// MarshalJSON writes nanoseconds.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(int64(d) * 1000) }
+
+// UnmarshalJSON reads nanoseconds.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var ns int64
+	err := json.Unmarshal(b, &ns)
+	*d = Duration(ns / 1000)
+	return err
+}
+
+// Job is a job with the published defaults. Its JSON is the published form,
+// whose names the fields have.
+type Job struct {
+	Region      string
+	Namespace   string
+	ID          string
+	Name        string
+	Type        string
+	Priority    int
+	AllAtOnce   bool
+	Datacenters []string
+	NodePool    string
+	Constraints []Constraint
+	Affinities  []Affinity
+	Spreads     []Spread
+	TaskGroups  []Group
+	Update      *Update     `json:",omitempty"`
+	Migrate     *Migrate    `json:",omitempty"`
+	Reschedule  *Reschedule `json:",omitempty"`
+	Meta        map[string]string
+	Stop        bool
+}
+
+// Group is tasks that are placed together: here one.
+type Group struct {
+	Name                      string
+	Count                     int
+	Constraints               []Constraint
+	Affinities                []Affinity
+	Spreads                   []Spread
+	Tasks                     []Task
+	RestartPolicy             *Restart    `json:",omitempty"`
+	ReschedulePolicy          *Reschedule `json:",omitempty"`
+	Update                    *Update     `json:",omitempty"`
+	Migrate                   *Migrate    `json:",omitempty"`
+	EphemeralDisk             *Disk       `json:",omitempty"`
+	Meta                      map[string]string
+	ShutdownDelay             Duration `json:",omitempty"`
+	MaxRunDuration            Duration `json:",omitempty"`
+	StopAfterClientDisconnect Duration `json:",omitempty"`
+	MaxClientDisconnect       Duration `json:",omitempty"`
+	PreventRescheduleOnLost   bool
+}
+
+// Task is what runs.
+type Task struct {
+	Name          string
+	Driver        string
+	User          string
+	Config        map[string]any
+	Env           map[string]string
+	Meta          map[string]string
+	Resources     Resources
+	Constraints   []Constraint
+	Affinities    []Affinity
+	RestartPolicy *Restart `json:",omitempty"`
+	KillTimeout   Duration
+	KillSignal    string
+	ShutdownDelay Duration
+	Leader        bool
+	Kind          string
+	LogConfig     *Logs `json:",omitempty"`
+}
+
+// Resources are what a task takes of its machine.
+type Resources struct {
+	CPU         int // MHz
+	Cores       int
+	MemoryMB    int // MiB
+	MemoryMaxMB int
+	DiskMB      int
+	IOPS        int
+	SecretsMB   int
+	Devices     []Device
+}
+
+// Device is a kind of device and how many a task takes.
+type Device struct {
+	Name        string
+	Count       int
+	Constraints []Constraint
+	Affinities  []Affinity
+}
+
+// Constraint restricts the machines.
+type Constraint struct{ LTarget, RTarget, Operand string }
+
+// Affinity prefers machines.
+type Affinity struct {
+	LTarget, RTarget, Operand string
+	Weight                    int
+}
+
+// Spread spreads tasks over an attribute's values.
+type Spread struct {
+	Attribute    string
+	Weight       int
+	SpreadTarget []SpreadTarget
+}
+
+// SpreadTarget is the part that one value is to have.
+type SpreadTarget struct {
+	Value   string
+	Percent int
+}
+
+// Update says how a new version replaces an old one.
+type Update struct {
+	Stagger, MinHealthyTime, HealthyDeadline, ProgressDeadline Duration
+	MaxParallel, Canary                                        int
+	HealthCheck                                                string
+	AutoRevert, AutoPromote                                    bool
+}
+
+// Migrate says how tasks leave a machine that is drained.
+type Migrate struct {
+	MaxParallel                     int
+	HealthCheck                     string
+	MinHealthyTime, HealthyDeadline Duration
+}
+
+// Restart says how a failed task is tried again on its machine.
+type Restart struct {
+	Interval, Delay Duration
+	Attempts        int
+	Mode            string
+	RenderTemplates bool
+}
+
+// Reschedule says how a failed task is tried on other machines.
+type Reschedule struct {
+	Attempts                  int
+	Interval, Delay, MaxDelay Duration
+	DelayFunction             string
+	Unlimited                 bool
+}
+
+// Disk is a group's scratch space.
+type Disk struct {
+	Sticky, Migrate bool
+	SizeMB          int
+}
+
+// Logs says how much of a task's output is kept.
+type Logs struct {
+	MaxFiles, MaxFileSizeMB int
+	Enabled                 *bool `json:",omitempty"`
+	Disabled                bool
+}
+
+const (
+	seconds = 1_000_000_000 // nanoseconds
+	minutes = 60 * seconds
+	hours   = 60 * minutes
+)
+
+// The published defaults. Blocks that a file does not give stay away, since
+// what holds without them is the scheduler's own way; one that is given is
+// filled up.
+var (
+	jobDefaults   = map[string]any{"Region": "global", "Namespace": "default", "Type": "service", "Priority": 50, "Datacenters": []any{"*"}, "NodePool": "default"}
+	groupDefaults = map[string]any{"Count": 1}
+	taskDefaults  = map[string]any{"KillTimeout": 5 * seconds, "KillSignal": "SIGINT", "Resources": map[string]any{}}
+	// A task's processor is given in MHz or in cores, not both.
+	resourceDefaults = map[string]any{"MemoryMB": 300}
+	deviceDefaults   = map[string]any{"Count": 1}
+	constraintEquals = map[string]any{"Operand": "="}
+	affinityDefaults = map[string]any{"Operand": "=", "Weight": 50}
+	updateDefaults   = map[string]any{
+		"Stagger": 30 * seconds, "MaxParallel": 1, "HealthCheck": "checks", "MinHealthyTime": 10 * seconds,
+		"HealthyDeadline": 5 * minutes, "ProgressDeadline": 10 * minutes,
+	}
+	migrateDefaults = map[string]any{"MaxParallel": 1, "HealthCheck": "checks", "MinHealthyTime": 10 * seconds, "HealthyDeadline": 5 * minutes}
+	restartDefaults = map[string]map[string]any{
+		"service": {"Attempts": 2, "Delay": 15 * seconds, "Interval": 30 * minutes, "Mode": "fail"},
+		"batch":   {"Attempts": 3, "Delay": 15 * seconds, "Interval": 24 * hours, "Mode": "fail"},
+	}
+	rescheduleDefaults = map[string]map[string]any{
+		"service": {"Delay": 30 * seconds, "DelayFunction": "exponential", "MaxDelay": hours, "Unlimited": true},
+		"batch":   {"Attempts": 1, "Interval": 24 * hours, "Delay": 5 * seconds, "DelayFunction": "constant"},
+	}
+	diskDefaults = map[string]any{"SizeMB": 300}
+	logDefaults  = map[string]any{"MaxFiles": 10, "MaxFileSizeMB": 10}
+)
+
+// fill adds defaults to a copy of what a file gives.
+func fill(given any, defaults ...map[string]any) map[string]any {
+	m, _ := given.(map[string]any)
+	out := maps.Clone(m)
+	if out == nil {
+		out = map[string]any{}
+	}
+	for _, d := range defaults {
+		for k, v := range d {
+			if _, ok := out[k]; !ok {
+				out[k] = v
+			}
+		}
+	}
+	return out
+}
+
+// fillAll does so for each of a list that m holds.
+func fillAll(m map[string]any, field string, f func(any) map[string]any) {
+	list, ok := m[field].([]any)
+	if !ok {
+		return
+	}
+	out := make([]any, len(list))
+	for i, e := range list {
+		out[i] = f(e)
+	}
+	m[field] = out
+}
+
+func fillOne(m map[string]any, field string, defaults map[string]any) {
+	if b, ok := m[field]; ok {
+		m[field] = fill(b, defaults)
+	}
+}
+
+func fillJob(doc map[string]any) map[string]any {
+	job := fill(doc, jobDefaults)
+	kind, _ := job["Type"].(string)
+	if restartDefaults[kind] == nil {
+		kind = "service"
+	}
+	if job["Name"] == nil {
+		job["Name"] = job["ID"]
+	}
+	chooses := func(m map[string]any) {
+		fillAll(m, "Constraints", func(v any) map[string]any { return fill(v, constraintEquals) })
+		fillAll(m, "Affinities", func(v any) map[string]any { return fill(v, affinityDefaults) })
+	}
+	policies := func(m map[string]any) {
+		fillOne(m, "Update", updateDefaults)
+		fillOne(m, "Migrate", migrateDefaults)
+		fillOne(m, "RestartPolicy", restartDefaults[kind])
+		fillOne(m, "ReschedulePolicy", rescheduleDefaults[kind])
+		fillOne(m, "Reschedule", rescheduleDefaults[kind])
+	}
+	chooses(job)
+	policies(job)
+	fillAll(job, "TaskGroups", func(v any) map[string]any {
+		group := fill(v, groupDefaults)
+		chooses(group)
+		policies(group)
+		fillOne(group, "EphemeralDisk", diskDefaults)
+		fillAll(group, "Tasks", func(v any) map[string]any {
+			task := fill(v, taskDefaults)
+			chooses(task)
+			policies(task)
+			fillOne(task, "LogConfig", logDefaults)
+			res := fill(task["Resources"], resourceDefaults)
+			if res["Cores"] == nil && res["CPU"] == nil {
+				res["CPU"] = 100
+			}
+			fillAll(res, "Devices", func(v any) map[string]any {
+				d := fill(v, deviceDefaults)
+				chooses(d)
+				return d
+			})
+			task["Resources"] = res
+			return task
+		})
+		return group
+	})
+	return job
+}
+
+// decode makes the typed job of what was read.
+func (f *File) decode() (*Job, error) {
+	b, err := json.Marshal(fillJob(f.doc))
+	if err != nil {
+		return nil, err
+	}
+	return Decode(b)
+}
+
+// Decode reads a job that was encoded with its own JSON.
+func Decode(b []byte) (*Job, error) {
+	var j Job
+	dec := json.NewDecoder(bytes.NewReader(b))
+	// A task's settings go on as they are written: no digit of a number is lost.
+	dec.UseNumber()
+	return &j, dec.Decode(&j)
+}
