--- a/cmd/aspenstall/main.go
+++ b/cmd/aspenstall/main.go
@@ -20,6 +20,8 @@
 	"aspenstall/internal/httpapi"
 	"aspenstall/internal/netdial"
 	"aspenstall/internal/node"
+	"aspenstall/internal/nomad/jobfile"
+	"aspenstall/internal/nomad/translate"
 	"aspenstall/internal/peer"
 )
 
@@ -35,41 +37,77 @@
 	Settings string   `help:"The operators' settings (an S-expression)." type:"path" placeholder:"FILE"`
 	Run      struct{} `cmd:"" default:"1" help:"Run a controller."`
 	Check    struct{} `cmd:"" help:"Check the settings and exit."`
+	Nomad    nomadCmd `cmd:"" help:"Nomad's job files: check them, and make tokens for clients."`
 	Version  struct{} `cmd:"" help:"Print the version and exit."`
 }
 
 func main() {
 	var c cli
 	k := kong.Parse(&c, kong.Name("aspenstall"), kong.Description("A cluster scheduler with elastic quotas."))
-	if k.Command() == "version" {
+	if err := c.do(k.Command()); err != nil {
+		if !errors.Is(err, errRefused) {
+			fmt.Fprintln(os.Stderr, "aspenstall:", err)
+		}
+		code := 1
+		if errors.Is(err, errConfig) || errors.Is(err, errRefused) {
+			code = exitConfig
+		}
+		os.Exit(code)
+	}
+}
+
+// errConfig marks what is wrong with settings.
+var errConfig = errors.New("")
+
+// do carries out a command.
+func (c *cli) do(command string) error {
+	switch command {
+	case "version":
 		fmt.Println("aspenstall", version)
-		return
+		return nil
+	case "nomad table":
+		return translate.WriteTable(os.Stdout)
+	case "nomad schema":
+		_, err := os.Stdout.Write(jobfile.Schema)
+		return err
+	case "nomad token <key-file>":
+		return c.Nomad.Token.run(os.Stdin, os.Stdout)
 	}
-	p, s, err := load(&c)
+	p, s, err := c.load(command != "nomad check <file>")
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "aspenstall:", err)
-		os.Exit(exitConfig)
+		return fmt.Errorf("%w%w", err, errConfig)
 	}
-	if k.Command() == "check" {
+	switch command {
+	case "check":
 		fmt.Println("settings are good")
-		return
-	}
-	if err := run(p, s); err != nil {
-		fmt.Fprintln(os.Stderr, "aspenstall:", err)
-		os.Exit(1)
+		return nil
+	case "nomad check <file>":
+		return c.Nomad.Check.run(p, &s, os.Stdout)
 	}
+	return run(p, s)
 }
 
-func load(c *cli) (*config.Platform, config.Settings, error) {
+// load reads the settings; the platform's may be missing where it need not be
+// there.
+func (c *cli) load(platform bool) (*config.Platform, config.Settings, error) {
 	s, err := config.LoadSettings(c.Settings)
 	if err != nil {
 		return nil, s, err
 	}
 	if c.Config == "" {
-		return nil, s, errors.New("--config: missing")
+		if platform {
+			err = errors.New("--config: missing")
+		}
+		return nil, s, err
 	}
 	p, err := config.LoadPlatform(c.Config)
-	return p, s, err
+	if err != nil {
+		return nil, s, err
+	}
+	if err := s.Check(p); err != nil {
+		return nil, s, fmt.Errorf("%s: %w", c.Settings, err)
+	}
+	return p, s, nil
 }
 
 func logger(member string) *slog.Logger {
@@ -120,6 +158,11 @@
 		MaxHeaderBytes: 16 << 10,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
+	if s.Nomad != nil {
+		if err := serveNomad(n, s.Nomad, log); err != nil {
+			return err
+		}
+	}
 	go n.Run(ctx)
 	log.Info("listening", "address", p.Listen, "version", version)
 	return srv.Serve(l)
--- /dev/null
+++ b/cmd/aspenstall/nomad.go
@@ -0,0 +1,285 @@
+package main
+
+import (
+	"bufio"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"aspenstall/internal/config"
+	"aspenstall/internal/core"
+	"aspenstall/internal/node"
+	"aspenstall/internal/nomad/httpapi"
+	"aspenstall/internal/nomad/jobfile"
+	"aspenstall/internal/nomad/translate"
+)
+
+// nomadCmd are the commands about Nomad's job files.
+type nomadCmd struct {
+	Check  nomadCheck `cmd:"" help:"Print the native jobs that job files become, or every refusal."`
+	Table  struct{}   `cmd:"" help:"Print what is served of a job file, as a table in Markdown."`
+	Schema struct{}   `cmd:"" help:"Print the JSON Schema of the JSON form."`
+	Token  nomadToken `cmd:"" help:"Make a token and its hash for the settings."`
+}
+
+type nomadCheck struct {
+	Files   []string          `arg:"" name:"file" help:"Job files, in HCL2 or in the JSON form."`
+	Var     map[string]string `help:"The value of a variable." placeholder:"NAME=VALUE" mapsep:"none"`
+	VarFile []string          `help:"A file of values of variables." placeholder:"FILE"`
+	Team    string            `help:"The team whose token would be used: what the namespace default stands for." placeholder:"NAME"`
+	Output  string            `help:"How to print: text or json." enum:"text,json" default:"text"`
+}
+
+type nomadToken struct {
+	KeyFile string `arg:"" help:"The key for the hashes, as in :token-key-file; made if there is none." type:"path"`
+	Stdin   bool   `help:"Hash the token on standard input instead of making one."`
+}
+
+// errRefused ends a check that found something.
+var errRefused = errors.New("refused")
+
+// checked is a file's native jobs or what is wrong with it, as JSON prints it.
+type checked struct {
+	File     string        `json:"file"`
+	Jobs     []nativeJob   `json:"jobs,omitempty"`
+	Refusals []refusalView `json:"refusals,omitempty"`
+	Warnings []refusalView `json:"warnings,omitempty"`
+}
+
+type refusalView struct {
+	File   string `json:"file"`
+	Line   int    `json:"line,omitempty"`
+	Column int    `json:"column,omitempty"`
+	Reason string `json:"reason"`
+}
+
+// nativeJob is a native job in the words of the project, amounts in units.
+type nativeJob struct {
+	Group       string   `json:"group"`
+	Team        string   `json:"team"`
+	Class       string   `json:"class"`
+	Kind        string   `json:"kind"`
+	Priority    string   `json:"priority"`
+	Tasks       int      `json:"tasks"`
+	CPUs        float64  `json:"cpus"`
+	GPUs        float64  `json:"gpus"`
+	MemGB       float64  `json:"mem_gb"`
+	Types       []string `json:"types,omitempty"`
+	Zone        string   `json:"zone,omitempty"`
+	OneZone     bool     `json:"one_zone,omitempty"`
+	Spread      bool     `json:"spread,omitempty"`
+	Spot        bool     `json:"spot,omitempty"`
+	Image       string   `json:"image"`
+	ImageGB     float64  `json:"image_gb"`
+	EstimateS   float64  `json:"estimate_s"`
+	CheckpointS float64  `json:"checkpoint_s,omitempty"`
+	SaveCostS   float64  `json:"save_cost_s,omitempty"`
+	DueS        float64  `json:"due_s,omitempty"`
+}
+
+func nativeOf(group string, s *core.JobSpec) nativeJob {
+	return nativeJob{
+		Group: group, Team: s.Team, Class: s.Class, Kind: [...]string{"array", "gang", "service"}[s.Kind], Priority: s.Priority.String(), Tasks: s.Tasks,
+		CPUs: float64(s.Need.CPU) / 1000, GPUs: float64(s.Need.GPU) / 1000, MemGB: float64(s.Need.Mem) / 1000,
+		Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, Image: s.Image, ImageGB: float64(s.ImageMB) / 1000,
+		EstimateS: float64(s.Estimate) / 1e6, CheckpointS: float64(s.Checkpoint) / 1e6, SaveCostS: float64(s.SaveCost) / 1e6, DueS: float64(s.Due) / 1e6,
+	}
+}
+
+func views(ps jobfile.Problems) []refusalView {
+	var out []refusalView
+	for _, p := range ps {
+		out = append(out, refusalView{p.File, p.Line, p.Column, p.Text})
+	}
+	return out
+}
+
+// run checks the files against the settings, and the platform's zones and teams
+// if its file is given.
+func (c *nomadCheck) run(p *config.Platform, s *config.Settings, w io.Writer) error {
+	n := config.DefaultNomad()
+	if s.Nomad != nil {
+		n = *s.Nomad
+	}
+	t := translate.Terms{Team: c.Team, MHzPerCPU: n.MHzPerCPU, ScratchMB: n.ScratchMB, GPUs: n.GPUDevices, Cap: s.PriorityCap}
+	if p != nil {
+		t.Zones = p.Params.Zones
+	}
+	o := jobfile.Options{Vars: c.Var}
+	for _, path := range c.VarFile {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		o.VarFiles = append(o.VarFiles, jobfile.VarFile{Name: path, Source: b})
+	}
+	var all []checked
+	bad := false
+	for _, path := range c.Files {
+		k, err := checkFile(path, o, t)
+		if err != nil {
+			return err
+		}
+		bad = bad || k.Refusals != nil
+		all = append(all, k)
+	}
+	if err := printChecked(w, c.Output, all); err != nil {
+		return err
+	}
+	if bad {
+		return errRefused
+	}
+	return nil
+}
+
+func checkFile(path string, o jobfile.Options, t translate.Terms) (checked, error) {
+	k := checked{File: path}
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return k, err
+	}
+	f, err := jobfile.Parse(path, src, o)
+	var ps jobfile.Problems
+	if errors.As(err, &ps) {
+		k.Refusals = views(ps)
+		return k, nil
+	}
+	if err != nil {
+		return k, err
+	}
+	groups, ps := translate.Job(f, t)
+	k.Refusals, k.Warnings = views(ps), views(translate.Warnings(f))
+	for i := range groups {
+		k.Jobs = append(k.Jobs, nativeOf(groups[i].Name, &groups[i].Spec))
+	}
+	return k, nil
+}
+
+func printChecked(w io.Writer, output string, all []checked) error {
+	if output == "json" {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(all)
+	}
+	for _, k := range all {
+		for _, r := range k.Refusals {
+			if _, err := fmt.Fprintf(w, "%v: %s\n", jobfile.Pos{File: r.File, Line: r.Line, Column: r.Column}, r.Reason); err != nil {
+				return err
+			}
+		}
+		for _, r := range k.Warnings {
+			if _, err := fmt.Fprintf(w, "%v: warning: %s\n", jobfile.Pos{File: r.File, Line: r.Line, Column: r.Column}, r.Reason); err != nil {
+				return err
+			}
+		}
+		for _, j := range k.Jobs {
+			if _, err := fmt.Fprintf(w, "%s: group %s: %s\n", k.File, j.Group, j.line()); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// line is a native job in one line.
+func (j *nativeJob) line() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s of %d for team %s, class %s, priority %s; each %v CPUs, %v GPUs, %v GB; image %s of %v GB",
+		j.Kind, j.Tasks, j.Team, j.Class, j.Priority, j.CPUs, j.GPUs, j.MemGB, j.Image, j.ImageGB)
+	if j.EstimateS > 0 {
+		fmt.Fprintf(&b, "; runs about %v s", j.EstimateS)
+	}
+	if j.DueS > 0 {
+		fmt.Fprintf(&b, "; due in %v s", j.DueS)
+	}
+	if j.CheckpointS > 0 {
+		fmt.Fprintf(&b, "; saves every %v s in %v s", j.CheckpointS, j.SaveCostS)
+	}
+	if j.Types != nil {
+		fmt.Fprintf(&b, "; on %s", strings.Join(j.Types, ", "))
+	}
+	if j.Zone != "" {
+		fmt.Fprintf(&b, "; in zone %s", j.Zone)
+	}
+	for _, f := range []struct {
+		on   bool
+		text string
+	}{{j.OneZone, "all in one zone"}, {j.Spread, "spread over zones"}, {j.Spot, "spot machines too"}} {
+		if f.on {
+			b.WriteString("; " + f.text)
+		}
+	}
+	return b.String()
+}
+
+// run makes a token, or hashes one.
+func (c *nomadToken) run(r io.Reader, w io.Writer) error {
+	key, err := os.ReadFile(c.KeyFile)
+	if errors.Is(err, os.ErrNotExist) {
+		key = []byte(rand.Text())
+		err = os.WriteFile(c.KeyFile, append(key, '\n'), 0o600)
+	}
+	if err != nil {
+		return err
+	}
+	if key, err = config.TokenKey(c.KeyFile, key); err != nil {
+		return err
+	}
+	token := ""
+	if c.Stdin {
+		line, err := bufio.NewReader(r).ReadString('\n')
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+		token = strings.TrimSpace(line)
+	} else {
+		secret := make([]byte, 32)
+		if _, err := rand.Read(secret); err != nil {
+			return err
+		}
+		token = base64.RawURLEncoding.EncodeToString(secret)
+		if _, err := fmt.Fprintf(w, "token %s\n", token); err != nil {
+			return err
+		}
+	}
+	if token == "" {
+		return errors.New("the token is empty")
+	}
+	h := httpapi.HashToken(key, token)
+	_, err = fmt.Fprintf(w, "hash  %s\n", hex.EncodeToString(h[:]))
+	return err
+}
+
+// serveNomad serves Nomad's clients on a listener of their own.
+func serveNomad(n *node.Node, s *config.Nomad, log *slog.Logger) error {
+	l, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{
+		Handler:           httpapi.Handler(n, s, log),
+		ReadHeaderTimeout: 10 * time.Second, // bodies and answers have limits of their own: queries wait long
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	log.Info("listening for Nomad's clients", "address", s.Listen)
+	go func() {
+		if err := srv.Serve(netutil.LimitListener(l, s.Conns)); err != nil {
+			log.Error("Nomad's clients are not served", "err", err)
+		}
+	}()
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,19 +2,13 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"maps"
-	"math"
 	"net"
 	"os"
 	"slices"
 
-	"olympos.io/encoding/edn"
-
 	"aspenstall/internal/core"
 )
 
@@ -85,27 +79,6 @@
 	WithinS float64 `json:"within_s"`
 }
 
-// Settings are the operators' own, in seconds where the name says so.
-type Settings struct {
-	LeaderLeaseS  float64
-	AnswerGraceS  float64
-	IdleReturnS   float64
-	RefusalPauseS float64
-	HoldS         float64
-	QuarantineS   float64
-	SuspectS      float64
-	SpareTasks    int
-	ListEveryS    float64
-}
-
-// DefaultSettings are what the program runs with without a settings file.
-func DefaultSettings() Settings {
-	return Settings{
-		LeaderLeaseS: 3, AnswerGraceS: 60, IdleReturnS: 10, RefusalPauseS: 15, HoldS: 600, QuarantineS: 120,
-		SuspectS: 4.5, SpareTasks: 3, ListEveryS: 10,
-	}
-}
-
 // LoadPlatform reads and checks the platform's file.
 func LoadPlatform(path string) (*Platform, error) {
 	b, err := os.ReadFile(path)
@@ -185,73 +158,6 @@
 	return nil
 }
 
-// LoadSettings reads and checks the operators' settings: one S-expression, a
-// map from keywords to numbers. What it does not name keeps its default.
-func LoadSettings(path string) (Settings, error) {
-	s := DefaultSettings()
-	if path == "" {
-		return s, nil
-	}
-	b, err := os.ReadFile(path)
-	if err != nil {
-		return s, err
-	}
-	// Each setting is decoded by itself, so that an error can name it; one that
-	// is misspelt and silently ignored would be worse than a refusal.
-	var given map[edn.Keyword]edn.RawMessage
-	dec := edn.NewDecoder(bytes.NewReader(b))
-	if err := dec.Decode(&given); err != nil {
-		return s, fmt.Errorf("%s: not a map of settings: %w", path, err)
-	}
-	var extra any
-	if err := dec.Decode(&extra); !errors.Is(err, io.EOF) {
-		return s, fmt.Errorf("%s: more than one expression", path)
-	}
-	settings := s.all()
-	for _, k := range slices.Sorted(maps.Keys(given)) {
-		v := given[k]
-		set, ok := settings[string(k)]
-		if !ok {
-			return s, fmt.Errorf("%s: %v: no such setting", path, k)
-		}
-		var n float64
-		if err := edn.Unmarshal(v, &n); err != nil || math.IsNaN(n) || n < set.lo || n > set.hi {
-			return s, fmt.Errorf("%s: %v: want a number from %v to %v, not %s", path, k, set.lo, set.hi, bytes.TrimSpace(v))
-		}
-		if set.whole != nil {
-			if n != math.Trunc(n) {
-				return s, fmt.Errorf("%s: %v: want a whole number, not %s", path, k, bytes.TrimSpace(v))
-			}
-			*set.whole = int(n)
-			continue
-		}
-		*set.seconds = n
-	}
-	return s, nil
-}
-
-// setting is one setting, its limits and where it is kept.
-type setting struct {
-	lo, hi  float64
-	seconds *float64
-	whole   *int
-}
-
-// all lists the settings by name.
-func (s *Settings) all() map[string]setting {
-	return map[string]setting{
-		"leader-lease-s":  {1, 60, &s.LeaderLeaseS, nil},
-		"answer-grace-s":  {0, 3600, &s.AnswerGraceS, nil},
-		"idle-return-s":   {0, 86400, &s.IdleReturnS, nil},
-		"refusal-pause-s": {0, 3600, &s.RefusalPauseS, nil},
-		"hold-s":          {0, 86400, &s.HoldS, nil},
-		"quarantine-s":    {0, 86400, &s.QuarantineS, nil},
-		"suspect-s":       {1, 600, &s.SuspectS, nil},
-		"spare-tasks":     {0, 1000, nil, &s.SpareTasks},
-		"list-every-s":    {1, 3600, &s.ListEveryS, nil},
-	}
-}
-
 // Core is the core's configuration.
 func Core(p *Platform, s Settings) core.Config {
 	c := core.Config{
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"aspenstall/internal/core"
 )
 
 const goodPlatform = `{"member":"n0","area":"a","listen":"10.0.0.1:1","cluster_listen":"10.0.0.1:2",
@@ -59,6 +61,8 @@
 }
 
 func TestSettings(t *testing.T) {
+	hash := strings.Repeat("0f", 32)
+	key := file(t, "sixteen bytes or so")
 	for _, c := range []struct{ name, text, want string }{
 		{"some", "{:spare-tasks 2 ; room\n :idle-return-s 15.5}", ""},
 		{"empty map", "{}", ""},
@@ -70,9 +74,20 @@
 		{"not a map", "(1 2)", "not a map"},
 		{"two expressions", "{} {}", "more than one"},
 		{"unclosed", "{:spare-tasks 2", ""},
+		{"a cap", "{:priority-caps {\"guests\" :normal}}", ""},
+		{"no such priority", "{:priority-caps {\"guests\" :urgent}}", ": :priority-caps: \"guests\": want :low, :normal, :high or :production, not :urgent"},
+		{"caps of numbers", "{:priority-caps {\"guests\" 50}}", ": :priority-caps: want a map"},
+		{"Nomad", "{:nomad {:listen \"127.0.0.1:4646\" :gpu-devices [\"gpu\" \"nvidia/gpu\"]}}", ""},
+		{"Nomad without an address", "{:nomad {}}", ": :nomad: :listen"},
+		{"Nomad, misspelt", "{:nomad {:listn 1}}", ": :nomad: :listn: no such setting"},
+		{"tokens without a key", "{:nomad {:listen \"127.0.0.1:4646\" :tokens {\"blue\" [\"" + hash + "\"]}}}", ": :nomad: :token-key-file: missing"},
+		{"a key beside the file", "{:nomad {:listen \"127.0.0.1:4646\" :token-key-file \"file\"}}", ""},
+		{"not a hash", "{:nomad {:tokens {\"blue\" [\"secret\"]}}}", ": :nomad: :tokens: \"blue\": want hashes"},
+		{"one token of two teams", "{:nomad {:listen \"127.0.0.1:4646\" :tokens {\"blue\" [\"" + hash + "\"] \"green\" [\"" + hash + "\"]} :token-key-file \"KEY\"}}",
+			": :nomad: :tokens: teams \"blue\" and \"green\" have the same token"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			path := file(t, c.text)
+			path := file(t, strings.Replace(c.text, "KEY", key, 1))
 			s, err := LoadSettings(path)
 			if c.name == "unclosed" {
 				if err == nil {
@@ -81,6 +96,12 @@
 				return
 			}
 			verdict(t, err, path, c.want)
+			if c.name == "Nomad" && (s.Nomad.Watchers != 1000 || len(s.Nomad.GPUDevices) != 2) {
+				t.Errorf("got %+v", s.Nomad)
+			}
+			if c.name == "a cap" && (s.PriorityCap("guests") != core.Normal || s.PriorityCap("blue") != core.Production) {
+				t.Errorf("got %+v", s.PriorityCaps)
+			}
 			if c.name == "some" && (s.SpareTasks != 2 || s.IdleReturnS != 15.5 || s.SuspectS != DefaultSettings().SuspectS) {
 				t.Errorf("got %+v", s)
 			}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,344 @@
+package config
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"olympos.io/encoding/edn"
+
+	"aspenstall/internal/core"
+)
+
+// Settings are the operators' own, in seconds where the name says so.
+type Settings struct {
+	LeaderLeaseS  float64
+	AnswerGraceS  float64
+	IdleReturnS   float64
+	RefusalPauseS float64
+	HoldS         float64
+	QuarantineS   float64
+	SuspectS      float64
+	SpareTasks    int
+	ListEveryS    float64
+	// PriorityCaps are the highest priorities that teams may ask for, in
+	// whatever form they submit. A team without one may ask for any.
+	PriorityCaps map[string]core.Priority
+	Nomad        *Nomad // nil: job files are not served
+}
+
+// Nomad are the settings of the interface for Nomad's clients.
+type Nomad struct {
+	Listen      string            // IP address and port
+	Key         []byte            // that tokens' hashes are made with
+	Tokens      map[string][]Hash // by team
+	AgentTokens []Hash            // of machines, which read the descriptions of tasks
+	Watchers    int               // blocking queries and event streams at once
+	Conns       int               // connections at once
+	MHzPerCPU   int
+	ScratchMB   int
+	GPUDevices  []string
+	// RequestsPerS is how many requests a second a team may make of this node.
+	RequestsPerS int
+}
+
+// Hash is a token's keyed hash.
+type Hash [32]byte
+
+// DefaultNomad are the settings of the interface where the file names none.
+func DefaultNomad() Nomad {
+	return Nomad{Watchers: 1000, Conns: 1200, MHzPerCPU: 1000, ScratchMB: 300, GPUDevices: []string{"gpu"}, RequestsPerS: 50}
+}
+
+// PriorityCap is the highest priority that a team may ask for.
+func (s *Settings) PriorityCap(team string) core.Priority {
+	if p, ok := s.PriorityCaps[team]; ok {
+		return p
+	}
+	return core.Production
+}
+
+// DefaultSettings are what the program runs with without a settings file.
+func DefaultSettings() Settings {
+	return Settings{
+		LeaderLeaseS: 3, AnswerGraceS: 60, IdleReturnS: 10, RefusalPauseS: 15, HoldS: 600, QuarantineS: 120,
+		SuspectS: 4.5, SpareTasks: 3, ListEveryS: 10,
+	}
+}
+
+// LoadSettings reads and checks the operators' settings: one S-expression, a
+// map from keywords to values. What it does not name keeps its default. Paths
+// of files in it count from its own place.
+func LoadSettings(path string) (Settings, error) {
+	s := DefaultSettings()
+	if path == "" {
+		return s, nil
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return s, err
+	}
+	var whole edn.RawMessage
+	dec := edn.NewDecoder(bytes.NewReader(b))
+	if err := dec.Decode(&whole); err != nil {
+		return s, fmt.Errorf("%s: not a map of settings: %w", path, err)
+	}
+	var extra any
+	if err := dec.Decode(&extra); !errors.Is(err, io.EOF) {
+		return s, fmt.Errorf("%s: more than one expression", path)
+	}
+	if err := readMap(whole, s.all(filepath.Dir(path))); err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// setting reads one setting's value.
+type setting func(edn.RawMessage) error
+
+// readMap reads a map of settings. Each is decoded by itself, so that an error
+// can name it; one that is misspelt and silently ignored would be worse than a
+// refusal.
+func readMap(b edn.RawMessage, known map[string]setting) error {
+	var given map[edn.Keyword]edn.RawMessage
+	if err := edn.Unmarshal(b, &given); err != nil {
+		return fmt.Errorf("not a map of settings: %w", err)
+	}
+	for _, k := range slices.Sorted(maps.Keys(given)) {
+		set, ok := known[string(k)]
+		if !ok {
+			return fmt.Errorf("%v: no such setting", k)
+		}
+		if err := set(given[k]); err != nil {
+			return fmt.Errorf("%v: %w", k, err)
+		}
+	}
+	return nil
+}
+
+// all lists the settings by name.
+func (s *Settings) all(dir string) map[string]setting {
+	return map[string]setting{
+		"leader-lease-s":  number(1, 60, &s.LeaderLeaseS),
+		"answer-grace-s":  number(0, 3600, &s.AnswerGraceS),
+		"idle-return-s":   number(0, 86400, &s.IdleReturnS),
+		"refusal-pause-s": number(0, 3600, &s.RefusalPauseS),
+		"hold-s":          number(0, 86400, &s.HoldS),
+		"quarantine-s":    number(0, 86400, &s.QuarantineS),
+		"suspect-s":       number(1, 600, &s.SuspectS),
+		"spare-tasks":     whole(0, 1000, &s.SpareTasks),
+		"list-every-s":    number(1, 3600, &s.ListEveryS),
+		"priority-caps":   caps(&s.PriorityCaps),
+		"nomad": func(b edn.RawMessage) error {
+			n := DefaultNomad()
+			s.Nomad = &n
+			if err := readMap(b, n.all(dir)); err != nil {
+				return err
+			}
+			return n.check()
+		},
+	}
+}
+
+func (n *Nomad) all(dir string) map[string]setting {
+	return map[string]setting{
+		"listen":         text(&n.Listen),
+		"token-key-file": keyFile(dir, &n.Key),
+		"tokens":         tokens(&n.Tokens),
+		"agent-tokens":   hashes(&n.AgentTokens),
+		"watchers":       whole(1, 100_000, &n.Watchers),
+		"connections":    whole(1, 200_000, &n.Conns),
+		"requests-per-s": whole(1, 1_000_000, &n.RequestsPerS),
+		"mhz-per-cpu":    whole(1, 100_000, &n.MHzPerCPU),
+		"scratch-mb":     whole(0, 10_000_000, &n.ScratchMB),
+		"gpu-devices":    texts(&n.GPUDevices),
+	}
+}
+
+func (n *Nomad) check() error {
+	if err := address(":listen", n.Listen); err != nil {
+		return err
+	}
+	if n.Key == nil && (len(n.Tokens) > 0 || len(n.AgentTokens) > 0) {
+		return errors.New(":token-key-file: missing, and there are tokens")
+	}
+	teams := map[Hash]string{}
+	for team, list := range n.Tokens {
+		for _, h := range list {
+			if other, ok := teams[h]; ok {
+				return fmt.Errorf(":tokens: teams %q and %q have the same token", min(team, other), max(team, other))
+			}
+			teams[h] = team
+		}
+	}
+	return nil
+}
+
+// Check holds the settings against the platform's file.
+func (s *Settings) Check(p *Platform) error {
+	known := map[string]bool{}
+	for _, t := range p.Params.Teams {
+		known[t.Name] = true
+	}
+	for _, team := range slices.Sorted(maps.Keys(s.PriorityCaps)) {
+		if !known[team] {
+			return fmt.Errorf(":priority-caps: there is no team %q", team)
+		}
+	}
+	if s.Nomad == nil {
+		return nil
+	}
+	for _, team := range slices.Sorted(maps.Keys(s.Nomad.Tokens)) {
+		if !known[team] {
+			return fmt.Errorf(":nomad: :tokens: there is no team %q", team)
+		}
+	}
+	return nil
+}
+
+func number(lo, hi float64, to *float64) setting {
+	return func(b edn.RawMessage) error {
+		var n float64
+		if err := edn.Unmarshal(b, &n); err != nil || math.IsNaN(n) || n < lo || n > hi {
+			return fmt.Errorf("want a number from %v to %v, not %s", lo, hi, bytes.TrimSpace(b))
+		}
+		*to = n
+		return nil
+	}
+}
+
+func whole(lo, hi float64, to *int) setting {
+	return func(b edn.RawMessage) error {
+		var n float64
+		if err := number(lo, hi, &n)(b); err != nil {
+			return err
+		}
+		if n != math.Trunc(n) {
+			return fmt.Errorf("want a whole number, not %s", bytes.TrimSpace(b))
+		}
+		*to = int(n)
+		return nil
+	}
+}
+
+func text(to *string) setting {
+	return func(b edn.RawMessage) error {
+		if err := edn.Unmarshal(b, to); err != nil || *to == "" {
+			return fmt.Errorf("want a text, not %s", bytes.TrimSpace(b))
+		}
+		return nil
+	}
+}
+
+func texts(to *[]string) setting {
+	return func(b edn.RawMessage) error {
+		*to = nil
+		if err := edn.Unmarshal(b, to); err != nil {
+			return fmt.Errorf("want a list of texts, not %s", bytes.TrimSpace(b))
+		}
+		return nil
+	}
+}
+
+func caps(to *map[string]core.Priority) setting {
+	return func(b edn.RawMessage) error {
+		var given map[string]edn.Keyword
+		if err := edn.Unmarshal(b, &given); err != nil {
+			return errors.New("want a map from teams to :low, :normal, :high or :production")
+		}
+		*to = map[string]core.Priority{}
+		for team, word := range given {
+			found := false
+			for p := core.Low; p <= core.Production; p++ {
+				if p.String() == string(word) {
+					(*to)[team], found = p, true
+				}
+			}
+			if !found {
+				return fmt.Errorf("%q: want :low, :normal, :high or :production, not %v", team, word)
+			}
+		}
+		return nil
+	}
+}
+
+func decodeHashes(given []string) ([]Hash, error) {
+	var out []Hash
+	for _, g := range given {
+		b, err := hex.DecodeString(g)
+		if err != nil || len(b) != len(Hash{}) {
+			return nil, fmt.Errorf("want hashes of tokens, %d hexadecimal digits each", 2*len(Hash{}))
+		}
+		out = append(out, Hash(b))
+	}
+	return out, nil
+}
+
+func hashes(to *[]Hash) setting {
+	return func(b edn.RawMessage) error {
+		var given []string
+		err := texts(&given)(b)
+		if err == nil {
+			*to, err = decodeHashes(given)
+		}
+		return err
+	}
+}
+
+func tokens(to *map[string][]Hash) setting {
+	return func(b edn.RawMessage) error {
+		var given map[string][]string
+		if err := edn.Unmarshal(b, &given); err != nil {
+			return errors.New("want a map from teams to lists of hashes")
+		}
+		*to = map[string][]Hash{}
+		for _, team := range slices.Sorted(maps.Keys(given)) {
+			list, err := decodeHashes(given[team])
+			if err != nil {
+				return fmt.Errorf("%q: %w", team, err)
+			}
+			(*to)[team] = list
+		}
+		return nil
+	}
+}
+
+// minKey is the shortest key for tokens' hashes, in bytes.
+const minKey = 16
+
+func keyFile(dir string, to *[]byte) setting {
+	return func(b edn.RawMessage) error {
+		var path string
+		if err := text(&path)(b); err != nil {
+			return err
+		}
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(dir, path)
+		}
+		key, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if key, err = TokenKey(path, key); err != nil {
+			return err
+		}
+		*to = key
+		return nil
+	}
+}
+
+// TokenKey is the key that a file holds, without the space round it.
+func TokenKey(path string, b []byte) ([]byte, error) {
+	key := bytes.TrimSpace(b)
+	if len(key) < minKey {
+		return nil, fmt.Errorf("%s: want a key of %d bytes or more", path, minKey)
+	}
+	return key, nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,7 +44,8 @@
 	jobs      map[string]*job
 	queue     []*job // unfinished jobs in the order they are given room
 	machines  map[string]*machine
-	order     []*machine // by name, so that decisions repeat
+	order     []*machine      // by name, so that decisions repeat
+	watched   map[string]bool // jobs whose progress is to be told
 	types     map[string]*MachineType
 	typeOrder []*MachineType
 	gone      map[string]bool // machines known to be deleted
@@ -126,6 +127,7 @@
 		cfg: cfg, teams: map[string]*team{}, types: map[string]*MachineType{},
 		spare: map[string]int{}, classes: map[string]*class{}, images: map[string]int{}, imagesOn: map[int]int{},
 		zoneOf: map[string]*zone{}, deputies: map[string][]*Deputy{}, lookouts: map[kind]*lookout{},
+		watched: map[string]bool{},
 	}
 	for _, t := range cfg.Teams {
 		c.teams[t.Name] = &team{Team: t}
@@ -519,6 +521,7 @@
 		return
 	}
 	j.set(i, taskDone)
+	c.moves(j)
 	if len(j.dirty) == 0 {
 		j.writeFrom = max(j.writeFrom, now+rangesPause)
 	}
@@ -1165,6 +1168,74 @@
 	return out
 }
 
+// TaskView is a task that is done or on a machine, for display.
+type TaskView struct {
+	Index   int
+	Attempt uint64
+	Done    bool
+	Machine string // "" for a task that is done
+	State   TaskState
+	Age     Micros // since it was placed
+}
+
+// Tasks lists a job's tasks that are done or on a machine, beginning with one,
+// at most limit of them; more says that there are others.
+func (c *Core) Tasks(now Micros, id string, from, limit int) (tasks []TaskView, more, ok bool) {
+	j := c.jobs[id]
+	if !c.leading || j == nil {
+		return nil, false, false
+	}
+	for i := max(from, 0); i < len(j.status); i++ {
+		p := j.live[i]
+		if j.status[i] != taskDone && (p == nil || p.state == Exited) {
+			continue
+		}
+		if len(tasks) == limit {
+			return tasks, true, true
+		}
+		v := TaskView{Index: i, Done: j.status[i] == taskDone}
+		if p != nil && !v.Done {
+			v.Attempt, v.Machine, v.State, v.Age = p.attempt, p.m.name, p.state, max(now-p.at, 0)
+		}
+		tasks = append(tasks, v)
+	}
+	return tasks, false, true
+}
+
+// MachineView is a machine, for display.
+type MachineView struct {
+	Name, Type, Zone string
+	Spot             bool
+	Ready            bool // its worker reports
+}
+
+// Machines lists the machines that are up.
+func (c *Core) Machines() []MachineView {
+	out := make([]MachineView, 0, len(c.order))
+	for _, m := range c.order {
+		if !m.booting && !m.lost {
+			out = append(out, MachineView{m.name, m.typeName, m.zone, m.spot, !m.silent})
+		}
+	}
+	return out
+}
+
+// Watch has Step say when the counts of a job change, or no longer.
+func (c *Core) Watch(id string, on bool) {
+	if on {
+		c.watched[id] = true
+	} else {
+		delete(c.watched, id)
+	}
+}
+
+// moves notes that a job's counts changed.
+func (c *Core) moves(j *job) {
+	if len(c.watched) > 0 && c.watched[j.spec.ID] {
+		c.out = append(c.out, Progress{j.spec.ID})
+	}
+}
+
 // Catalog takes the cloud's current machine types.
 func (c *Core) Catalog(types []MachineType) {
 	c.types = map[string]*MachineType{}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -205,6 +205,7 @@
 	if p.j.live[p.index] == nil && p.j.status[p.index] != taskDone {
 		p.j.live[p.index] = p
 		p.j.set(p.index, taskPlaced)
+		c.moves(p.j)
 	}
 }
 
@@ -248,6 +249,7 @@
 	} else {
 		p.j.running--
 	}
+	c.moves(p.j)
 }
 
 // remove takes a placement off its machine for good.
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -3,6 +3,8 @@
 // clock, goroutine or random source, so that every decision can be replayed.
 package core
 
+import "math"
+
 // Micros is a time or a duration in whole microseconds. Times are readings of
 // the process's steady clock unless a name says wall.
 type Micros int64
@@ -39,6 +41,11 @@
 	Production
 )
 
+// String is the priority's name in the operators' settings.
+func (p Priority) String() string {
+	return [...]string{"low", "normal", "high", "production"}[min(p, Production)]
+}
+
 // Res is an amount of each resource, in thousandths.
 type Res struct{ CPU, GPU, Mem int64 }
 
@@ -112,6 +119,18 @@
 	Due        Micros // after submission; 0: no deadline
 }
 
+// What a job may ask for, whatever form it is submitted in.
+const (
+	MaxTasks   = 100_000
+	MaxAmount  = 1e6 // of a resource, for a task
+	MaxSeconds = 1e8
+	MaxName    = 200 // bytes
+)
+
+// Amount turns an amount that is asked for into thousandths. It rounds up, so
+// that a request is never taken for less than it is.
+func Amount(f float64) int64 { return int64(math.Ceil(f*1000 - 1e-6)) }
+
 // Phase is what a user is told of a job.
 type Phase uint8
 
@@ -315,6 +334,9 @@
 // RaiseToken asks for a new token for the current term.
 type RaiseToken struct{}
 
+// Progress says that the counts of a job changed that is watched.
+type Progress struct{ Job string }
+
 // Note is something an operator wants to read in the log.
 type Note struct {
 	Text  string
@@ -328,6 +350,7 @@
 func (Return) action()       {}
 func (RaiseToken) action()   {}
 func (Note) action()         {}
+func (Progress) action()     {}
 
 // Records of the leader's bookkeeping, as they are kept.
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,7 +39,8 @@
 	workers  *worker.Client
 	started  time.Time
 	dial     netdial.Func
-	life     uint64 // of this process, for peers to tell it from its next
+	clients  map[string]*peer.Client // of the peers; not changed once it runs
+	life     uint64                  // of this process, for peers to tell it from its next
 	// answerGrace is how long workers are answered after the leader's lease,
 	// blind how long by a node that does not learn of cancellations, and grace
 	// how long by a deputy after its last word with the leader.
@@ -61,6 +62,7 @@
 	waiting []func(ok bool)
 
 	catalog []core.MachineType
+	nomad   *nomad // nil: job files are not served
 
 	beatHeard  core.Micros            // last report of a worker, answered or not
 	abstain    core.Micros            // does not run for the leadership before this
@@ -100,10 +102,20 @@
 		n.peers[k.Member] = s
 		zones[k.Zone] = append(zones[k.Zone], &s.deputy)
 	}
+	n.clients = map[string]*peer.Client{}
+	for _, k := range p.Peers {
+		c, err := peer.Dial(k.Endpoint, dial)
+		if err != nil {
+			log.Error("peer", "peer", k.Member, "err", err)
+			continue
+		}
+		n.clients[k.Member] = c
+	}
 	for zone, ds := range zones {
 		n.core.Deputies(zone, ds)
 	}
 	n.counts = map[string]peer.Counts{}
+	n.nomad = newNomad(n)
 	return n
 }
 
@@ -151,7 +163,7 @@
 	go n.watch(ctx)
 	go n.elect(ctx)
 	for _, p := range n.cfg.Peers {
-		go n.tellPeers(ctx, p)
+		go n.tellPeers(ctx, p.Member)
 	}
 	const step = 200 * time.Millisecond
 	timer := time.NewTimer(step)
@@ -231,6 +243,8 @@
 		n.log.Log(n.ctx, level, a.Text, a.Args...)
 	case core.Write:
 		n.commit.bookkeeping(t, a)
+	case core.Progress:
+		n.nomad.moved(a.Job)
 	case core.RaiseToken:
 		t.raise()
 	case core.SendCommands:
--- /dev/null
+++ b/internal/node/nomad.go
@@ -0,0 +1,534 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"math/big"
+	"time"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/nomad/httpapi"
+	"aspenstall/internal/nomad/registry"
+	"aspenstall/internal/nomad/translate"
+	"aspenstall/internal/peer"
+	"aspenstall/internal/statestore"
+	"aspenstall/internal/wire"
+)
+
+// nomad is what a node keeps of jobs that came in as job files. Its fields
+// belong to the owning goroutine.
+type nomad struct {
+	reg   *registry.Registry
+	most  int // waiters at once
+	count int
+	// waiters by what they wait for: a job, or with an empty ID all of a team.
+	waiters map[registry.Name]map[*waiter]bool
+	// progress are waiters by native job whose counts they want.
+	progress map[string]map[*waiter]bool
+}
+
+// waiter is a query that waits for a change.
+type waiter struct {
+	of      registry.Name
+	natives []string
+	wake    func()
+}
+
+func newNomad(n *Node) *nomad {
+	if n.settings.Nomad == nil {
+		return nil
+	}
+	state := n.cfg.Params.State
+	return &nomad{
+		reg:     registry.New(registry.Limits{Ops: state.TxnOps, ValueLen: int(state.ValueKB * 1024)}, natives{n}),
+		most:    n.settings.Nomad.Watchers,
+		waiters: map[registry.Name]map[*waiter]bool{}, progress: map[string]map[*waiter]bool{},
+	}
+}
+
+// natives tells the registry of native jobs.
+type natives struct{ n *Node }
+
+func (v natives) Record(id string) (core.JobRecord, bool) {
+	rec, ok := v.n.view.jobs[id]
+	return rec, ok
+}
+
+func (v natives) Counts(id string) (done, running int) { return v.n.progressOf(id) }
+
+// progressOf is how far an unfinished job has come, as far as this node knows.
+func (n *Node) progressOf(id string) (done, running int) {
+	if done, running, ok := n.core.Counts(id); ok {
+		return done, running
+	}
+	k := n.counts[id]
+	return k.Done, k.Running
+}
+
+// put takes over a record that was read or written.
+func (v *nomad) put(n *Node, key string, value []byte, stamp uint64) {
+	if v == nil {
+		return
+	}
+	name, changed, err := v.reg.Put(key, value, stamp)
+	if err != nil {
+		n.log.Error("record of a job file", "err", err)
+	}
+	if changed {
+		v.wake(name)
+	}
+}
+
+func (v *nomad) drop(key string, stamp uint64) {
+	if v == nil {
+		return
+	}
+	if name, changed := v.reg.Drop(key, stamp); changed {
+		v.wake(name)
+	}
+}
+
+// missing drops what a whole list of the records no longer holds.
+func (v *nomad) missing(entries []wire.Entry, rev uint64) {
+	if v == nil {
+		return
+	}
+	have := make(map[string]bool, len(entries))
+	for i := range entries {
+		have[entries[i].Key] = true
+	}
+	for _, name := range v.reg.Missing(have, rev) {
+		v.wake(name)
+	}
+}
+
+// native notes that a native job's record changed.
+func (v *nomad) native(rec *core.JobRecord) {
+	if v == nil {
+		return
+	}
+	if name, ok := v.reg.NativeChanged(rec.Spec.ID, rec.Stamp); ok {
+		v.wake(name)
+	}
+}
+
+// moved notes that a native job's counts changed.
+func (v *nomad) moved(id string) {
+	if v == nil {
+		return
+	}
+	for w := range v.progress[id] {
+		w.wake()
+	}
+}
+
+func (v *nomad) wake(name registry.Name) {
+	for w := range v.waiters[name] {
+		w.wake()
+	}
+	for w := range v.waiters[registry.Name{Team: name.Team}] {
+		w.wake()
+	}
+}
+
+func (v *nomad) add(n *Node, w *waiter) {
+	v.count++
+	join(v.waiters, w.of, w)
+	for _, id := range w.natives {
+		join(v.progress, id, w)
+		n.core.Watch(id, true)
+	}
+}
+
+func (v *nomad) remove(n *Node, w *waiter) {
+	v.count--
+	leave(v.waiters, w.of, w)
+	for _, id := range w.natives {
+		leave(v.progress, id, w)
+		n.core.Watch(id, v.progress[id] != nil)
+	}
+}
+
+func join[K comparable](m map[K]map[*waiter]bool, k K, w *waiter) {
+	if m[k] == nil {
+		m[k] = map[*waiter]bool{}
+	}
+	m[k][w] = true
+}
+
+func leave[K comparable](m map[K]map[*waiter]bool, k K, w *waiter) {
+	delete(m[k], w)
+	if len(m[k]) == 0 {
+		delete(m, k)
+	}
+}
+
+// Look runs see on the owning goroutine as the query says, and returns the
+// index that it saw, which is never lower than After. Nothing is polled: a
+// query that waits is woken by the change, which comes by the watch that the
+// node keeps anyway.
+func (n *Node) Look(ctx context.Context, q httpapi.Query, see func(*registry.Registry)) (uint64, error) {
+	type seen struct {
+		index uint64
+		err   error
+	}
+	out := make(chan seen, 1)
+	var w *waiter
+	v := n.nomad
+	indexNow := func() uint64 {
+		if q.Of.ID == "" {
+			return v.reg.TeamIndex(q.Of.Team)
+		}
+		return v.reg.Index(q.Of)
+	}
+	finish := func() {
+		if w != nil {
+			v.remove(n, w)
+			w = nil
+		}
+		see(v.reg)
+		out <- seen{max(indexNow(), q.After, 1), nil}
+	}
+	post := func(f func()) bool {
+		select {
+		case n.events <- f:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-n.ctx.Done():
+			return false
+		}
+	}
+	begin := func() {
+		switch {
+		case q.After == 0:
+			n.whenFresh(func(ok bool) {
+				if !ok {
+					out <- seen{err: httpapi.ErrUnavailable}
+					return
+				}
+				finish()
+			})
+		case !n.view.ready:
+			out <- seen{err: httpapi.ErrUnavailable}
+		case indexNow() > q.After:
+			finish()
+		case v.count >= v.most:
+			out <- seen{err: httpapi.ErrBusy}
+		default:
+			w = &waiter{of: q.Of}
+			if j := v.reg.Get(q.Of); j != nil && q.Progress {
+				for _, g := range j.Groups {
+					w.natives = append(w.natives, g.Native)
+				}
+			}
+			woken := false
+			w.wake = func() {
+				if woken {
+					return
+				}
+				woken = true
+				// Behind the change that is being taken over.
+				go post(func() {
+					if w != nil {
+						finish()
+					}
+				})
+			}
+			v.add(n, w)
+		}
+	}
+	if !post(begin) {
+		return 0, httpapi.ErrUnavailable
+	}
+	var late <-chan time.Time
+	if q.After > 0 {
+		t := time.NewTimer(q.Wait)
+		defer t.Stop()
+		late = t.C
+	}
+	for {
+		select {
+		case s := <-out:
+			return s.index, s.err
+		case <-late:
+			late = nil
+			if !post(func() {
+				if w != nil {
+					finish()
+				}
+			}) {
+				return 0, httpapi.ErrUnavailable
+			}
+		case <-ctx.Done():
+			// The client is gone, or its node ends: nothing is left behind.
+			go func() {
+				select {
+				case n.events <- func() {
+					if w != nil {
+						v.remove(n, w)
+						w = nil
+					}
+				}:
+				case <-n.ctx.Done():
+				}
+			}()
+			return 0, httpapi.ErrUnavailable
+		}
+	}
+}
+
+// Waiting says how many queries wait.
+func (n *Node) Waiting(ctx context.Context) int {
+	k, _ := call(ctx, n, func(reply func(int)) { reply(n.nomad.count) })
+	return k
+}
+
+// Terms are what job files are held to for a team.
+func (n *Node) Terms(team string) translate.Terms {
+	s := n.settings.Nomad
+	return translate.Terms{
+		Team: team, Zones: n.cfg.Params.Zones, MHzPerCPU: s.MHzPerCPU, ScratchMB: s.ScratchMB, GPUs: s.GPUDevices, Cap: n.settings.PriorityCap,
+	}
+}
+
+// result is an answer or an error, to cross goroutines.
+type result[T any] struct {
+	v   T
+	err error
+}
+
+func ask[T any](ctx context.Context, n *Node, f func(reply func(T, error))) (T, error) {
+	r, ok := call(ctx, n, func(reply func(result[T])) {
+		f(func(v T, err error) { reply(result[T]{v, err}) })
+	})
+	if !ok {
+		return r.v, httpapi.ErrUnavailable
+	}
+	return r.v, r.err
+}
+
+// maxTries is how often a change is worked out anew when another one came
+// between.
+const maxTries = 4
+
+// Register takes a job file's job. It is done once it is written: the job, its
+// version, and the native job of each group, in one transaction.
+func (n *Node) Register(ctx context.Context, reg registry.Registration) (httpapi.Registered, error) {
+	return ask(ctx, n, func(reply func(httpapi.Registered, error)) {
+		n.changeJob(maxTries, reply, func() (*registry.Change, error) {
+			for i := range reg.Groups {
+				if why := n.cannotRun(&reg.Groups[i].Spec); why != "" {
+					return nil, &httpapi.RefusedError{Why: fmt.Sprintf("group %q can never run here: %s", reg.Groups[i].Name, why)}
+				}
+			}
+			return n.nomad.reg.Register(reg, newID, wall())
+		}, reg.Name)
+	})
+}
+
+// Plan says what a registration would change.
+func (n *Node) Plan(ctx context.Context, reg registry.Registration) (*registry.Change, *registry.Job, error) {
+	type planned struct {
+		ch  *registry.Change
+		old *registry.Job
+	}
+	p, err := ask(ctx, n, func(reply func(planned, error)) {
+		n.whenFresh(func(ok bool) {
+			if !ok || len(n.catalog) == 0 {
+				reply(planned{}, httpapi.ErrUnavailable)
+				return
+			}
+			ch, err := n.nomad.reg.Register(reg, func() string { return "" }, wall())
+			var old *registry.Job
+			if j := n.nomad.reg.Get(reg.Name); j != nil {
+				k := *j
+				old = &k
+			}
+			reply(planned{ch, old}, err)
+		})
+	})
+	return p.ch, p.old, err
+}
+
+// Deregister stops a job, or purges it.
+func (n *Node) Deregister(ctx context.Context, name registry.Name, purge bool) (httpapi.Registered, error) {
+	return ask(ctx, n, func(reply func(httpapi.Registered, error)) {
+		n.changeJob(maxTries, reply, func() (*registry.Change, error) {
+			ch, err := n.nomad.reg.Deregister(name, purge)
+			if err == nil && ch == nil {
+				err = httpapi.ErrNoJob
+			}
+			return ch, err
+		}, name)
+	})
+}
+
+// changeJob works out a change of what is known now and writes it.
+func (n *Node) changeJob(tries int, reply func(httpapi.Registered, error), plan func() (*registry.Change, error), name registry.Name) {
+	if len(n.catalog) == 0 {
+		reply(httpapi.Registered{}, httpapi.ErrUnavailable)
+		return
+	}
+	n.whenFresh(func(ok bool) {
+		if !ok {
+			reply(httpapi.Registered{}, httpapi.ErrUnavailable)
+			return
+		}
+		ch, err := plan()
+		if err != nil {
+			reply(httpapi.Registered{}, err)
+			return
+		}
+		if ch.Empty() {
+			reply(n.registered(name, 0), nil)
+			return
+		}
+		it, learn, err := n.itemOf(ch)
+		if err != nil {
+			n.log.Error("encode job", "err", err)
+			reply(httpapi.Registered{}, err)
+			return
+		}
+		it.done = func(rev uint64, err error) {
+			switch {
+			case err == nil:
+				learn(rev)
+				n.log.Info("job file", "team", name.Team, "job", name.ID, "started", len(ch.Start), "ended", len(ch.End), "kept", len(ch.Keep), "revision", rev)
+				reply(n.registered(name, rev), nil)
+			case errors.Is(err, statestore.ErrConflict) && tries > 1:
+				n.changeJob(tries-1, reply, plan, name)
+			case errors.Is(err, statestore.ErrInvalid):
+				n.log.Info("job file refused by the state service", "team", name.Team, "job", name.ID, "err", err)
+				reply(httpapi.Registered{}, &httpapi.RefusedError{Why: "the state service refuses the job's records"})
+			default:
+				reply(httpapi.Registered{}, httpapi.ErrUnavailable)
+			}
+		}
+		if !n.commit.add(it, true) {
+			reply(httpapi.Registered{}, httpapi.ErrUnavailable)
+		}
+	})
+}
+
+// registered is how a job stands; one that was just purged is not there.
+func (n *Node) registered(name registry.Name, rev uint64) httpapi.Registered {
+	j := n.nomad.reg.Get(name)
+	if j == nil {
+		return httpapi.Registered{Index: rev}
+	}
+	out := httpapi.Registered{Index: j.JobModifyIndex, Version: j.Version}
+	for _, g := range j.Groups {
+		out.Natives = append(out.Natives, g.Native)
+	}
+	return out
+}
+
+// itemOf makes a transaction of a change, and what to learn once it is written.
+func (n *Node) itemOf(ch *registry.Change) (it *item, learn func(rev uint64), err error) {
+	it = &item{conds: ch.Conds, ops: ch.Puts}
+	var recs []core.JobRecord
+	put := func(rec core.JobRecord) error {
+		key := jobPrefix + rec.Spec.ID
+		b, err := wire.EncodeJob(&rec)
+		it.conds = append(it.conds, wire.Cond{Key: key, Version: rec.Stamp})
+		it.ops = append(it.ops, wire.Write{Put: key, Value: b})
+		recs = append(recs, rec)
+		return err
+	}
+	for _, spec := range ch.Start {
+		if err := put(core.JobRecord{Spec: spec, Submitted: wall()}); err != nil {
+			return nil, nil, err
+		}
+	}
+	for _, rec := range ch.End {
+		rec.Phase = core.Cancelled
+		if err := put(rec); err != nil {
+			return nil, nil, err
+		}
+	}
+	return it, func(rev uint64) {
+		for _, rec := range recs {
+			rec.Stamp = rev
+			n.learnJob(rec)
+		}
+		for _, w := range ch.Puts {
+			if w.Put != "" {
+				n.nomad.put(n, w.Put, w.Value, rev)
+			} else {
+				n.nomad.drop(w.Delete, rev)
+			}
+		}
+	}, nil
+}
+
+// newID makes an id of a native job that nobody can have chosen before.
+func newID() string {
+	i, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 128))
+	if err != nil {
+		panic(err) // it never fails
+	}
+	return fmt.Sprintf("job-%039d", i)
+}
+
+// Show asks the leader where tasks and machines are.
+func (n *Node) Show(ctx context.Context, a *peer.Ask) (*peer.Shown, error) {
+	return ask(ctx, n, func(reply func(*peer.Shown, error)) {
+		if n.term == nil || !n.mayAct() {
+			reply(nil, httpapi.ErrNoLeader)
+			return
+		}
+		s := &peer.Shown{}
+		left := a.Limit
+		for _, j := range a.Jobs {
+			if left <= 0 {
+				break
+			}
+			tasks, more, ok := n.core.Tasks(n.now(), j.Job, j.From, left)
+			if ok {
+				s.Jobs = append(s.Jobs, peer.JobShown{Job: j.Job, Tasks: tasks, More: more})
+				left -= len(tasks)
+			}
+		}
+		if a.Machines {
+			s.Machines = n.core.Machines()
+		}
+		reply(s, nil)
+	})
+}
+
+// ShowAll answers a question to the leader, on whatever node.
+func (n *Node) ShowAll(ctx context.Context, a *peer.Ask) (*peer.Shown, error) {
+	leader, ok := call(ctx, n, func(reply func(string)) { reply(n.view.leader) })
+	switch {
+	case !ok || leader == "":
+		return nil, httpapi.ErrNoLeader
+	case leader == n.cfg.Member:
+		return n.Show(ctx, a)
+	case n.clients[leader] == nil:
+		return nil, httpapi.ErrNoLeader
+	}
+	s, err := n.clients[leader].Show(ctx, a)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", httpapi.ErrNoLeader, err)
+	}
+	return s, nil
+}
+
+// Members lists the controllers.
+func (n *Node) Members(ctx context.Context) httpapi.Members {
+	leader, _ := call(ctx, n, func(reply func(string)) { reply(n.view.leader) })
+	m := httpapi.Members{Self: n.cfg.Member, Zone: n.cfg.Zone, All: []string{n.cfg.ClusterListen}}
+	if leader == n.cfg.Member {
+		m.Leader = n.cfg.ClusterListen
+	}
+	for _, p := range n.cfg.Peers {
+		m.All = append(m.All, p.Endpoint)
+		if p.Member == leader {
+			m.Leader = p.Endpoint
+		}
+	}
+	return m
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"aspenstall/internal/config"
 	"aspenstall/internal/core"
 	"aspenstall/internal/peer"
 )
@@ -36,10 +35,9 @@
 }
 
 // tellPeers exchanges status with one peer until ctx ends.
-func (n *Node) tellPeers(ctx context.Context, p config.Peer) {
-	c, err := peer.Dial(p.Endpoint, n.dial)
-	if err != nil {
-		n.log.Error("peer", "peer", p.Member, "err", err)
+func (n *Node) tellPeers(ctx context.Context, member string) {
+	c := n.clients[member]
+	if c == nil {
 		return
 	}
 	defer c.Close()
@@ -61,7 +59,7 @@
 			asked = n.now()
 			if s.Token != 0 {
 				s.Counts = n.changedCounts(sent)
-				k := n.peers[p.Member]
+				k := n.peers[member]
 				s.Echo = k.nonce
 				if s.Echo != 0 {
 					k.deputy.Permit(k.replied, n.grace)
@@ -74,11 +72,11 @@
 		}
 		answer, err := c.Tell(ctx, s)
 		if err != nil {
-			n.log.Debug("peer", "peer", p.Member, "err", err)
+			n.log.Debug("peer", "peer", member, "err", err)
 			clear(sent) // it may have missed these
 			continue
 		}
-		n.post(func() { n.replied(p.Member, s, answer, asked) })
+		n.post(func() { n.replied(member, s, answer, asked) })
 	}
 }
 
@@ -165,6 +163,7 @@
 		for _, c := range s.Counts {
 			if _, known := n.view.jobs[c.Job]; known || len(n.counts) < 100_000 {
 				n.counts[c.Job] = c
+				n.nomad.moved(c.Job)
 			}
 		}
 	}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"slices"
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/httpapi"
@@ -28,11 +30,7 @@
 	case core.Done:
 		s.Done = rec.Spec.Tasks
 	case core.Pending:
-		done, running, ok := n.core.Counts(rec.Spec.ID)
-		if !ok {
-			k := n.counts[rec.Spec.ID]
-			done, running = k.Done, k.Running
-		}
+		done, running := n.progressOf(rec.Spec.ID)
 		s.Done, s.Running = done, running
 		if running > 0 {
 			s.State = wire.StateRunning
@@ -77,7 +75,7 @@
 			n.lookup(id, reply, refuse(http.StatusBadRequest))
 		case !n.view.ready || len(n.catalog) == 0:
 			reply(httpapi.Unavailable())
-		case !n.canRun(spec):
+		case n.cannotRun(spec) != "":
 			n.lookup(id, reply, refuse(http.StatusUnprocessableEntity))
 		default:
 			n.create(spec, reply)
@@ -119,11 +117,8 @@
 	}
 }
 
-// canRun reports whether a job could ever run here.
-func (n *Node) canRun(s *core.JobSpec) bool {
-	if len(n.cfg.Params.Teams) == 0 {
-		return false
-	}
+// cannotRun says why a job could never run here, "" if it could.
+func (n *Node) cannotRun(s *core.JobSpec) string {
 	team := -1
 	for i := range n.cfg.Params.Teams {
 		if n.cfg.Params.Teams[i].Name == s.Team {
@@ -131,30 +126,25 @@
 		}
 	}
 	if team < 0 {
-		return false
+		return fmt.Sprintf("there is no team %q", s.Team)
+	}
+	if limit := n.settings.PriorityCap(s.Team); s.Priority > limit {
+		return fmt.Sprintf("team %s may ask for %v priority at most, not %v", s.Team, limit, s.Priority)
 	}
-	t := &n.cfg.Params.Teams[team]
 	all := s.Need
 	if s.Kind != core.Array {
 		all = s.Need.Times(s.Tasks)
 	}
+	t := &n.cfg.Params.Teams[team]
 	if t.CPUsMax > 0 && float64(all.CPU) > t.CPUsMax*1000 || t.GPUsMax > 0 && float64(all.GPU) > t.GPUsMax*1000 {
-		return false
+		return fmt.Sprintf("it needs more than the limit of team %s", s.Team)
 	}
 	for i := range n.catalog {
-		if !s.Need.Fits(n.catalog[i].Cap) {
-			continue
-		}
-		if s.Types == nil {
-			return true
-		}
-		for _, name := range s.Types {
-			if name == n.catalog[i].Name {
-				return true
-			}
+		if s.Need.Fits(n.catalog[i].Cap) && (s.Types == nil || slices.Contains(s.Types, n.catalog[i].Name)) {
+			return ""
 		}
 	}
-	return false
+	return "a task fits no machine type that is allowed"
 }
 
 // Poll answers a user's question about a job.
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"aspenstall/internal/core"
+	"aspenstall/internal/nomad/registry"
 	"aspenstall/internal/statestore"
 	"aspenstall/internal/wire"
 )
@@ -76,6 +77,7 @@
 		leader = leader || e.Key == leaderKey
 		n.applyPut(e.Key, e.Value, e.Version)
 	}
+	n.nomad.missing(entries, rev)
 	if !leader && n.view.leaderStamp < rev {
 		n.setLeader("", rev)
 	}
@@ -99,7 +101,9 @@
 		e := &ch.Events[i]
 		if e.Put != "" {
 			n.applyPut(e.Put, e.Value, e.Version)
-		} else if e.Delete == leaderKey && e.Version > n.view.leaderStamp {
+		} else if e.Delete != leaderKey {
+			n.nomad.drop(e.Delete, e.Version)
+		} else if e.Version > n.view.leaderStamp {
 			n.setLeader("", e.Version)
 		}
 	}
@@ -139,6 +143,8 @@
 			return
 		}
 		n.learnJob(rec)
+	case strings.HasPrefix(key, registry.Prefix):
+		n.nomad.put(n, key, value, stamp)
 	}
 }
 
@@ -154,6 +160,7 @@
 	if rec.Phase != core.Pending {
 		delete(n.counts, id)
 	}
+	n.nomad.native(&rec)
 }
 
 func (n *Node) setLeader(name string, stamp uint64) {
--- /dev/null
+++ b/internal/nomad/httpapi/backend.go
@@ -0,0 +1,74 @@
+// Package httpapi serves clients that speak Nomad's HTTP interface
+// (https://developer.hashicorp.com/nomad/api-docs): jobs, allocations,
+// evaluations, nodes and the event stream, with blocking queries. It reads and
+// writes the published JSON; what a request means is decided in packages
+// jobfile, translate and registry, and done by a Backend. What is not served is
+// answered 404 or 501 in one sentence.
+package httpapi
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"aspenstall/internal/nomad/registry"
+	"aspenstall/internal/nomad/translate"
+	"aspenstall/internal/peer"
+)
+
+// Errors of a Backend.
+var (
+	// ErrUnavailable: it cannot be said or done now; a retry finds out.
+	ErrUnavailable = errors.New("the state service is not reached; try again")
+	// ErrNoLeader: no node leads that could say where tasks are.
+	ErrNoLeader = errors.New("No cluster leader")
+	// ErrBusy: too many queries wait already.
+	ErrBusy = errors.New("too many blocking queries")
+	// ErrNoJob: there is no such job.
+	ErrNoJob = errors.New("job not found")
+)
+
+// RefusedError says why a job could never run here.
+type RefusedError struct{ Why string }
+
+func (e *RefusedError) Error() string { return e.Why }
+
+// Query is a look at the registry.
+type Query struct {
+	Of       registry.Name // a job, or with an empty ID all of the team's
+	After    uint64        // 0: answer at once; else once the index is higher, or
+	Wait     time.Duration // when this is over
+	Progress bool          // answer also when the job's counts change
+}
+
+// Registered is what became of a registration.
+type Registered struct {
+	Index   uint64 // the job's JobModifyIndex
+	Version uint64
+	Natives []string
+}
+
+// Members are the controllers and which of them leads, by the addresses at
+// which they reach one another.
+type Members struct {
+	Self, Zone string
+	Leader     string // address; "" for none
+	All        []string
+}
+
+// Backend is a controller. Every method returns by itself before its context
+// ends or soon after.
+type Backend interface {
+	// Look runs see as the query says and returns the index that it saw. see
+	// must copy what it keeps, and not wait.
+	Look(ctx context.Context, q Query, see func(*registry.Registry)) (uint64, error)
+	Register(ctx context.Context, r registry.Registration) (Registered, error)
+	// Plan says what a registration would change, and of which job.
+	Plan(ctx context.Context, r registry.Registration) (*registry.Change, *registry.Job, error)
+	Deregister(ctx context.Context, n registry.Name, purge bool) (Registered, error)
+	// ShowAll asks the leader where tasks and machines are.
+	ShowAll(ctx context.Context, a *peer.Ask) (*peer.Shown, error)
+	Members(ctx context.Context) Members
+	Terms(team string) translate.Terms
+	Healthy() bool
+}
--- /dev/null
+++ b/internal/nomad/httpapi/views.go
@@ -0,0 +1,324 @@
+package httpapi
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/nomad/jobfile"
+	"aspenstall/internal/nomad/registry"
+)
+
+// The published JSON of answers. Fields have the published names.
+
+type registered struct {
+	EvalID          string
+	EvalCreateIndex uint64
+	JobModifyIndex  uint64
+	Warnings        string
+	meta
+}
+
+type jobStub struct {
+	ID, ParentID, Name, Namespace            string
+	Datacenters                              []string
+	NodePool, Type                           string
+	Priority                                 int
+	Periodic, ParameterizedJob, Stop         bool
+	Status, StatusDescription                string
+	JobSummary                               *jobSummary
+	CreateIndex, ModifyIndex, JobModifyIndex uint64
+	SubmitTime                               int64
+	Version                                  uint64
+}
+
+type groupSummary struct {
+	Queued, Complete, Failed, Running, Starting, Lost, Unknown int
+}
+
+type jobSummary struct {
+	JobID, Namespace         string
+	Summary                  map[string]groupSummary
+	Children                 struct{ Pending, Running, Dead int64 }
+	CreateIndex, ModifyIndex uint64
+}
+
+type fullJob struct {
+	*jobfile.Job
+	ParentID                                 string
+	Status, StatusDescription                string
+	Stop, Stable                             bool
+	Version                                  uint64
+	SubmitTime                               int64
+	CreateIndex, ModifyIndex, JobModifyIndex uint64
+}
+
+type jobVersions struct {
+	Versions []*fullJob
+	Diffs    []struct{}
+}
+
+// taskDescription is what a machine runs: the job, and which group of it.
+type taskDescription struct {
+	Job     *jobfile.Job
+	Version uint64
+	Group   string
+	Meta    map[string]string // the job's, the group's and the task's
+}
+
+func summaryOf(r *registry.Registry, j *registry.Job) *jobSummary {
+	s := &jobSummary{
+		JobID: j.ID, Namespace: j.Team, Summary: map[string]groupSummary{},
+		CreateIndex: j.CreateIndex, ModifyIndex: r.ModifyIndex(j),
+	}
+	for _, g := range j.Groups {
+		t := r.Tally(g)
+		s.Summary[g.Name] = groupSummary{Queued: t.Queued, Complete: t.Complete, Running: t.Running}
+	}
+	return s
+}
+
+func stubOf(r *registry.Registry, j *registry.Job) jobStub {
+	return jobStub{
+		ID: j.ID, Name: j.Title, Namespace: j.Team, Datacenters: j.Datacenters, NodePool: "default", Type: j.Type, Priority: j.Priority,
+		Stop: j.Stopped, Status: string(r.Status(j)), JobSummary: summaryOf(r, j),
+		CreateIndex: j.CreateIndex, ModifyIndex: r.ModifyIndex(j), JobModifyIndex: j.JobModifyIndex,
+		SubmitTime: nanos(j.Submitted), Version: j.Version,
+	}
+}
+
+// fullOf is a version of a job as it was registered, with how it stands.
+func fullOf(r *registry.Registry, j *registry.Job, version uint64) (*fullJob, error) {
+	b, index, at, err := j.Source(version)
+	if err != nil {
+		return nil, err
+	}
+	src, err := jobfile.Decode(b)
+	if err != nil {
+		return nil, err
+	}
+	f := &fullJob{
+		Job: src, Version: version, SubmitTime: nanos(at), CreateIndex: j.CreateIndex,
+		JobModifyIndex: index, ModifyIndex: index, Stop: true, Status: string(registry.Dead),
+	}
+	if version == j.Version {
+		f.Stop, f.Status = j.Stopped, string(r.Status(j))
+		f.JobModifyIndex, f.ModifyIndex = j.JobModifyIndex, r.ModifyIndex(j)
+	}
+	return f, nil
+}
+
+type desiredUpdates struct {
+	Ignore, Place, Migrate, Stop, InPlaceUpdate, DestructiveUpdate, Canary, Preemptions uint64
+}
+
+type groupDiff struct {
+	Type, Name string
+	Fields     []struct{}
+	Objects    []struct{}
+	Tasks      []struct{}
+	Updates    map[string]uint64
+}
+
+type jobDiff struct {
+	Type       string
+	Fields     []struct{}
+	Objects    []struct{}
+	TaskGroups []groupDiff
+	ID         string
+}
+
+type jobPlan struct {
+	Annotations struct {
+		DesiredTGUpdates map[string]*desiredUpdates
+		PreemptedAllocs  []struct{}
+	}
+	FailedTGAllocs     map[string]struct{}
+	NextPeriodicLaunch *string
+	JobModifyIndex     uint64
+	CreatedEvals       []struct{}
+	Diff               *jobDiff
+	Warnings           string
+}
+
+// planOf says what a change does, by group: which groups begin, end or go on.
+// It does not say which fields of them differ.
+func planOf(reg registry.Registration, ch *registry.Change, old *registry.Job, diff bool, warnings string) *jobPlan {
+	p := &jobPlan{FailedTGAllocs: map[string]struct{}{}, Warnings: warnings}
+	p.Annotations.DesiredTGUpdates = map[string]*desiredUpdates{}
+	of := func(group string) *desiredUpdates {
+		if p.Annotations.DesiredTGUpdates[group] == nil {
+			p.Annotations.DesiredTGUpdates[group] = &desiredUpdates{}
+		}
+		return p.Annotations.DesiredTGUpdates[group]
+	}
+	kept, ended := map[string]bool{}, map[string]int{}
+	for _, id := range ch.Keep {
+		kept[id] = true
+	}
+	for _, rec := range ch.End {
+		ended[rec.Spec.ID] = rec.Spec.Tasks
+	}
+	keptGroup := map[string]bool{}
+	if old != nil {
+		p.JobModifyIndex = old.JobModifyIndex
+		for _, g := range old.Groups {
+			keptGroup[g.Name] = kept[g.Native]
+			of(g.Name).Stop = uint64(ended[g.Native])
+		}
+	}
+	d := &jobDiff{ID: reg.ID, Type: "None"}
+	if !ch.Empty() {
+		d.Type = "Edited"
+	}
+	if old == nil {
+		d.Type = "Added"
+	}
+	for _, g := range reg.Groups {
+		u := of(g.Name)
+		gd := groupDiff{Name: g.Name, Type: "None", Updates: map[string]uint64{}}
+		if keptGroup[g.Name] || ch.Empty() {
+			u.Ignore = uint64(g.Spec.Tasks)
+			gd.Updates["ignore"] = u.Ignore
+		} else {
+			u.Place = uint64(g.Spec.Tasks)
+			gd.Type, gd.Updates["create"] = "Added", u.Place
+			if _, was := keptGroup[g.Name]; was {
+				gd.Type = "Edited"
+			}
+		}
+		d.TaskGroups = append(d.TaskGroups, gd)
+	}
+	if diff {
+		p.Diff = d
+	}
+	return p
+}
+
+// uuid writes 16 bytes as clients expect ids.
+func uuid(b [16]byte) string {
+	h := hex.EncodeToString(b[:])
+	return fmt.Sprintf("%s-%s-%s-%s-%s", h[:8], h[8:12], h[12:16], h[16:20], h[20:])
+}
+
+func hash8(parts ...string) []byte {
+	h := sha256.New()
+	for _, p := range parts {
+		fmt.Fprintf(h, "%d:%s", len(p), p)
+	}
+	return h.Sum(nil)[:8]
+}
+
+// evaluationID is the id of the decision that a registration is: of its job and
+// index, and so the same on every node.
+func evaluationID(n registry.Name, index uint64) string {
+	var b [16]byte
+	copy(b[:], hash8("evaluation", n.Team, n.ID))
+	binary.BigEndian.PutUint64(b[8:], index)
+	return uuid(b)
+}
+
+// allocationID is a task's id, which it keeps wherever it runs.
+func allocationID(native string, index int) string {
+	var b [16]byte
+	copy(b[:], hash8("allocation", native))
+	binary.BigEndian.PutUint64(b[8:], uint64(index))
+	return uuid(b)
+}
+
+func machineID(name string) string {
+	var b [16]byte
+	copy(b[:], hash8("machine", name))
+	copy(b[8:], hash8("machine's", name))
+	return uuid(b)
+}
+
+type evalView struct {
+	ID, Namespace, Type, TriggeredBy, JobID, Status, StatusDescription string
+	Priority                                                           int
+	JobModifyIndex, CreateIndex, ModifyIndex                           uint64
+	CreateTime, ModifyTime                                             int64
+	QueuedAllocations                                                  map[string]int
+}
+
+// evaluationOf is the decision that a job's last registration or
+// deregistration was: nothing is left to decide once it is written.
+func evaluationOf(r *registry.Registry, j *registry.Job) evalView {
+	e := evalView{
+		ID: evaluationID(j.Name, j.JobModifyIndex), Namespace: j.Team, Type: j.Type, TriggeredBy: "job-register", JobID: j.ID,
+		Status: "complete", Priority: j.Priority, JobModifyIndex: j.JobModifyIndex, CreateIndex: j.JobModifyIndex, ModifyIndex: j.JobModifyIndex,
+		CreateTime: nanos(j.Submitted), ModifyTime: nanos(j.Submitted), QueuedAllocations: map[string]int{},
+	}
+	if j.Stopped {
+		e.TriggeredBy = "job-deregister"
+	}
+	for _, g := range j.Groups {
+		e.QueuedAllocations[g.Name] = r.Tally(g).Queued
+	}
+	return e
+}
+
+type taskState struct {
+	State                 string
+	Failed                bool
+	Restarts              uint64
+	StartedAt, FinishedAt *string
+	Events                []struct{}
+}
+
+type allocView struct {
+	ID, EvalID, Name, Namespace, NodeID, NodeName, JobID, JobType string
+	JobVersion                                                    uint64
+	TaskGroup                                                     string
+	DesiredStatus, DesiredDescription                             string
+	ClientStatus, ClientDescription                               string
+	TaskStates                                                    map[string]taskState
+	CreateIndex, ModifyIndex                                      uint64
+	CreateTime, ModifyTime                                        int64
+}
+
+// allocOf is a task that is done or on a machine.
+func allocOf(j *registry.Job, g registry.Group, index uint64, now core.Micros, t core.TaskView) allocView {
+	a := allocView{
+		ID: allocationID(g.Native, t.Index), EvalID: evaluationID(j.Name, j.JobModifyIndex), Name: fmt.Sprintf("%s.%s[%d]", j.ID, g.Name, t.Index),
+		Namespace: j.Team, JobID: j.ID, JobType: j.Type, JobVersion: j.Version, TaskGroup: g.Name,
+		DesiredStatus: "run", CreateIndex: j.JobModifyIndex, ModifyIndex: index, TaskStates: map[string]taskState{},
+		CreateTime: nanos(j.Submitted), ModifyTime: nanos(j.Submitted),
+	}
+	state := taskState{State: "pending"}
+	switch {
+	case t.Done:
+		a.ClientStatus, state.State = "complete", "dead"
+	case t.State == core.Running || t.State == core.Saving:
+		a.ClientStatus, state.State = "running", "running"
+	default:
+		a.ClientStatus = "pending"
+	}
+	if t.Machine != "" {
+		a.NodeID, a.NodeName = machineID(t.Machine), t.Machine
+		a.CreateTime, a.ModifyTime = nanos(now-t.Age), nanos(now-t.Age)
+	}
+	a.TaskStates[g.Name] = state
+	return a
+}
+
+type nodeView struct {
+	ID, Name, Datacenter, NodeClass, NodePool, Status, StatusDescription, SchedulingEligibility, Address, Version string
+	Drain                                                                                                         bool
+	Attributes                                                                                                    map[string]string
+	Drivers                                                                                                       map[string]struct{}
+	CreateIndex, ModifyIndex                                                                                      uint64
+}
+
+func nodeOf(m core.MachineView) nodeView {
+	n := nodeView{
+		ID: machineID(m.Name), Name: m.Name, Datacenter: m.Zone, NodeClass: m.Type, NodePool: "default", Status: "ready",
+		SchedulingEligibility: "eligible", Attributes: map[string]string{"aspenstall.spot": fmt.Sprint(m.Spot)}, Drivers: map[string]struct{}{},
+	}
+	if !m.Ready {
+		n.Status, n.StatusDescription = "down", "its worker is silent"
+	}
+	return n
+}
--- a/internal/nomad/jobfile/jobfile.go
+++ b/internal/nomad/jobfile/jobfile.go
@@ -83,6 +83,9 @@
 	Vars map[string]string
 	// VarFiles are files of values, by name; later ones win, and Vars over them.
 	VarFiles []VarFile
+	// Request says that the JSON form is a client's request, in which other
+	// fields stand beside the job.
+	Request bool
 }
 
 // VarFile is a file that gives variables their values.
@@ -178,3 +181,24 @@
 func escape(key string) string {
 	return strings.NewReplacer("~", "~0", "/", "~1").Replace(key)
 }
+
+// Paths lists the paths of all that a job file may hold, blocks before what
+// they hold.
+func Paths() []string {
+	var out []string
+	var walk func(b *body, path string)
+	walk = func(b *body, path string) {
+		for i := range b.items {
+			it := &b.items[i]
+			if it.kind == server {
+				continue
+			}
+			out = append(out, path+"."+it.name())
+			if it.body != nil {
+				walk(it.body, path+"."+it.name())
+			}
+		}
+	}
+	walk(jobBody, "job")
+	return out
+}
--- a/internal/nomad/jobfile/json.go
+++ b/internal/nomad/jobfile/json.go
@@ -133,9 +133,13 @@
 		return Problems{{Pos{File: f.Name}, err.Error()}}
 	}
 	doc := v.(map[string]any) // it begins with a brace
-	if job, ok := doc["Job"].(map[string]any); ok {
+	job, ok := doc["Job"].(map[string]any)
+	if o.Request && !ok {
+		return Problems{{Pos{File: f.Name}, "Job must be specified"}}
+	}
+	if ok {
 		for name := range doc {
-			if name != "Job" {
+			if name != "Job" && !o.Request {
 				return Problems{problemf(f.At("/"+escape(name)), "%s: no such field beside Job", name)}
 			}
 		}
--- /dev/null
+++ b/internal/nomad/registry/change.go
@@ -0,0 +1,222 @@
+package registry
+
+import (
+	"fmt"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/nomad/translate"
+	"aspenstall/internal/wire"
+)
+
+// Registration is a job file to be taken.
+type Registration struct {
+	Name
+	Stub   Stub
+	Source []byte            // the job's JSON, the same for the same content
+	Groups []translate.Group // what it becomes
+	// Enforce makes it valid only if the job's JobModifyIndex is Index; 0 for a
+	// job that is not there.
+	Enforce bool
+	Index   uint64
+}
+
+// ConflictError says that a job is not as its registration expects.
+type ConflictError struct{ Want, Have uint64 }
+
+func (e *ConflictError) Error() string {
+	switch {
+	case e.Want == 0:
+		return "Enforcing job modify index 0: job already exists"
+	case e.Have == 0:
+		return fmt.Sprintf("Enforcing job modify index %d: job does not exist", e.Want)
+	}
+	return fmt.Sprintf("Enforcing job modify index %d: job exists with conflicting job modify index: %d", e.Want, e.Have)
+}
+
+// TooLargeError says that a job does not fit into the state service's limits.
+type TooLargeError struct{ Why string }
+
+func (e *TooLargeError) Error() string { return e.Why }
+
+// Change is what a registration or deregistration writes, all or nothing.
+type Change struct {
+	Conds []wire.Cond
+	Puts  []wire.Write
+	Start []core.JobSpec   // native jobs to be made
+	End   []core.JobRecord // native jobs to be cancelled, each if it is still as here
+	// Keep are native jobs that go on, unchanged.
+	Keep []string
+}
+
+// Empty reports whether nothing is to be written.
+func (c *Change) Empty() bool { return len(c.Puts) == 0 }
+
+func encode(key string, v any) (wire.Write, error) {
+	b, err := wire.Marshal(v)
+	return wire.Write{Put: key, Value: b}, err
+}
+
+func (h *head) put(key string) (wire.Write, error) { return encode(headPrefix+key, h) }
+
+// Register works out the change that a registration makes. The same content as
+// the current version changes nothing, which is also what a retry finds whose
+// first answer was lost. newID makes ids for native jobs; now is wall clock.
+func (r *Registry) Register(reg Registration, newID func() string, now core.Micros) (*Change, error) {
+	if n := r.limits.MaxGroups(); len(reg.Groups) > n {
+		return nil, &TooLargeError{fmt.Sprintf("the job has %d groups; this deployment's state service changes at most %d of a job at once: split it", len(reg.Groups), n)}
+	}
+	packed, err := Pack(reg.Source)
+	if err != nil {
+		return nil, err
+	}
+	old := r.jobs[reg.Name]
+	same := old != nil && !old.Stopped && old.current() == packed
+	if err := reg.enforce(old, same); err != nil {
+		return nil, err
+	}
+	ch := &Change{}
+	if same {
+		for _, g := range old.Groups {
+			ch.Keep = append(ch.Keep, g.Native)
+		}
+		return ch, nil
+	}
+	key := jobKey(reg.Name)
+	h := &head{Stub: reg.Stub, Team: reg.Team, ID: reg.ID, At: int64(now)}
+	cond := wire.Cond{Key: headPrefix + key}
+	if old != nil {
+		h.Version, h.Create, h.Before = old.Version+1, old.CreateIndex, old.JobModifyIndex
+		cond.Version = old.JobModifyIndex
+	}
+	ch.Conds = append(ch.Conds, cond)
+	kept := map[string]bool{}
+	for _, g := range reg.Groups {
+		native := r.unchanged(old, g)
+		if native != "" {
+			kept[native] = true
+			ch.Keep = append(ch.Keep, native)
+		} else {
+			spec := g.Spec
+			spec.ID = newID()
+			native = spec.ID
+			ch.Start = append(ch.Start, spec)
+		}
+		h.Groups = append(h.Groups, headUnit{Name: g.Name, Native: native, Digest: g.Digest})
+	}
+	r.end(ch, old, kept)
+	src, err := encode(sourceKey(key, h.Version), &source{Packed: packed, At: int64(now)})
+	if err != nil {
+		return nil, err
+	}
+	hd, err := h.put(key)
+	if err != nil {
+		return nil, err
+	}
+	for _, w := range []wire.Write{src, hd} {
+		if n := len(w.Value) + 100; n > r.limits.ValueLen {
+			return nil, &TooLargeError{fmt.Sprintf("the job takes %d bytes when packed; this deployment's state service holds %d", n, r.limits.ValueLen)}
+		}
+	}
+	ch.Puts = append(ch.Puts, hd, src)
+	if old != nil && len(old.versions) >= r.limits.kept() {
+		ch.Puts = append(ch.Puts, wire.Write{Delete: sourceKey(key, old.versions[0].number)})
+	}
+	return ch, r.fits(ch)
+}
+
+// fits reports whether a change is within the limits. Jobs are held to them
+// when they are registered, so only lowered limits can be in its way.
+func (r *Registry) fits(ch *Change) error {
+	if n := len(ch.Puts) + len(ch.Start) + len(ch.End); n > r.limits.Ops {
+		return &TooLargeError{fmt.Sprintf("the change has %d parts; this deployment's state service takes %d at once", n, r.limits.Ops)}
+	}
+	return nil
+}
+
+// enforce checks a registration's index. What a retry of it sees is its own
+// work, if the content is the same and it replaced what it expected.
+func (reg *Registration) enforce(old *Job, same bool) error {
+	if !reg.Enforce {
+		return nil
+	}
+	have := uint64(0)
+	if old != nil {
+		have = old.JobModifyIndex
+	}
+	if have == reg.Index || same && old.before == reg.Index {
+		return nil
+	}
+	return &ConflictError{reg.Index, have}
+}
+
+// unchanged is the native job that serves a group already, "" for none.
+func (r *Registry) unchanged(old *Job, g translate.Group) string {
+	if old == nil || old.Stopped {
+		return ""
+	}
+	for _, o := range old.Groups {
+		rec, ok := r.natives.Record(o.Native)
+		if o.Name == g.Name && o.Digest == g.Digest && ok && rec.Phase != core.Cancelled {
+			return o.Native
+		}
+	}
+	return ""
+}
+
+// end adds that the old job's native jobs end, but for those that are kept.
+func (r *Registry) end(ch *Change, old *Job, kept map[string]bool) {
+	if old == nil {
+		return
+	}
+	for _, g := range old.Groups {
+		if rec, ok := r.natives.Record(g.Native); ok && rec.Phase == core.Pending && !kept[g.Native] {
+			ch.End = append(ch.End, rec)
+		}
+	}
+}
+
+// Deregister works out the change that stops a job, or purges it; nil if there
+// is no such job.
+func (r *Registry) Deregister(n Name, purge bool) (*Change, error) {
+	old := r.jobs[n]
+	if old == nil {
+		return nil, nil
+	}
+	ch := &Change{}
+	if old.Stopped && !purge {
+		return ch, nil
+	}
+	key := jobKey(n)
+	ch.Conds = append(ch.Conds, wire.Cond{Key: headPrefix + key, Version: old.JobModifyIndex})
+	r.end(ch, old, nil)
+	if purge {
+		ch.Puts = append(ch.Puts, wire.Write{Delete: headPrefix + key})
+		for _, v := range old.versions {
+			ch.Puts = append(ch.Puts, wire.Write{Delete: sourceKey(key, v.number)})
+		}
+		return ch, r.fits(ch)
+	}
+	h := &head{
+		Stub: old.Stub, Team: n.Team, ID: n.ID, Version: old.Version, Stopped: true, At: int64(old.Submitted),
+		Create: old.CreateIndex, Before: old.JobModifyIndex,
+	}
+	for _, g := range old.Groups {
+		h.Groups = append(h.Groups, headUnit{Name: g.Name, Native: g.Native, Digest: g.Digest})
+	}
+	hd, err := h.put(key)
+	if err != nil {
+		return nil, err
+	}
+	ch.Puts = append(ch.Puts, hd)
+	return ch, r.fits(ch)
+}
+
+// current is the packed source of the current version, "" if it is not kept.
+func (j *Job) current() string {
+	for _, v := range j.versions {
+		if v.number == j.Version {
+			return v.packed
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/nomad/registry/record.go
@@ -0,0 +1,253 @@
+package registry
+
+import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/wire"
+)
+
+// Prefix of the keys of all records here. Every node watches it with the
+// native jobs' records, so that both come in one order.
+const Prefix = "c/nomad/"
+
+const (
+	headPrefix   = Prefix + "job/"
+	sourcePrefix = Prefix + "src/"
+)
+
+// head is a job's record.
+type head struct {
+	Team    string     `msgpack:"t"`
+	ID      string     `msgpack:"i"`
+	Version uint64     `msgpack:"v"`
+	Groups  []headUnit `msgpack:"g"`
+	Stopped bool       `msgpack:"x,omitempty"`
+	At      int64      `msgpack:"at"`
+	Create  uint64     `msgpack:"c,omitempty"` // 0: this record was the first
+	Before  uint64     `msgpack:"b,omitempty"`
+	Stub    Stub       `msgpack:"s"`
+}
+
+type headUnit struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Name     string
+	Native   string
+	Digest   string
+}
+
+// source is a version's job, packed.
+type source struct {
+	Packed string `msgpack:"p"`
+	At     int64  `msgpack:"at"`
+}
+
+// jobKey is a job's part of its keys: names may hold anything, keys may not.
+func jobKey(n Name) string {
+	h := sha256.Sum256([]byte(n.Team + "\x00" + n.ID))
+	return hex.EncodeToString(h[:])
+}
+
+func sourceKey(key string, number uint64) string {
+	return sourcePrefix + key + "/" + strconv.FormatUint(number, 10)
+}
+
+// Pack brings a job's JSON into the form in which it is kept.
+func Pack(b []byte) (string, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestCompression)
+	if err != nil {
+		return "", err
+	}
+	if _, err := w.Write(b); err != nil {
+		return "", err
+	}
+	if err := w.Close(); err != nil {
+		return "", err
+	}
+	return base64.StdEncoding.EncodeToString(out.Bytes()), nil
+}
+
+// maxSource bounds what a packed source may unpack to.
+const maxSource = 4 << 20
+
+// Unpack is the reverse of Pack.
+func Unpack(s string) ([]byte, error) {
+	b, err := base64.StdEncoding.DecodeString(s)
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxSource))
+}
+
+// Put takes over a record that was written, and tells whose it is; a record
+// that is older than what is known is passed over.
+func (r *Registry) Put(key string, value []byte, stamp uint64) (Name, bool, error) {
+	if rest, ok := strings.CutPrefix(key, sourcePrefix); ok {
+		id, number, _ := strings.Cut(rest, "/")
+		v, err := strconv.ParseUint(number, 10, 64)
+		if err != nil {
+			return Name{}, false, fmt.Errorf("record %s: %w", key, err)
+		}
+		var s source
+		if err := wire.Unmarshal(value, &s); err != nil {
+			return Name{}, false, fmt.Errorf("record %s: %w", key, err)
+		}
+		r.putSource(id, version{v, s.Packed, stamp, core.Micros(s.At)})
+		return Name{}, false, nil
+	}
+	id, ok := strings.CutPrefix(key, headPrefix)
+	if !ok {
+		return Name{}, false, nil
+	}
+	var h head
+	if err := wire.Unmarshal(value, &h); err != nil {
+		return Name{}, false, fmt.Errorf("record %s: %w", key, err)
+	}
+	n := Name{h.Team, h.ID}
+	old := r.jobs[n]
+	if old != nil && old.JobModifyIndex >= stamp {
+		return n, false, nil
+	}
+	for _, g := range r.gone {
+		if g.Name == n && g.Index >= stamp {
+			return n, false, nil // read before it was purged
+		}
+	}
+	j := &Job{
+		Name: n, Stub: h.Stub, Version: h.Version, Stopped: h.Stopped, Submitted: core.Micros(h.At),
+		JobModifyIndex: stamp, CreateIndex: cmp.Or(h.Create, stamp), before: h.Before,
+	}
+	for _, g := range h.Groups {
+		j.Groups = append(j.Groups, Group{g.Name, g.Native, g.Digest})
+	}
+	if old != nil {
+		j.versions = old.versions
+		r.forgetNatives(old)
+	} else {
+		j.versions = r.orphans[id]
+		delete(r.orphans, id)
+	}
+	for _, g := range j.Groups {
+		r.byNative[g.Native] = j
+	}
+	r.jobs[n], r.keys[id] = j, n
+	r.index[n.Team] = max(r.index[n.Team], stamp)
+	return n, true, nil
+}
+
+func (r *Registry) forgetNatives(j *Job) {
+	for _, g := range j.Groups {
+		if r.byNative[g.Native] == j {
+			delete(r.byNative, g.Native)
+		}
+	}
+}
+
+func (r *Registry) putSource(id string, v version) {
+	add := func(list []version) []version {
+		i, found := slices.BinarySearchFunc(list, v.number, func(o version, n uint64) int { return cmp.Compare(o.number, n) })
+		switch {
+		case !found:
+			return slices.Insert(slices.Clone(list), i, v)
+		case list[i].stamp < v.stamp:
+			list = slices.Clone(list)
+			list[i] = v
+		}
+		return list
+	}
+	if n, ok := r.keys[id]; ok {
+		r.jobs[n].versions = add(r.jobs[n].versions)
+	} else {
+		r.orphans[id] = add(r.orphans[id])
+	}
+}
+
+// Drop takes over that a record was deleted, and tells whose it was.
+func (r *Registry) Drop(key string, stamp uint64) (Name, bool) {
+	if rest, ok := strings.CutPrefix(key, sourcePrefix); ok {
+		id, number, _ := strings.Cut(rest, "/")
+		v, err := strconv.ParseUint(number, 10, 64)
+		if err != nil {
+			return Name{}, false
+		}
+		drop := func(list []version) []version {
+			return slices.DeleteFunc(slices.Clone(list), func(o version) bool { return o.number == v && o.stamp < stamp })
+		}
+		if n, ok := r.keys[id]; ok {
+			r.jobs[n].versions = drop(r.jobs[n].versions)
+		} else if list := drop(r.orphans[id]); len(list) > 0 {
+			r.orphans[id] = list
+		} else {
+			delete(r.orphans, id)
+		}
+		return Name{}, false
+	}
+	id, ok := strings.CutPrefix(key, headPrefix)
+	n, known := r.keys[id]
+	if !ok || !known {
+		return Name{}, false
+	}
+	j := r.jobs[n]
+	if j.JobModifyIndex >= stamp {
+		return n, false
+	}
+	r.forgetNatives(j)
+	delete(r.jobs, n)
+	delete(r.keys, id)
+	r.index[n.Team] = max(r.index[n.Team], stamp)
+	r.gone = append(r.gone, Gone{n, stamp})
+	if len(r.gone) > maxGone {
+		r.gone = slices.Delete(r.gone, 0, len(r.gone)-maxGone)
+	}
+	return n, true
+}
+
+// Missing takes over a whole list of keys as of a revision: what is known and
+// not in it was deleted. It tells whose records those were.
+func (r *Registry) Missing(have map[string]bool, revision uint64) []Name {
+	var out []Name
+	for id, n := range r.keys {
+		for _, v := range r.jobs[n].versions {
+			if k := sourceKey(id, v.number); !have[k] {
+				r.Drop(k, revision)
+			}
+		}
+		if !have[headPrefix+id] {
+			if _, ok := r.Drop(headPrefix+id, revision); ok {
+				out = append(out, n)
+			}
+		}
+	}
+	return out
+}
+
+// Source is the JSON of a version of a job, and the index of its registration.
+func (j *Job) Source(number uint64) (b []byte, index uint64, at core.Micros, err error) {
+	for _, v := range j.versions {
+		if v.number == number {
+			b, err = Unpack(v.packed)
+			return b, v.stamp, v.at, err
+		}
+	}
+	return nil, 0, 0, fmt.Errorf("version %d of %s is not kept", number, j.ID)
+}
+
+// Versions lists the versions that are kept, the newest first.
+func (j *Job) Versions() []uint64 {
+	var out []uint64
+	for _, v := range slices.Backward(j.versions) {
+		out = append(out, v.number)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/nomad/translate/trace_test.go
@@ -0,0 +1,161 @@
+package translate_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"aspenstall/internal/core"
+)
+
+// site is a core with workers that do at once what they are told; every tick
+// adds to its trace who runs what, and what each team uses.
+type site struct {
+	c     *core.Core
+	now   core.Micros
+	hands []*hand
+	specs map[string]core.JobSpec
+	trace []string
+	tasks int // that were started
+}
+
+type hand struct {
+	r    core.Report
+	ends map[string]core.Micros
+}
+
+const tick = 250 * core.Millisecond
+
+func newSite() *site {
+	s := &site{now: core.Second, specs: map[string]core.JobSpec{}, c: core.New(core.Config{
+		Teams: []core.Team{
+			{Name: "blue", Min: core.Res{CPU: 16_000}, Max: core.Res{CPU: 40_000}},
+			{Name: "green", Min: core.Res{CPU: 8_000, GPU: 1_000}, Max: core.Res{CPU: 24_000, GPU: 2_000}},
+		},
+		Lease: 16 * core.Second, ReportGap: 3 * core.Second, PlacePause: 20 * core.Millisecond, RecordPause: 200 * core.Millisecond,
+		ReturnPause: core.Second, ListLag: 4 * core.Second, ChunkSize: 500, MachinesPerRecord: 100, LateTimes: 1.5,
+		Tuning: core.Tuning{Idle: 3600 * core.Second, RefusalPause: 3600 * core.Second, Hold: 600 * core.Second, Quarantine: 120 * core.Second, Suspect: 30 * core.Second},
+	})}
+	s.c.Catalog([]core.MachineType{
+		{Name: "s4", Cap: core.Res{CPU: 4_000, Mem: 16_000}, CacheMB: 40_000, FetchMBps: 500, Price: 0.2, SpotPrice: 0.1, Boot: 15 * core.Second, Zones: []string{"a", "b", "c"}},
+		{Name: "g16", Cap: core.Res{CPU: 16_000, GPU: 2_000, Mem: 64_000}, CacheMB: 40_000, FetchMBps: 1000, Price: 0.9, SpotPrice: 0.3, Boot: 20 * core.Second, Zones: []string{"a", "b"}},
+	})
+	for i := range 12 {
+		h := &hand{ends: map[string]core.Micros{}, r: core.Report{
+			Machine: fmt.Sprintf("n-%02d", i), Address: fmt.Sprintf("w%02d", i), Type: "s4", Zone: string(rune('a' + i%3)), Spot: i%4 == 1, Session: 1, Notice: -1,
+		}}
+		if i%3 < 2 && i < 6 {
+			h.r.Type = "g16"
+		}
+		s.hands = append(s.hands, h)
+	}
+	s.c.Begin(s.now, s.now, 1, nil, core.Snapshot{})
+	return s
+}
+
+func (s *site) submit(spec core.JobSpec) {
+	s.specs[spec.ID] = spec
+	s.c.Job(s.now, s.now, core.JobRecord{Spec: spec, Submitted: s.now, Stamp: 5})
+}
+
+func (h *hand) report() *core.Report {
+	h.r.Seq++
+	r := h.r
+	r.Tasks = slices.Clone(h.r.Tasks)
+	return &r
+}
+
+func (s *site) do(h *hand, cmds []core.Command) {
+	for _, c := range cmds {
+		i := slices.IndexFunc(h.r.Tasks, func(t core.TaskReport) bool { return t.Job == c.Job && t.Index == c.Index && t.Attempt == c.Attempt })
+		switch {
+		case c.Op == core.Start && i < 0:
+			s.tasks++
+			h.r.Tasks = append(h.r.Tasks, core.TaskReport{Job: c.Job, Index: c.Index, Attempt: c.Attempt, State: core.Running})
+			if d := s.specs[c.Job].Estimate; d > 0 {
+				h.ends[fmt.Sprint(c.Job, c.Index)] = s.now + d + core.Micros(c.Index%5)*core.Second
+			}
+		case c.Op == core.Stop && i >= 0 && h.r.Tasks[i].State != core.Exited:
+			h.r.Tasks[i].State, h.r.Tasks[i].Cause = core.Exited, core.CauseStopped
+		case c.Op == core.Forget && i >= 0:
+			h.r.Tasks = slices.Delete(h.r.Tasks, i, i+1)
+		}
+	}
+}
+
+func (s *site) step() {
+	s.now += tick
+	for k, h := range s.hands {
+		changed := s.now/tick%12 == core.Micros(k)
+		for i := range h.r.Tasks {
+			t := &h.r.Tasks[i]
+			if end := h.ends[fmt.Sprint(t.Job, t.Index)]; t.State == core.Running && end > 0 && end <= s.now {
+				t.State, t.Cause, changed = core.Exited, core.CauseDone, true
+			}
+		}
+		if changed {
+			cmds, token, ok := s.c.Beat(s.now, h.report())
+			if ok {
+				h.r.Token = max(h.r.Token, token)
+				s.do(h, cmds)
+			}
+		}
+	}
+	for _, a := range s.c.Step(s.now) {
+		switch a := a.(type) {
+		case core.SendCommands:
+			h := s.hands[slices.IndexFunc(s.hands, func(h *hand) bool { return h.r.Machine == a.Machine })]
+			h.r.Token = max(h.r.Token, a.Token)
+			s.do(h, a.Commands)
+			s.c.Commanded(s.now, a.Machine, a.Token, core.Executed, h.report())
+		case core.Write:
+			s.c.Written(s.now, a.ID, core.Stored)
+			for _, p := range a.Puts {
+				if d, ok := p.Value.(core.JobDone); ok {
+					s.c.Job(s.now, s.now, d.Record)
+				}
+			}
+		case core.Rent:
+			s.c.Rented(s.now, s.now, a.Request, core.RentRefused, nil)
+		case core.Return:
+			s.c.Returned(s.now, a.Machines, false)
+		}
+	}
+	used := map[string]core.Res{}
+	var line strings.Builder
+	for _, h := range s.hands {
+		for _, t := range h.r.Tasks {
+			fmt.Fprintf(&line, " %s:%s/%d#%d=%d", h.r.Machine, t.Job, t.Index, t.Attempt, t.State)
+			if spec := s.specs[t.Job]; t.State != core.Exited {
+				used[spec.Team] = used[spec.Team].Add(spec.Need)
+			}
+		}
+	}
+	s.trace = append(s.trace, fmt.Sprintf("%d blue %v green %v%s", s.now, used["blue"], used["green"], &line))
+}
+
+// All samples, as job files and natively, beside one another: tick by tick the
+// same tasks on the same machines, and the same use by each team.
+func TestSamplesRunAsTheirNativeEquivalents(t *testing.T) {
+	nomad, native := newSite(), newSite()
+	all := samples(t)
+	for i := range 1200 {
+		if i%20 == 0 && i/20 < len(all) {
+			for _, spec := range all[i/20].nomad {
+				nomad.submit(spec)
+			}
+			for _, spec := range all[i/20].native {
+				native.submit(spec)
+			}
+		}
+		nomad.step()
+		native.step()
+		if a, b := nomad.trace[i], native.trace[i]; a != b {
+			t.Fatalf("tick %d:\n%s\nnatively\n%s", i, a, b)
+		}
+	}
+	if nomad.tasks < 80 {
+		t.Errorf("%d tasks were started: the days are too quiet to show anything", nomad.tasks)
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
 
+	"aspenstall/internal/core"
 	"aspenstall/internal/netdial"
 )
 
@@ -43,9 +44,36 @@
 	Running int    `msgpack:"r"`
 }
 
+// Ask asks the leader what only it knows: where tasks are. It is for display.
+type Ask struct {
+	Jobs     []JobAsk `msgpack:"j,omitempty"`
+	Limit    int      `msgpack:"l,omitempty"` // tasks in all
+	Machines bool     `msgpack:"m,omitempty"`
+}
+
+// JobAsk names a job and the first task that is asked for.
+type JobAsk struct {
+	Job  string `msgpack:"j"`
+	From int    `msgpack:"f,omitempty"`
+}
+
+// Shown is the answer.
+type Shown struct {
+	Jobs     []JobShown         `msgpack:"j,omitempty"`
+	Machines []core.MachineView `msgpack:"m,omitempty"`
+}
+
+// JobShown are the tasks of a job that are done or on a machine.
+type JobShown struct {
+	Job   string          `msgpack:"j"`
+	Tasks []core.TaskView `msgpack:"t,omitempty"`
+	More  bool            `msgpack:"m,omitempty"`
+}
+
 const (
 	serviceName = "aspenstall.Peer"
 	tellMethod  = "/" + serviceName + "/Tell"
+	showMethod  = "/" + serviceName + "/Show"
 	codecName   = "msgpack"
 	callTimeout = time.Second
 )
@@ -60,6 +88,8 @@
 // Handler answers a peer's status with this node's own.
 type Handler interface {
 	Told(ctx context.Context, s *Status) (*Status, error)
+	// Show fails on a node that does not lead.
+	Show(ctx context.Context, a *Ask) (*Shown, error)
 }
 
 // Serve answers peers on l until it fails.
@@ -68,20 +98,25 @@
 	s.RegisterService(&grpc.ServiceDesc{
 		ServiceName: serviceName,
 		HandlerType: (*Handler)(nil),
-		Methods: []grpc.MethodDesc{{
-			MethodName: "Tell",
-			Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
-				var in Status
-				if err := dec(&in); err != nil {
-					return nil, err
-				}
-				return srv.(Handler).Told(ctx, &in)
-			},
-		}},
+		Methods:     []grpc.MethodDesc{method("Tell", Handler.Told), method("Show", Handler.Show)},
 	}, h)
 	return s.Serve(l)
 }
 
+// method describes one call.
+func method[In, Out any](name string, f func(Handler, context.Context, *In) (*Out, error)) grpc.MethodDesc {
+	return grpc.MethodDesc{
+		MethodName: name,
+		Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+			var in In
+			if err := dec(&in); err != nil {
+				return nil, err
+			}
+			return f(srv.(Handler), ctx, &in)
+		},
+	}
+}
+
 // Client tells one peer.
 type Client struct{ conn *grpc.ClientConn }
 
@@ -110,10 +145,19 @@
 
 // Tell tells the peer this node's status and returns the peer's.
 func (c *Client) Tell(ctx context.Context, s *Status) (*Status, error) {
+	return invoke[Status](ctx, c, tellMethod, s)
+}
+
+// Show asks the peer, which has to lead.
+func (c *Client) Show(ctx context.Context, a *Ask) (*Shown, error) {
+	return invoke[Shown](ctx, c, showMethod, a)
+}
+
+func invoke[Out any](ctx context.Context, c *Client, method string, in any) (*Out, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var out Status
-	if err := c.conn.Invoke(ctx, tellMethod, s, &out); err != nil {
+	var out Out
+	if err := c.conn.Invoke(ctx, method, in, &out); err != nil {
 		return nil, err
 	}
 	return &out, nil
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -35,6 +35,7 @@
 type State struct {
 	mu      sync.Mutex
 	rev     uint64
+	oldest  uint64 // changes up to here are no longer kept
 	keys    map[string]wire.Entry
 	log     []wire.Change
 	leases  map[uint64]*stateLease
@@ -97,6 +98,14 @@
 }
 
 // Get reads a key from outside.
+// Forget forgets all changes so far: who watches from before has to read again.
+func (s *State) Forget() {
+	s.mu.Lock()
+	s.log, s.oldest = nil, s.rev
+	s.wake()
+	s.mu.Unlock()
+}
+
 func (s *State) Get(key string) (wire.Entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -210,6 +219,10 @@
 func (s *State) changes(w http.ResponseWriter, r *http.Request, prefix string, since uint64, wait time.Duration) {
 	end := time.Now().Add(wait)
 	for {
+		if since < s.oldest {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		out := wire.Changes{Revision: s.rev, Events: []wire.Change{}}
 		for i := range s.log {
 			e := &s.log[i]
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -359,6 +359,10 @@
 	k.tasks = append(k.tasks, t)
 	i, err := strconv.Atoi(index)
 	switch {
+	case spec == nil && err == nil && k.w.Settings.Nomad != nil:
+		// No user uploaded it: perhaps it came in as a job file.
+		t.State, t.spec = "fetching", &Spec{}
+		go k.describe(t, job)
 	case spec == nil || err != nil || i >= spec.Tasks:
 		t.Why = "no_such"
 	case busy:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -16,6 +16,7 @@
 	"aspenstall/internal/config"
 	"aspenstall/internal/httpapi"
 	"aspenstall/internal/node"
+	nomadapi "aspenstall/internal/nomad/httpapi"
 	"aspenstall/internal/peer"
 	"aspenstall/internal/wire"
 )
@@ -53,9 +54,12 @@
 	Zone   string
 	addr   string
 	peers  string // where the others reach it
+	nomad  string // where Nomad's clients do
 	gate   *gate
 	cancel context.CancelFunc
 	l, pl  net.Listener
+	nl     net.Listener // nil: Nomad's clients are not served
+	nd     *node.Node
 }
 
 // World is a deployment of stand-ins round real controllers.
@@ -68,6 +72,7 @@
 	WorkerFaults *Faults
 	Nodes        []*Node
 	Log          *slog.Logger
+	Settings     config.Settings // of the nodes that are started from now on
 
 	ctx                           context.Context
 	cancel                        context.CancelFunc
@@ -77,6 +82,7 @@
 
 	mu    sync.Mutex
 	specs map[string]*Spec
+	files map[string][]string // native jobs of job files that a machine has run, by team/name
 	gangs map[string]*gang
 	check *checker
 	users int
@@ -103,11 +109,12 @@
 	w := &World{
 		Net: NewNet(), State: NewState(p.Params.State.TxnOps), StateFaults: NewFaults(seed),
 		CloudFaults: NewFaults(seed + 1), WorkerFaults: NewFaults(seed + 2),
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), ctx: ctx, cancel: cancel, platform: p,
+		Settings: config.DefaultSettings(),
+		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)), ctx: ctx, cancel: cancel, platform: p,
 		lease: sec(p.Params.Workers.LeaseS), reportGap: sec(p.Params.Workers.ReportS),
 		gangWait: sec(p.Params.Workers.GangWaitS), gangPeers: sec(p.Params.Workers.GangPeerS),
 		cancelIn: sec(p.Params.Workers.CancelS),
-		specs:    map[string]*Spec{}, gangs: map[string]*gang{},
+		specs:    map[string]*Spec{}, files: map[string][]string{}, gangs: map[string]*gang{},
 	}
 	w.check = newChecker(w)
 	w.Cloud = &Cloud{w: w, Types: types, Capacity: 100, machines: map[string]*stall{}, requests: map[string][]string{}}
@@ -117,10 +124,12 @@
 		n := &Node{
 			Name: fmt.Sprintf("node-%d", i), Zone: zone,
 			addr: fmt.Sprintf("10.0.0.%d:8080", i+1), peers: fmt.Sprintf("10.0.0.%d:8081", i+1),
+			nomad: fmt.Sprintf("10.0.0.%d:4646", i+1),
 		}
 		n.gate = newGate(w.Log.Handler())
 		w.Net.Place(n.addr, zone)
 		w.Net.Place(n.peers, zone)
+		w.Net.Place(n.nomad, zone)
 		w.Nodes = append(w.Nodes, n)
 	}
 	go w.check.watch()
@@ -139,10 +148,14 @@
 	}
 	p.Services.State, p.Services.Cloud = stateAddr, cloudAddr
 	ctx, cancel := context.WithCancel(w.ctx)
-	nd := node.New(&p, config.DefaultSettings(), slog.New(n.gate).With("node", n.Name), w.Net.Dialer(n.addr))
-	n.cancel = cancel
+	nd := node.New(&p, w.Settings, slog.New(n.gate).With("node", n.Name), w.Net.Dialer(n.addr))
+	n.cancel, n.nd = cancel, nd
 	go nd.Run(ctx)
 	n.l = w.Net.Serve(n.addr, httpapi.Handler(nd))
+	n.nl = nil
+	if w.Settings.Nomad != nil {
+		n.nl = w.Net.Serve(n.nomad, nomadapi.Handler(nd, w.Settings.Nomad, slog.New(n.gate)))
+	}
 	n.pl = w.Net.Listen(n.peers)
 	go func() { _ = peer.Serve(n.pl, nd) }()
 }
@@ -211,7 +224,11 @@
 	n.cancel = nil
 	_ = n.l.Close()
 	_ = n.pl.Close()
+	if n.nl != nil {
+		_ = n.nl.Close()
+	}
 	w.Net.Drop(n.addr)
+	w.Net.Drop(n.nomad)
 	w.Net.Drop(n.peers)
 }
 
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -9,9 +9,6 @@
 	"aspenstall/internal/core"
 )
 
-// MaxTasks is the largest number of tasks in a job.
-const MaxTasks = 100_000
-
 var kinds = map[string]core.Kind{"batch": core.Array, "ensemble": core.Gang, "standing": core.Service}
 
 var priorities = map[string]core.Priority{
@@ -31,9 +28,7 @@
 	return true
 }
 
-// need rounds up, so that a request is never taken for less than it is; floor
-// rounds a machine's room down.
-func need(f float64) int64  { return int64(math.Ceil(f*1000 - 1e-6)) }
+// floor rounds a machine's room down.
 func floor(f float64) int64 { return int64(math.Floor(f*1000 + 1e-6)) }
 
 // fields reads a decoded map and remembers the first thing wrong with it.
@@ -54,7 +49,7 @@
 		return ""
 	}
 	s, ok := v.(string)
-	if !ok || s == "" || len(s) > 200 {
+	if !ok || s == "" || len(s) > core.MaxName {
 		f.fail(name, "want a text")
 	}
 	return s
@@ -124,11 +119,6 @@
 	return v
 }
 
-const (
-	maxAmount  = 1e6
-	maxSeconds = 1e8
-)
-
 // SubmissionID reads only the id of a submission, so that a retry can be
 // answered whatever else it holds.
 func SubmissionID(b []byte) string {
@@ -162,14 +152,14 @@
 	s.Kind = word(f, "shape", kinds)
 	s.Priority = word(f, "urgency", priorities)
 	n, ok := integer(m["lots"])
-	if !ok || n < 1 || n > MaxTasks {
+	if !ok || n < 1 || n > core.MaxTasks {
 		f.fail("lots", "want a whole number from 1 to 100000")
 	}
 	s.Tasks = int(n)
 	s.Need = core.Res{
-		CPU: need(f.number("cores", 0, maxAmount)),
-		GPU: need(f.number("gpus", 0, maxAmount)),
-		Mem: need(f.number("ram_gb", 0, maxAmount)),
+		CPU: core.Amount(f.number("cores", 0, core.MaxAmount)),
+		GPU: core.Amount(f.number("gpus", 0, core.MaxAmount)),
+		Mem: core.Amount(f.number("ram_gb", 0, core.MaxAmount)),
 	}
 	switch v := m["breeds"].(type) {
 	case nil:
@@ -190,12 +180,12 @@
 	s.Spread = f.flag("scatter")
 	s.Spot = f.flag("loaners")
 	s.Image = f.text("bundle", false)
-	s.ImageMB = need(f.number("image_gb", 0, maxAmount))
-	s.Estimate = core.Seconds(f.number("expect_s", 0, maxSeconds))
-	s.Checkpoint = core.Seconds(f.number("pin_every_s", 0, maxSeconds))
-	s.SaveCost = core.Seconds(f.number("pin_cost_s", 0, maxSeconds))
+	s.ImageMB = core.Amount(f.number("image_gb", 0, core.MaxAmount))
+	s.Estimate = core.Seconds(f.number("expect_s", 0, core.MaxSeconds))
+	s.Checkpoint = core.Seconds(f.number("pin_every_s", 0, core.MaxSeconds))
+	s.SaveCost = core.Seconds(f.number("pin_cost_s", 0, core.MaxSeconds))
 	if m["due_s"] != nil {
-		s.Due = core.Seconds(f.number("due_s", 0, maxSeconds))
+		s.Due = core.Seconds(f.number("due_s", 0, core.MaxSeconds))
 	}
 	return s, f.err
 }
