Nomad's published client drives three controllers and the stand-ins, with failures

Found by it: a job that a node parsed carries the published kill_timeout of 5 s and was refused when it was registered; the default is taken now. A query for a job's progress could miss a change between two queries of a client, since counts have no index: within 5 s of a change it is answered once more (seen failing without).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,7 +244,7 @@
 	case core.Write:
 		n.commit.bookkeeping(t, a)
 	case core.Progress:
-		n.nomad.moved(a.Job)
+		n.nomad.moved(n, a.Job)
 	case core.RaiseToken:
 		t.raise()
 	case core.SendCommands:
--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -27,8 +27,17 @@
 	waiters map[registry.Name]map[*waiter]bool
 	// progress are waiters by native job whose counts they want.
 	progress map[string]map[*waiter]bool
+	// movedAt is when this node last learnt of new counts of an unfinished
+	// native job.
+	movedAt map[string]core.Micros
 }
 
+// settle is how soon after a change of counts a query that waits for them is
+// answered at the latest. Counts are in no record, so they have no index, and a
+// change between two queries of a client would be missed: one that comes back
+// within this time is answered once more.
+const settle = 5 * core.Second
+
 // waiter is a query that waits for a change.
 type waiter struct {
 	of      registry.Name
@@ -45,6 +54,7 @@
 		reg:     registry.New(registry.Limits{Ops: state.TxnOps, ValueLen: int(state.ValueKB * 1024)}, natives{n}),
 		most:    n.settings.Nomad.Watchers,
 		waiters: map[registry.Name]map[*waiter]bool{}, progress: map[string]map[*waiter]bool{},
+		movedAt: map[string]core.Micros{},
 	}
 }
 
@@ -76,8 +86,23 @@
 	if err != nil {
 		n.log.Error("record of a job file", "err", err)
 	}
-	if changed {
-		v.wake(name)
+	if !changed {
+		return
+	}
+	v.wake(name)
+	for _, g := range v.reg.Get(name).Groups {
+		v.follow(n, g.Native)
+	}
+}
+
+// follow has the core say when counts of an unfinished native job change.
+func (v *nomad) follow(n *Node, id string) {
+	rec, ok := n.view.jobs[id]
+	j, _ := v.reg.ByNative(id)
+	on := ok && j != nil && rec.Phase == core.Pending
+	n.core.Watch(id, on)
+	if !on {
+		delete(v.movedAt, id)
 	}
 }
 
@@ -105,20 +130,24 @@
 }
 
 // native notes that a native job's record changed.
-func (v *nomad) native(rec *core.JobRecord) {
+func (v *nomad) native(n *Node, rec *core.JobRecord) {
 	if v == nil {
 		return
 	}
+	v.follow(n, rec.Spec.ID)
 	if name, ok := v.reg.NativeChanged(rec.Spec.ID, rec.Stamp); ok {
 		v.wake(name)
 	}
 }
 
 // moved notes that a native job's counts changed.
-func (v *nomad) moved(id string) {
+func (v *nomad) moved(n *Node, id string) {
 	if v == nil {
 		return
 	}
+	if j, _ := v.reg.ByNative(id); j != nil && n.view.jobs[id].Phase == core.Pending {
+		v.movedAt[id] = n.now()
+	}
 	for w := range v.progress[id] {
 		w.wake()
 	}
@@ -133,21 +162,19 @@
 	}
 }
 
-func (v *nomad) add(n *Node, w *waiter) {
+func (v *nomad) add(w *waiter) {
 	v.count++
 	join(v.waiters, w.of, w)
 	for _, id := range w.natives {
 		join(v.progress, id, w)
-		n.core.Watch(id, true)
 	}
 }
 
-func (v *nomad) remove(n *Node, w *waiter) {
+func (v *nomad) remove(w *waiter) {
 	v.count--
 	leave(v.waiters, w.of, w)
 	for _, id := range w.natives {
 		leave(v.progress, id, w)
-		n.core.Watch(id, v.progress[id] != nil)
 	}
 }
 
@@ -175,6 +202,7 @@
 		err   error
 	}
 	out := make(chan seen, 1)
+	early := make(chan time.Duration, 1)
 	var w *waiter
 	v := n.nomad
 	indexNow := func() uint64 {
@@ -185,7 +213,7 @@
 	}
 	finish := func() {
 		if w != nil {
-			v.remove(n, w)
+			v.remove(w)
 			w = nil
 		}
 		see(v.reg)
@@ -219,11 +247,18 @@
 			out <- seen{err: httpapi.ErrBusy}
 		default:
 			w = &waiter{of: q.Of}
+			sooner := core.MaxMicros
 			if j := v.reg.Get(q.Of); j != nil && q.Progress {
 				for _, g := range j.Groups {
 					w.natives = append(w.natives, g.Native)
+					if at, ok := v.movedAt[g.Native]; ok && n.now()-at < settle {
+						sooner = min(sooner, at+settle-n.now())
+					}
 				}
 			}
+			if sooner < core.MaxMicros {
+				early <- time.Duration(sooner) * time.Microsecond
+			}
 			woken := false
 			w.wake = func() {
 				if woken {
@@ -237,22 +272,26 @@
 					}
 				})
 			}
-			v.add(n, w)
+			v.add(w)
 		}
 	}
 	if !post(begin) {
 		return 0, httpapi.ErrUnavailable
 	}
 	var late <-chan time.Time
+	t := time.NewTimer(q.Wait)
+	defer t.Stop()
 	if q.After > 0 {
-		t := time.NewTimer(q.Wait)
-		defer t.Stop()
 		late = t.C
 	}
 	for {
 		select {
 		case s := <-out:
 			return s.index, s.err
+		case d := <-early:
+			if d < q.Wait {
+				t.Reset(d)
+			}
 		case <-late:
 			late = nil
 			if !post(func() {
@@ -268,7 +307,7 @@
 				select {
 				case n.events <- func() {
 					if w != nil {
-						v.remove(n, w)
+						v.remove(w)
 						w = nil
 					}
 				}:
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -163,7 +163,7 @@
 		for _, c := range s.Counts {
 			if _, known := n.view.jobs[c.Job]; known || len(n.counts) < 100_000 {
 				n.counts[c.Job] = c
-				n.nomad.moved(c.Job)
+				n.nomad.moved(n, c.Job)
 			}
 		}
 	}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -160,7 +160,7 @@
 	if rec.Phase != core.Pending {
 		delete(n.counts, id)
 	}
-	n.nomad.native(&rec)
+	n.nomad.native(n, &rec)
 }
 
 func (n *Node) setLeader(name string, stamp uint64) {
--- a/internal/nomad/translate/table.go
+++ b/internal/nomad/translate/table.go
@@ -126,7 +126,7 @@
 		"job.group.task.env":          served("goes to the machine with the task's description"),
 		"job.group.task.meta":         served("over the group's"),
 		"job.group.task.resources":    served("what a task takes of its machine; the published defaults are 100 MHz and 300 MB"),
-		"job.group.task.kill_timeout": served("up to `aspenstall_checkpoint_cost_s`: that is how long a task is given to save, and others end at once"),
+		"job.group.task.kill_timeout": served("up to `aspenstall_checkpoint_cost_s`, or the published default of 5 s: a task is given as long as it needs to save, and one that does not save ends at once"),
 		"job.group.task.kill_signal":  served("goes to the machine with the task's description"),
 		"job.group.task.logs":         served("goes to the machine with the task's description"),
 		"job.group.task.leader":       ignored("a group has one task"),
--- a/internal/nomad/translate/translate.go
+++ b/internal/nomad/translate/translate.go
@@ -260,19 +260,13 @@
 	s.Need = x.need(&task.Resources, taskAt+"/Resources")
 	x.meta(&s, g, task, at, taskAt)
 	x.where(&s, g, task, at, taskAt)
-	if task.KillTimeout > jobfile.Duration(s.SaveCost) && x.given(taskAt+"/KillTimeout") {
+	// The published default is in every job that was read before, and asks for nothing.
+	if task.KillTimeout > max(jobfile.Duration(s.SaveCost), jobfile.DefaultKillTimeout) {
 		x.refuse(taskAt+"/KillTimeout", "kill_timeout: a task is given %scheckpoint_cost_s (%v s) to save when it is stopped, and no longer", Prefix, float64(s.SaveCost)/1e6)
 	}
 	return s
 }
 
-// given reports whether a value was written, and not a default.
-func (x *translation) given(pointer string) bool {
-	found := false
-	x.f.Each(func(e jobfile.Entry) { found = found || e.Pointer == pointer && !empty(e.Value) })
-	return found
-}
-
 func (x *translation) scratch(mb int, at string) {
 	if mb > x.t.ScratchMB {
 		x.refuse(at, "%d MB of scratch space: machines here promise %d", mb, x.t.ScratchMB)
--- a/internal/standin/nomad.go
+++ b/internal/standin/nomad.go
@@ -113,9 +113,11 @@
 			_ = resp.Body.Close()
 			if s := d.spec(); resp.StatusCode == http.StatusOK && err == nil && s != nil {
 				w.mu.Lock()
-				w.specs[job] = s
-				at := d.Job.Namespace + "/" + d.Job.ID
-				w.files[at] = append(w.files[at], job)
+				if w.specs[job] == nil {
+					w.specs[job] = s
+					at := d.Job.Namespace + "/" + d.Job.ID
+					w.files[at] = append(w.files[at], job)
+				}
 				w.mu.Unlock()
 				return s
 			}
--- /dev/null
+++ b/internal/standin/nomad_test.go
@@ -0,0 +1,651 @@
+package standin_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/nomad/api"
+
+	"aspenstall/internal/config"
+	"aspenstall/internal/core"
+	nomadapi "aspenstall/internal/nomad/httpapi"
+	"aspenstall/internal/standin"
+)
+
+// nomadSite is a world whose controllers serve Nomad's clients.
+type nomadSite struct {
+	*testing.T
+	*standin.World
+}
+
+// playNomad plays a day with three controllers, and holds it to the rules.
+func playNomad(t *testing.T, seed uint64, day func(t *testing.T, s *nomadSite)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platform()
+		p.Params.Zones = []string{"a", "b", "c"}
+		addTeam(&p, "guests", 0, 8, 0, 0)
+		w := standin.NewWorld(seed, p, machineTypes)
+		defer w.Close()
+		key := []byte("the key of the stand-ins' hashes")
+		n := config.DefaultNomad()
+		n.Key, n.Tokens = key, map[string][]config.Hash{}
+		for _, team := range []string{"blue", "green", "guests"} {
+			n.Tokens[team] = []config.Hash{nomadapi.HashToken(key, "token of "+team)}
+		}
+		n.AgentTokens = []config.Hash{nomadapi.HashToken(key, standin.AgentToken)}
+		w.Settings.Nomad = &n
+		w.Settings.PriorityCaps = map[string]core.Priority{"guests": core.Normal}
+		startAll(w)
+		time.Sleep(15 * time.Second) // a leader, and the catalog
+		day(t, &nomadSite{t, w})
+		time.Sleep(60 * time.Second)
+		for _, b := range w.Broken() {
+			t.Error(b)
+		}
+	})
+}
+
+// client is the published client, of a team, at a node.
+func (s *nomadSite) client(team string, at int) *api.Client {
+	c, err := api.NewClient(&api.Config{Address: "http://" + s.NomadAddr(at), SecretID: "token of " + team, HttpClient: s.Net.Client("10.9.0.1:1")})
+	if err != nil {
+		s.Fatal(err)
+	}
+	return c
+}
+
+// raw sends one request and returns status, body and headers.
+func (s *nomadSite) raw(method, team string, at int, path string, body any) (int, string, http.Header) {
+	b, _ := json.Marshal(body)
+	req, err := http.NewRequest(method, "http://"+s.NomadAddr(at)+path, bytes.NewReader(b))
+	if err != nil {
+		s.Fatal(err)
+	}
+	req.Header.Set("X-Nomad-Token", "token of "+team)
+	req.Close = true
+	resp, err := s.Net.Client("10.9.0.1:1").Do(req)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer resp.Body.Close()
+	out, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(out), resp.Header
+}
+
+// sampleFile is a job file of the translator's samples.
+func (s *nomadSite) sampleFile(name string) string {
+	b, err := os.ReadFile("../nomad/translate/testdata/" + name + ".nomad.hcl")
+	if err != nil {
+		s.Fatal(err)
+	}
+	return string(b)
+}
+
+// job has a node parse a job file.
+func (s *nomadSite) job(src string) *api.Job {
+	s.Helper()
+	j, err := s.client("blue", 0).Jobs().ParseHCL(src, true)
+	if err != nil {
+		s.Fatal(err)
+	}
+	return j
+}
+
+// simple is a batch job of one group.
+func (s *nomadSite) simple(name string, count int, seconds float64) *api.Job {
+	return s.job(fmt.Sprintf(`
+job %q {
+  type = "batch"
+  group "g" {
+    count = %d
+    task "t" {
+      driver = "docker"
+      config { image = "im" }
+      meta = { aspenstall_class = "sweep", aspenstall_image_gb = 0.5, aspenstall_expect_s = %v, aspenstall_spot = true }
+      resources {
+        cores  = 1
+        memory = 1024
+      }
+    }
+  }
+}`, name, count, seconds))
+}
+
+// await asks with a blocking query until the job is as wanted.
+func (s *nomadSite) await(c *api.Client, id, status string) {
+	s.Helper()
+	index := uint64(0)
+	for end := time.Now().Add(3 * time.Minute); time.Now().Before(end); {
+		j, m, err := c.Jobs().Info(id, &api.QueryOptions{WaitIndex: index, WaitTime: 10 * time.Second})
+		switch {
+		case err != nil:
+			time.Sleep(time.Second)
+		case m.LastIndex < index:
+			s.Fatalf("the index went back from %d to %d", index, m.LastIndex)
+		case *j.Status == status:
+			return
+		default:
+			index = m.LastIndex
+		}
+	}
+	s.Errorf("%s is not %s", id, status)
+}
+
+// The published client does all that a user does with it.
+func TestNomadClient(t *testing.T) {
+	playNomad(t, 51, func(t *testing.T, s *nomadSite) {
+		blue, green := s.client("blue", 0), s.client("green", 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		stream, err := s.client("blue", 2).EventStream().Stream(ctx, map[api.Topic][]string{api.TopicJob: {"*"}}, 0, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var events []string
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for e := range stream {
+				for _, k := range e.Events {
+					events = append(events, fmt.Sprintf("%s %s", k.Type, k.Key))
+				}
+			}
+		}()
+		time.Sleep(time.Second)
+
+		job := s.job(s.sampleFile("frost-ensemble"))
+		p, _, err := blue.Jobs().Plan(job, true, nil)
+		if err != nil || p.Diff.Type != "Added" || p.Annotations.DesiredTGUpdates["members"].Place != 6 {
+			t.Fatalf("plan: %+v %v", p, err)
+		}
+		v, _, err := blue.Jobs().Validate(job, nil)
+		if err != nil || len(v.ValidationErrors) != 0 {
+			t.Fatalf("validate: %+v %v", v, err)
+		}
+		r, _, err := blue.Jobs().Register(job, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e, _, err := s.client("blue", 1).Evaluations().Info(r.EvalID, nil)
+		if err != nil || e.Status != "complete" || e.JobID != "frost-ensemble" {
+			t.Errorf("evaluation: %+v %v", e, err)
+		}
+		// The same again, elsewhere, is the same.
+		again, _, err := s.client("blue", 2).Jobs().Register(job, nil)
+		if err != nil || again.JobModifyIndex != r.JobModifyIndex || again.EvalID != r.EvalID {
+			t.Errorf("again: %+v %v, first %+v", again, err, r)
+		}
+		s.await(s.client("blue", 1), "frost-ensemble", "running")
+		allocs, _, err := blue.Jobs().Allocations("frost-ensemble", true, nil)
+		if err != nil || len(allocs) == 0 || allocs[0].NodeName == "" || allocs[0].TaskGroup != "members" {
+			t.Errorf("allocations: %+v %v", allocs, err)
+		} else if a, _, err := s.client("blue", 2).Allocations().Info(allocs[0].ID, nil); err != nil || a.Name != allocs[0].Name {
+			t.Errorf("allocation: %+v %v", a, err)
+		}
+		nodes, _, err := s.client("blue", 1).Nodes().List(nil)
+		if err != nil || len(nodes) == 0 || nodes[0].NodeClass == "" {
+			t.Errorf("nodes: %+v %v", nodes, err)
+		}
+		s.await(s.client("blue", 2), "frost-ensemble", "dead")
+		sum, _, err := blue.Jobs().Summary("frost-ensemble", nil)
+		if err != nil || sum.Summary["members"].Complete != 6 {
+			t.Errorf("summary: %+v %v", sum, err)
+		}
+		if all, _, err := blue.Allocations().List(nil); err != nil || len(all) != 6 || all[0].ClientStatus != "complete" {
+			t.Errorf("all allocations: %d %v", len(all), err)
+		}
+
+		// Another team's is as if it did not exist.
+		if list, _, err := green.Jobs().List(&api.QueryOptions{Namespace: "*"}); err != nil || len(list) != 0 {
+			t.Errorf("green sees %+v %v", list, err)
+		}
+		for _, ns := range []string{"", "blue"} {
+			if _, _, err := green.Jobs().Info("frost-ensemble", &api.QueryOptions{Namespace: ns}); err == nil || !strings.Contains(err.Error(), "404") {
+				t.Errorf("green reads it in %q: %v", ns, err)
+			}
+			if _, _, err := green.Jobs().Deregister("frost-ensemble", true, &api.WriteOptions{Namespace: ns}); err == nil || !strings.Contains(err.Error(), "404") {
+				t.Errorf("green ends it in %q: %v", ns, err)
+			}
+		}
+		if _, _, err := green.Jobs().Register(job, nil); err == nil || !strings.Contains(err.Error(), "another team's") {
+			t.Errorf("green registers blue's: %v", err)
+		}
+		if status, body, _ := s.raw("GET", "nobody", 0, "/v1/jobs", nil); status != http.StatusForbidden || body != "Permission denied" {
+			t.Errorf("without a token: %d %q", status, body)
+		}
+
+		// A new version ends what differs and keeps what does not.
+		two := s.job(s.sampleFile("two-groups"))
+		if _, _, err := blue.Jobs().Register(two, nil); err != nil {
+			t.Fatal(err)
+		}
+		count := 3
+		two.TaskGroups[0].Count = &count
+		p, _, err = blue.Jobs().Plan(two, true, nil)
+		if err != nil || p.Annotations.DesiredTGUpdates["gantries"].Place != 3 || p.Annotations.DesiredTGUpdates["statements"].Ignore != 1 {
+			t.Errorf("plan of a new version: %+v %v", p, err)
+		}
+		if _, _, err := blue.Jobs().Register(two, nil); err != nil {
+			t.Fatal(err)
+		}
+		vs, _, _, err := blue.Jobs().Versions("passages", false, nil)
+		if err != nil || len(vs) != 2 || *vs[0].Version != 1 || *vs[0].TaskGroups[0].Count != 3 || *vs[1].TaskGroups[0].Count != 5 {
+			t.Errorf("versions: %+v %v", vs, err)
+		}
+		s.await(blue, "passages", "dead")
+		list, _, err := blue.Jobs().PrefixList("pass")
+		if err != nil || len(list) != 1 || list[0].Status != "dead" || list[0].JobSummary.Summary["gantries"].Complete != 3 {
+			t.Errorf("list: %+v %v", list, err)
+		}
+		for _, id := range []string{"passages", "frost-ensemble"} {
+			if _, _, err := blue.Jobs().Deregister(id, true, nil); err != nil {
+				t.Error(err)
+			}
+			if _, _, err := s.client("blue", 1).Jobs().Info(id, nil); err == nil || !strings.Contains(err.Error(), "404") {
+				t.Errorf("%s is purged: %v", id, err)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		cancel()
+		<-ended
+		want := "JobRegistered frost-ensemble, JobRegistered passages, JobRegistered passages, JobDeregistered passages, JobDeregistered frost-ensemble"
+		if got := strings.Join(events, ", "); got != want {
+			t.Errorf("events: %s", got)
+		}
+	})
+}
+
+// A guest with priority 100 is refused in either form, and told why.
+func TestNomadGuest(t *testing.T) {
+	playNomad(t, 52, func(t *testing.T, s *nomadSite) {
+		job := s.simple("warning", 1, 5)
+		high := 100
+		job.Priority = &high
+		_, _, err := s.client("guests", 0).Jobs().Register(job, nil)
+		if err == nil || !strings.Contains(err.Error(), "team guests may ask for normal at most") {
+			t.Errorf("as a job file: %v", err)
+		}
+		native := array(900, 1, 5)
+		native.Team, native.Urgency = "guests", "production"
+		if status := s.Post(0, &native); status != http.StatusUnprocessableEntity {
+			t.Errorf("natively: %d", status)
+		}
+		high = 74
+		if _, _, err := s.client("guests", 0).Jobs().Register(job, nil); err != nil {
+			t.Error(err)
+		}
+		s.await(s.client("guests", 1), "warning", "dead")
+	})
+}
+
+// A registration whose answer was lost while the leader ended is the same job
+// when it is retried elsewhere, with or without an index to enforce.
+func TestNomadLostReply(t *testing.T) {
+	playNomad(t, 53, func(t *testing.T, s *nomadSite) {
+		for i, enforce := range []bool{false, true} {
+			name := fmt.Sprintf("lost-%d", i)
+			job := s.simple(name, 3, 20)
+			register := func(at int) (*api.JobRegisterResponse, error) {
+				c := s.client("blue", at).Jobs()
+				if enforce {
+					r, _, err := c.EnforceRegister(job, 0, nil)
+					return r, err
+				}
+				r, _, err := c.Register(job, nil)
+				return r, err
+			}
+			at := max(s.Leader(), 0)
+			first, err := register(at) // its answer is thrown away
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Kill(at)
+			second, err := register((at + 1) % 3)
+			if err != nil || second.JobModifyIndex != first.JobModifyIndex {
+				t.Errorf("%s: %+v after %+v: %v", name, second, first, err)
+			}
+			s.StartNode(at)
+			s.await(s.client("blue", (at+2)%3), name, "dead")
+			if n := s.Natives("blue", name); len(n) != 1 {
+				t.Errorf("%s became %d native jobs", name, len(n))
+			}
+		}
+	})
+}
+
+// Of two versions that two nodes register at once, one wins; the other gets the
+// published error if it named an index, and is a later version if not.
+func TestNomadTwoVersionsAtOnce(t *testing.T) {
+	playNomad(t, 54, func(t *testing.T, s *nomadSite) {
+		first, _, err := s.client("blue", 0).Jobs().Register(s.simple("twice", 1, 100), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, enforce := range []bool{true, false} {
+			var wg sync.WaitGroup
+			errs := make([]error, 2)
+			for i := range 2 {
+				job := s.simple("twice", 2+i, 100)
+				wg.Go(func() {
+					if enforce {
+						_, _, errs[i] = s.client("blue", i).Jobs().EnforceRegister(job, first.JobModifyIndex, nil)
+					} else {
+						_, _, errs[i] = s.client("blue", i).Jobs().Register(job, nil)
+					}
+				})
+			}
+			wg.Wait()
+			failed := 0
+			for _, err := range errs {
+				if err != nil {
+					failed++
+					if !strings.Contains(err.Error(), api.RegisterEnforceIndexErrPrefix) {
+						t.Errorf("got %v", err)
+					}
+				}
+			}
+			if enforce && failed != 1 || !enforce && failed != 0 {
+				t.Errorf("enforced %v: %v", enforce, errs)
+			}
+			j, _, err := s.client("blue", 2).Jobs().Info("twice", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			first.JobModifyIndex = *j.JobModifyIndex
+		}
+		// One of the two unenforced ones has the same content as the winner
+		// before, and changed nothing, or both are versions: 2 or 3 in all.
+		vs, _, _, err := s.client("blue", 0).Jobs().Versions("twice", false, nil)
+		if err != nil || len(vs) < 3 || len(vs) > 4 {
+			t.Errorf("%d versions: %v", len(vs), err)
+		}
+		if _, _, err := s.client("blue", 0).Jobs().Deregister("twice", false, nil); err != nil {
+			t.Error(err)
+		}
+		s.Ended(s.Natives("blue", "twice"))
+		s.await(s.client("blue", 1), "twice", "dead")
+	})
+}
+
+// Jobs are deregistered around the moment at which they complete: they end one
+// way or the other, and nothing of them runs on.
+func TestNomadDeregisterRacesCompletion(t *testing.T) {
+	playNomad(t, 55, func(t *testing.T, s *nomadSite) {
+		var wg sync.WaitGroup
+		for i := range 12 {
+			name := fmt.Sprintf("race-%02d", i)
+			job := s.simple(name, 2, 8)
+			if _, _, err := s.client("blue", i%3).Jobs().Register(job, nil); err != nil {
+				t.Fatal(err)
+			}
+			wg.Go(func() {
+				c := s.client("blue", (i+1)%3)
+				s.await(c, name, "running")
+				time.Sleep(7*time.Second + time.Duration(i)*250*time.Millisecond)
+				if _, _, err := c.Jobs().Deregister(name, false, nil); err != nil {
+					t.Errorf("%s: %v", name, err)
+				}
+				s.Ended(s.Natives("blue", name))
+				s.await(c, name, "dead")
+			})
+		}
+		wg.Wait()
+		time.Sleep(45 * time.Second)
+		for i := range 12 {
+			for _, id := range s.Natives("blue", fmt.Sprintf("race-%02d", i)) {
+				if n := s.On(id); n > 0 {
+					t.Errorf("%d tasks of %s run on", n, id)
+				}
+			}
+		}
+	})
+}
+
+// A blocking query outlasts a takeover, and a watch that has to read all again;
+// what happened meanwhile wakes it, a purge too.
+func TestNomadBlockingQuery(t *testing.T) {
+	playNomad(t, 56, func(t *testing.T, s *nomadSite) {
+		r, _, err := s.client("blue", 0).Jobs().Register(s.simple("watched", 1, 500), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		type answer struct {
+			index uint64
+			jobs  int
+			after time.Duration
+			err   error
+		}
+		ask := func(at int, index uint64) chan answer {
+			out := make(chan answer, 1)
+			go func() {
+				begun := time.Now()
+				l, m, err := s.client("blue", at).Jobs().List(&api.QueryOptions{WaitIndex: index, WaitTime: 2 * time.Minute})
+				a := answer{err: err, after: time.Since(begun), jobs: len(l)}
+				if m != nil {
+					a.index = m.LastIndex
+				}
+				out <- a
+			}()
+			return out
+		}
+		leader := max(s.Leader(), 0)
+		other := (leader + 1) % 3
+		waiting := ask(other, r.JobModifyIndex)
+		time.Sleep(5 * time.Second)
+		s.Kill(leader)
+		time.Sleep(20 * time.Second)
+		select {
+		case a := <-waiting:
+			t.Fatalf("woken by a takeover: %+v", a)
+		default:
+		}
+		s.StartNode(leader)
+		second, _, err := s.client("blue", (leader+2)%3).Jobs().Register(s.simple("second", 1, 500), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a := <-waiting; a.err != nil || a.jobs != 2 || a.index < second.JobModifyIndex || a.after > 30*time.Second {
+			t.Errorf("got %+v, want index %d", a, second.JobModifyIndex)
+		}
+		// While the node is cut off the state service forgets what it missed,
+		// the purge among it.
+		waiting = ask(other, second.JobModifyIndex)
+		time.Sleep(time.Second)
+		s.Net.Cut(s.NodeAddr(other), s.StateAddr(), true)
+		if _, _, err := s.client("blue", leader).Jobs().Deregister("second", true, nil); err != nil {
+			t.Error(err)
+		}
+		s.Ended(s.Natives("blue", "second"))
+		s.State.Forget()
+		time.Sleep(2 * time.Second)
+		s.Net.Cut(s.NodeAddr(other), s.StateAddr(), false)
+		if a := <-waiting; a.err != nil || a.jobs != 1 || a.index <= second.JobModifyIndex || a.after > 30*time.Second {
+			t.Errorf("after the gap: %+v", a)
+		}
+		// Time that is over: the same index, and no error.
+		begun := time.Now()
+		l, m, err := s.client("blue", leader).Jobs().List(&api.QueryOptions{WaitIndex: 1 << 40, WaitTime: 3 * time.Second})
+		if d := time.Since(begun); err != nil || len(l) != 1 || m.LastIndex != 1<<40 || d < 3*time.Second || d > 4*time.Second {
+			t.Errorf("after %v: %d jobs, %+v, %v", d, len(l), m, err)
+		}
+		if _, _, err := s.client("blue", leader).Jobs().Deregister("watched", false, nil); err != nil {
+			t.Error(err)
+		}
+		s.Ended(s.Natives("blue", "watched"))
+	})
+}
+
+// A query for a job is answered as its tasks begin to run, at the leader and at
+// others, though no record changes then.
+func TestNomadProgressWakes(t *testing.T) {
+	playNomad(t, 60, func(t *testing.T, s *nomadSite) {
+		r, _, err := s.client("blue", 0).Jobs().Register(s.simple("starts", 9, 400), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var wg sync.WaitGroup
+		for at := range 3 {
+			wg.Go(func() {
+				begun, running := time.Now(), 0
+				for running < 9 && time.Since(begun) < 2*time.Minute {
+					sum, m, err := s.client("blue", at).Jobs().Summary("starts", &api.QueryOptions{WaitIndex: r.JobModifyIndex, WaitTime: 5 * time.Minute})
+					if err != nil || m.LastIndex != r.JobModifyIndex {
+						t.Errorf("node %d: %+v %v", at, m, err)
+						return
+					}
+					running = sum.Summary["g"].Running
+				}
+				if running != 9 {
+					t.Errorf("node %d: %d run after %v", at, running, time.Since(begun))
+				}
+			})
+		}
+		wg.Wait()
+		// A change between two queries of a client is not missed: no index tells it.
+		time.Sleep(10 * time.Second)
+		for _, k := range s.Cloud.Workers() {
+			if len(k.Running()) > 0 {
+				k.SetNotice(1)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		begun := time.Now()
+		sum, _, err := s.client("blue", s.Leader()).Jobs().Summary("starts", &api.QueryOptions{WaitIndex: r.JobModifyIndex, WaitTime: 5 * time.Minute})
+		if d := time.Since(begun); err != nil || d > 5*time.Second || sum.Summary["g"].Running == 9 {
+			t.Errorf("after %v: %+v %v", d, sum, err)
+		}
+		if _, _, err := s.client("blue", 0).Jobs().Deregister("starts", false, nil); err != nil {
+			t.Error(err)
+		}
+		s.Ended(s.Natives("blue", "starts"))
+	})
+}
+
+// Names differ by their case, hold slashes, and hold no spaces; large bodies
+// are taken up to a limit, and then refused plainly.
+func TestNomadNamesAndBodies(t *testing.T) {
+	playNomad(t, 57, func(t *testing.T, s *nomadSite) {
+		c := s.client("blue", 0).Jobs()
+		for _, name := range []string{"Frost", "frost", "frost/plan", "frost/ü%2F"} {
+			if _, _, err := c.Register(s.simple(name, 1, 400), nil); err != nil {
+				t.Errorf("%q: %v", name, err)
+			}
+		}
+		for _, name := range []string{"Frost", "frost", "frost/plan", "frost/ü%2F"} {
+			j, _, err := s.client("blue", 1).Jobs().Info(name, nil)
+			if err != nil || *j.ID != name {
+				t.Errorf("%q: %v", name, err)
+			}
+		}
+		if _, _, err := c.Register(s.simple("a b", 1, 400), nil); err == nil || !strings.Contains(err.Error(), "holds a space") {
+			t.Errorf("a space: %v", err)
+		}
+		if _, _, err := c.Deregister("frost/plan", true, nil); err != nil {
+			t.Error(err)
+		}
+		if l, _, err := c.List(nil); err != nil || len(l) != 3 {
+			t.Errorf("%d jobs: %v", len(l), err)
+		}
+		for _, b := range []struct {
+			env    int
+			random bool
+			want   string
+		}{{100_000, false, ""}, {6_000, true, "413"}, {700_000, false, "413"}} {
+			job := s.simple("large", 1, 400)
+			v := strings.Repeat("x", b.env)
+			if b.random {
+				r := []byte(v)
+				dice := rand.New(rand.NewPCG(1, 2))
+				for i := range r {
+					r[i] = byte('!' + dice.IntN(90))
+				}
+				v = string(r)
+			}
+			job.TaskGroups[0].Tasks[0].Env = map[string]string{"V": v}
+			_, _, err := c.Register(job, nil)
+			if b.want == "" && err != nil || b.want != "" && (err == nil || !strings.Contains(err.Error(), b.want)) {
+				t.Errorf("%d bytes: %.300v", b.env, err)
+			}
+		}
+		for _, name := range []string{"Frost", "frost", "frost/ü%2F", "large"} {
+			if _, _, err := c.Deregister(name, false, nil); err != nil {
+				t.Error(err)
+			}
+			s.Ended(s.Natives("blue", name))
+		}
+		for _, k := range []struct {
+			method, path string
+			status       int
+		}{
+			{"GET", "/v1/acl/tokens", 501}, {"GET", "/v1/none", 404}, {"POST", "/v1/job/Frost/dispatch", 501}, {"DELETE", "/v1/jobs", 405},
+			{"GET", "/v1/jobs?index=x", 400}, {"GET", "/v1/jobs?filter=a", 400}, {"GET", "/v1/jobs?region=eu", 500}, {"GET", "/v1/event/stream?topic=Node", 501},
+			{"GET", "/v1/status/leader", 200}, {"GET", "/v1/status/peers", 200}, {"GET", "/v1/agent/health", 200}, {"GET", "/v1/agent/self", 200},
+			{"GET", "/v1/namespaces", 200}, {"GET", "/v1/namespace/green", 404}, {"GET", "/v1/evaluations", 200}, {"GET", "/v1/aspenstall/task/job-1", 403},
+		} {
+			if status, body, _ := s.raw(k.method, "blue", 0, k.path, nil); status != k.status || strings.Count(body, "\n") > 1 {
+				t.Errorf("%s %s: %d %q", k.method, k.path, status, body)
+			}
+		}
+	})
+}
+
+// While the state service is down, a registration is answered at once with when
+// to come back, and is not half done.
+func TestNomadStateDown(t *testing.T) {
+	playNomad(t, 58, func(t *testing.T, s *nomadSite) {
+		job := s.simple("later", 1, 5)
+		s.StateFaults.Set(func(f *standin.Faults) { f.Down = true })
+		begun := time.Now()
+		status, body, h := s.raw("PUT", "blue", 0, "/v1/jobs", map[string]any{"Job": job})
+		if d := time.Since(begun); status != http.StatusServiceUnavailable || h.Get("Retry-After") != "1" || d > time.Second {
+			t.Errorf("%d %q after %v", status, body, d)
+		}
+		s.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+		s.State.Renewed()
+		time.Sleep(5 * time.Second)
+		if l, _, err := s.client("blue", 1).Jobs().List(nil); err != nil || len(l) != 0 {
+			t.Errorf("half done: %+v %v", l, err)
+		}
+		if _, _, err := s.client("blue", 0).Jobs().Register(job, nil); err != nil {
+			t.Error(err)
+		}
+		s.await(s.client("blue", 2), "later", "dead")
+	})
+}
+
+// A file of which one group is refused writes nothing at all.
+func TestNomadRefusedWhole(t *testing.T) {
+	playNomad(t, 59, func(t *testing.T, s *nomadSite) {
+		job := s.job(s.sampleFile("two-groups"))
+		before, _, _ := s.raw("GET", "blue", 0, "/v1/jobs", nil)
+		job.TaskGroups[1].Networks = []*api.NetworkResource{{Mode: "host"}}
+		_, _, err := s.client("blue", 0).Jobs().Register(job, nil)
+		if err == nil || !strings.Contains(err.Error(), "group.network: ports are not handed out") || !strings.Contains(err.Error(), "job:1:") {
+			t.Errorf("got %v", err)
+		}
+		huge := 1000
+		job.TaskGroups[1].Networks, job.TaskGroups[1].Tasks[0].Resources.Cores = nil, &huge
+		job.TaskGroups[1].Tasks[0].Resources.CPU = nil
+		_, _, err = s.client("blue", 0).Jobs().Register(job, nil)
+		if err == nil || !strings.Contains(err.Error(), "can never run here") {
+			t.Errorf("got %v", err)
+		}
+		if l, _, err := s.client("blue", 1).Jobs().List(nil); err != nil || len(l) != 0 || before != 200 {
+			t.Errorf("%+v %v", l, err)
+		}
+		if _, ok := s.State.Get("c/nomad/"); ok {
+			t.Error("something was written")
+		}
+	})
+}
