--- a/internal/standin/nomad.go
+++ b/internal/standin/nomad.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	nomadapi "aspenstall/internal/nomad/httpapi"
 )
 
 // AgentToken is what the machines of the world read descriptions with.
@@ -157,3 +159,12 @@
 	}
 	return n
 }
+
+// NomadHandler is what a node serves Nomad's clients with, for a listener of
+// the caller's own.
+func (w *World) NomadHandler(i int) http.Handler {
+	return nomadapi.Handler(w.Nodes[i].nd, w.Settings.Nomad, w.Log)
+}
+
+// Waiting counts the blocking queries that wait at a node.
+func (w *World) Waiting(i int) int { return w.Nodes[i].nd.Waiting(w.ctx) }
