--- a/internal/standin/nomad_test.go
+++ b/internal/standin/nomad_test.go
@@ -378,6 +378,41 @@
 	})
 }
 
+// A version that replaces one of the team's whole maximum starts as the old
+// tasks leave, and never beside them: the stand-ins' checker watches the use.
+func TestNomadReplaceHoldsMax(t *testing.T) {
+	playNomad(t, 61, func(t *testing.T, s *nomadSite) {
+		c := s.client("guests", 0)
+		running := func(want int) {
+			t.Helper()
+			for end := time.Now().Add(2 * time.Minute); ; time.Sleep(time.Second) {
+				sum, _, err := c.Jobs().Summary("all", nil)
+				if err == nil && sum.Summary["g"].Running == want {
+					return
+				}
+				if time.Now().After(end) {
+					t.Fatalf("%+v %v, want %d running", sum, err, want)
+				}
+			}
+		}
+		for version := range 3 {
+			old := s.Natives("guests", "all")
+			if _, _, err := c.Jobs().Register(s.simple("all", 8, 400+float64(version)), nil); err != nil {
+				t.Fatal(err)
+			}
+			s.Ended(old)
+			running(8)
+			if n := len(s.Natives("guests", "all")); n != version+1 {
+				t.Errorf("%d native jobs at version %d", n, version)
+			}
+		}
+		if _, _, err := c.Jobs().Deregister("all", true, nil); err != nil {
+			t.Error(err)
+		}
+		s.Ended(s.Natives("guests", "all"))
+	})
+}
+
 // Jobs are deregistered around the moment at which they complete: they end one
 // way or the other, and nothing of them runs on.
 func TestNomadDeregisterRacesCompletion(t *testing.T) {
