--- a/internal/nomad/registry/registry_test.go
+++ b/internal/nomad/registry/registry_test.go
@@ -224,6 +224,12 @@
 		t.Error("both were written, or none")
 	}
 	s.catchUp(t, r, 0)
+	// Its own write, heard of again, is no change.
+	for _, w := range s.keys {
+		if _, again, err := r.Put(w.Put, w.Value, s.stamps[w.Put]); again || err != nil {
+			t.Errorf("%s: a change again, %v", w.Put, err)
+		}
+	}
 	version, _ := r.Register(reg("2", "a=2"), s.id, 0)
 	stop, _ := r.Deregister(Name{"blue", "j"}, false)
 	native := r.Get(Name{"blue", "j"}).Groups[0].Native
--- a/internal/standin/nomad_test.go
+++ b/internal/standin/nomad_test.go
@@ -600,6 +600,50 @@
 	})
 }
 
+// Reads of the state service overlap, and some come late: what was dropped does
+// not come back by them.
+func TestNomadOverlappingReads(t *testing.T) {
+	playNomad(t, 62, func(t *testing.T, s *nomadSite) {
+		s.StateFaults.Set(func(f *standin.Faults) { f.Delay = 400 * time.Millisecond })
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					_, _, _ = s.client("blue", 1).Jobs().List((&api.QueryOptions{}).WithContext(ctx))
+				}
+			})
+		}
+		c := s.client("blue", 0).Jobs()
+		for range 25 {
+			for _, count := range []int{1, 2, 3} {
+				if _, _, err := c.Register(s.simple("again", count, 900), nil); err != nil {
+					t.Error(err)
+				}
+			}
+			if _, _, err := c.Deregister("again", true, nil); err != nil {
+				t.Error(err)
+			}
+			s.Ended(s.Natives("blue", "again"))
+			if _, _, err := c.Register(s.simple("again", 4, 900), nil); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(time.Second)
+			vs, _, _, err := s.client("blue", 1).Jobs().Versions("again", false, nil)
+			if err != nil || len(vs) != 1 || *vs[0].TaskGroups[0].Count != 4 {
+				t.Errorf("%d versions, %v", len(vs), err)
+				break
+			}
+			if _, _, err := c.Deregister("again", true, nil); err != nil {
+				t.Error(err)
+			}
+			s.Ended(s.Natives("blue", "again"))
+		}
+		cancel()
+		wg.Wait()
+	})
+}
+
 // Names differ by their case, hold slashes, and hold no spaces; large bodies
 // are taken up to a limit, and then refused plainly.
 func TestNomadNamesAndBodies(t *testing.T) {
