A resumed event stream outlasts the time for reading requests

Cause: the deadline for reading a request's body was left on a stream that begins with an index, and ended it after 20 s. Found on rereading; the test was seen failing.

Change: it is taken away as for queries that wait. A query whose client has gone is forgotten without the node's context, which is not there before it runs. Tests page through jobs and allocations.

--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -38,6 +38,10 @@
 // within this time is answered once more.
 const settle = 5 * core.Second
 
+// forgetWithin is how long a query whose client has gone waits for the owning
+// goroutine to forget it.
+const forgetWithin = 10 * time.Second
+
 // waiter is a query that waits for a change.
 type waiter struct {
 	of      registry.Name
@@ -227,8 +231,6 @@
 			return true
 		case <-ctx.Done():
 			return false
-		case <-n.ctx.Done():
-			return false
 		}
 	}
 	begin := func() {
@@ -304,17 +306,17 @@
 				return 0, httpapi.ErrUnavailable
 			}
 		case <-ctx.Done():
-			// The client is gone, or its node ends: nothing is left behind.
+			// The client is gone: nothing is left behind, unless this node ends.
 			go func() {
-				select {
-				case n.events <- func() {
+				ctx, cancel := context.WithTimeout(context.Background(), forgetWithin)
+				defer cancel()
+				_, _ = call(ctx, n, func(reply func(struct{})) {
 					if w != nil {
 						v.remove(w)
 						w = nil
 					}
-				}:
-				case <-n.ctx.Done():
-				}
+					reply(struct{}{})
+				})
 			}()
 			return 0, httpapi.ErrUnavailable
 		}
--- a/internal/nomad/httpapi/events.go
+++ b/internal/nomad/httpapi/events.go
@@ -88,6 +88,8 @@
 		}
 	}
 	q.w.Header().Set("Content-Type", "application/json")
+	// Nothing more is read but that the client goes away.
+	_ = q.ctl.SetReadDeadline(time.Time{})
 	send := func(v any) bool {
 		b, err := json.Marshal(v)
 		if err != nil {
--- a/internal/nomad/httpapi/routes.go
+++ b/internal/nomad/httpapi/routes.go
@@ -86,7 +86,7 @@
 		if r, ok := strings.CutSuffix(rest, "/periodic/force"); ok {
 			rest, end = r, "dispatch"
 		}
-		return named1(ofJob[end], rest)
+		return withName(ofJob[end], rest)
 	}
 	for prefix, r := range named {
 		rest, ok := strings.CutPrefix(path, prefix)
@@ -95,11 +95,11 @@
 		}
 		if prefix == "/v1/evaluation/" {
 			if id, ok := strings.CutSuffix(rest, "/allocations"); ok {
-				return named1(route{handle: evaluationAllocations, methods: "GET"}, id)
+				return withName(route{handle: evaluationAllocations, methods: "GET"}, id)
 			}
 		}
 		if !strings.Contains(rest, "/") {
-			return named1(r, rest)
+			return withName(r, rest)
 		}
 	}
 	if rest, ok := strings.CutPrefix(path, "/v1/"); ok {
@@ -111,7 +111,7 @@
 	return route{}, "", fail(http.StatusNotFound, "there is nothing at %s", path)
 }
 
-func named1(r route, escaped string) (route, string, error) {
+func withName(r route, escaped string) (route, string, error) {
 	id, err := url.PathUnescape(escaped)
 	if err != nil {
 		return route{}, "", fail(http.StatusBadRequest, "the path is not escaped as it should be")
--- a/internal/standin/nomad_test.go
+++ b/internal/standin/nomad_test.go
@@ -249,6 +249,22 @@
 			t.Errorf("versions: %+v %v", vs, err)
 		}
 		s.await(blue, "passages", "dead")
+		indexes := map[string]bool{}
+		for q := (&api.QueryOptions{PerPage: 3}); ; {
+			l, m, err := blue.Allocations().List(q)
+			if err != nil || len(l) > 3 {
+				t.Fatalf("a page of %d: %v", len(l), err)
+			}
+			for _, a := range l {
+				indexes[a.Name] = true
+			}
+			if q.NextToken = m.NextToken; q.NextToken == "" {
+				break
+			}
+		}
+		if len(indexes) != 10 { // 6 of the ensemble, 3 and 1 of this job
+			t.Errorf("by pages: %v", indexes)
+		}
 		list, _, err := blue.Jobs().PrefixList("pass")
 		if err != nil || len(list) != 1 || list[0].Status != "dead" || list[0].JobSummary.Summary["gantries"].Complete != 3 {
 			t.Errorf("list: %+v %v", list, err)
@@ -593,10 +609,33 @@
 		if d := time.Since(begun); err != nil || d > 5*time.Second || sum.Summary["g"].Running == 9 {
 			t.Errorf("after %v: %+v %v", d, sum, err)
 		}
+		// A stream that is resumed goes on though nothing happens for long.
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		stream, err := s.client("blue", 1).EventStream().Stream(ctx, nil, r.JobModifyIndex, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		told := make(chan *api.Events, 10)
+		go func() {
+			defer close(told)
+			for e := range stream {
+				if e.Err != nil {
+					return
+				}
+				if !e.IsHeartbeat() {
+					told <- e
+				}
+			}
+		}()
+		time.Sleep(50 * time.Second)
 		if _, _, err := s.client("blue", 0).Jobs().Deregister("starts", false, nil); err != nil {
 			t.Error(err)
 		}
 		s.Ended(s.Natives("blue", "starts"))
+		if e, ok := <-told; !ok || e.Events[0].Type != "JobDeregistered" {
+			t.Errorf("told %+v", e)
+		}
 	})
 }
 
@@ -669,6 +708,22 @@
 		if l, _, err := c.List(nil); err != nil || len(l) != 3 {
 			t.Errorf("%d jobs: %v", len(l), err)
 		}
+		var paged []string
+		for q := (&api.QueryOptions{PerPage: 2}); ; {
+			l, m, err := c.List(q)
+			if err != nil || len(l) == 0 || len(l) > 2 {
+				t.Fatalf("a page of %d: %v", len(l), err)
+			}
+			for _, j := range l {
+				paged = append(paged, j.ID)
+			}
+			if q.NextToken = m.NextToken; q.NextToken == "" {
+				break
+			}
+		}
+		if got := strings.Join(paged, " "); got != "Frost frost frost/ü%2F" {
+			t.Errorf("by pages: %s", got)
+		}
 		for _, b := range []struct {
 			env    int
 			random bool
