A node that starts anew counts native jobs into the team's index

Change: taking over a job's record looks at its native jobs. Ruled out: sorting the list, since own writes come in either order.

--- a/internal/nomad/registry/record.go
+++ b/internal/nomad/registry/record.go
@@ -159,7 +159,8 @@
 		r.byNative[g.Native] = j
 	}
 	r.jobs[n], r.keys[id] = j, n
-	r.index[n.Team] = max(r.index[n.Team], stamp)
+	// A whole list has native jobs before the jobs that they are of.
+	r.index[n.Team] = max(r.index[n.Team], r.ModifyIndex(j))
 	return n, true, nil
 }
 
--- a/internal/standin/nomad_test.go
+++ b/internal/standin/nomad_test.go
@@ -816,3 +816,129 @@
 		}
 	})
 }
+
+// persist repeats a request as a client's user would, at one node after the
+// other, until it is answered.
+func (s *nomadSite) persist(team string, what string, request func(c *api.Client) error) {
+	s.Helper()
+	for try := range 60 {
+		err := request(s.client(team, try%3))
+		if err == nil {
+			return
+		}
+		if strings.Contains(err.Error(), "400") || strings.Contains(err.Error(), "409") || strings.Contains(err.Error(), "404") {
+			s.Errorf("%s: %v", what, err)
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	s.Errorf("%s: no answer", what)
+}
+
+// TestNomadDays plays days on which job files are registered, changed and ended
+// while services fail and controllers end. Whatever was answered holds: what was
+// registered is done in the end, by as many native jobs as there were contents,
+// what was deregistered is gone, and no index goes back on any node.
+func TestNomadDays(t *testing.T) {
+	const sec = time.Second
+	for i, day := range []struct {
+		name  string
+		setup func(w *standin.World)
+		acts  []act
+	}{
+		{"answers lost", func(w *standin.World) {
+			w.StateFaults.LoseAnswer, w.StateFaults.LoseRequest = 0.05, 0.05
+			w.WorkerFaults.LoseAnswer, w.WorkerFaults.LoseRequest = 0.1, 0.1
+		}, nil},
+		{"late transactions", func(w *standin.World) {
+			w.StateFaults.Late, w.StateFaults.LateBy, w.StateFaults.Delay = 0.04, 9*sec, 300*time.Millisecond
+		}, nil},
+		{"controllers end", nil, []act{
+			{10 * sec, kill(0)}, {14 * sec, start(0)}, {25 * sec, kill(1)}, {26 * sec, kill(2)}, {33 * sec, start(1)}, {35 * sec, start(2)},
+			{50 * sec, killAll}, {54 * sec, startAll},
+		}},
+		{"outages, and a watch that has to read again", nil, []act{
+			{12 * sec, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
+			{20 * sec, func(w *standin.World) {
+				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+				w.State.Renewed()
+			}},
+			{30 * sec, func(w *standin.World) { w.Net.Cut(w.NodeAddr(1), w.StateAddr(), true) }},
+			{38 * sec, func(w *standin.World) { w.State.Forget(); w.Net.Cut(w.NodeAddr(1), w.StateAddr(), false) }},
+			{45 * sec, func(w *standin.World) { w.State.Forget() }},
+		}},
+	} {
+		t.Run(day.name, func(t *testing.T) {
+			playNomad(t, 70+uint64(i), func(t *testing.T, s *nomadSite) {
+				if day.setup != nil {
+					s.StateFaults.Set(func(*standin.Faults) { day.setup(s.World) })
+				}
+				var wg sync.WaitGroup
+				for _, a := range day.acts {
+					wg.Go(func() { time.Sleep(a.at); a.do(s.World) })
+				}
+				dice := rand.New(rand.NewPCG(uint64(i), 9))
+				for k := range 12 {
+					name, begin := fmt.Sprintf("job-%02d", k), time.Duration(dice.IntN(60))*sec
+					jobs := []*api.Job{s.simple(name, 1+dice.IntN(4), 5+5*dice.Float64())}
+					if k%3 == 1 {
+						jobs = append(jobs, s.simple(name, 5, 8))
+					}
+					wg.Go(func() {
+						time.Sleep(begin)
+						for _, job := range jobs {
+							s.persist("blue", name, func(c *api.Client) error { _, _, err := c.Jobs().Register(job, nil); return err })
+							time.Sleep(3 * sec)
+						}
+						if k%3 == 2 {
+							s.persist("blue", name, func(c *api.Client) error { _, _, err := c.Jobs().Deregister(name, false, nil); return err })
+							s.Ended(s.Natives("blue", name))
+						}
+						s.await(s.client("blue", k%3), name, "dead")
+						if k%3 == 2 {
+							return
+						}
+						last := *jobs[len(jobs)-1].TaskGroups[0].Count
+						s.persist("blue", name, func(c *api.Client) error {
+							sum, _, err := c.Jobs().Summary(name, nil)
+							if err == nil && sum.Summary["g"].Complete != last {
+								t.Errorf("%s: %+v, want %d complete", name, sum.Summary, last)
+							}
+							return err
+						})
+						if n := len(s.Natives("blue", name)); n > len(jobs) {
+							t.Errorf("%s ran as %d native jobs, of %d contents", name, n, len(jobs))
+						}
+					})
+				}
+				over := make(chan struct{})
+				for at := range 3 { // readers of nodes 1 and 2, and one that goes from node to node
+					go func() {
+						var seen uint64
+						for n := 0; ; n++ {
+							select {
+							case <-over:
+								return
+							case <-time.After(700 * time.Millisecond):
+							}
+							node := at
+							if at == 0 {
+								node = n % 3
+							}
+							_, m, err := s.client("blue", node).Jobs().List(nil)
+							if err == nil && m.LastIndex < seen {
+								t.Errorf("node %d: the index went back from %d to %d", node, seen, m.LastIndex)
+							}
+							if err == nil {
+								seen = m.LastIndex
+							}
+						}
+					}()
+				}
+				wg.Wait()
+				close(over)
+				time.Sleep(3 * sec)
+			})
+		})
+	}
+}
