One question to the leader for a whole list of allocations

Cause: on rereading, a team's list asked the leader once for each unfinished group.

Change: one call asks for all of them, within the page; what the leader leaves out is beyond the page's end. The tests that page through allocations hold.

--- a/internal/nomad/httpapi/allocs.go
+++ b/internal/nomad/httpapi/allocs.go
@@ -21,11 +21,14 @@
 // unit is a group of a job as allocations are listed.
 type unit struct {
 	job   registry.Job
-	group registry.Group
+	group int // which of the job's
 	rec   core.JobRecord
 	index uint64
+	first int // the first task that is listed
 }
 
+func (u *unit) native() string { return u.job.Groups[u.group].Native }
+
 // token says where a list of allocations begins.
 type token struct {
 	job   string
@@ -54,7 +57,7 @@
 }
 
 // list lists the allocations of units: those of finished jobs are known, the
-// others the leader tells.
+// others the leader tells, all in one answer.
 func (q *request) list(units []unit) ([]allocView, error) {
 	p, err := q.page()
 	if err != nil {
@@ -64,79 +67,99 @@
 	if p.size > 0 {
 		limit = min(p.size, limit)
 	}
-	var from token
 	if p.from != "" {
-		if from, err = parseToken(p.from); err != nil {
+		from, err := parseToken(p.from)
+		if err != nil {
 			return nil, err
 		}
+		units = after(units, from)
+	}
+	shown, err := q.ask(units, limit)
+	if err != nil {
+		return nil, err
 	}
 	now := core.Micros(time.Now().UnixMicro())
 	out := []allocView{}
-	at := 0 // of the group in its job
-	for i, u := range units {
-		if i > 0 && units[i-1].job.ID == u.job.ID {
-			at++
-		} else {
-			at = 0
-		}
-		first := 0
-		if p.from != "" {
-			if u.job.ID < from.job || u.job.ID == from.job && at < from.group {
-				continue
-			}
-			if u.job.ID == from.job && at == from.group {
-				first = from.task
-			}
-		}
+	for _, u := range units {
 		room := limit - len(out)
 		if room == 0 {
-			q.w.Header().Set("X-Nomad-NextToken", token{u.job.ID, at, first}.String())
+			q.w.Header().Set("X-Nomad-NextToken", token{u.job.ID, u.group, u.first}.String())
 			return out, nil
 		}
-		tasks, more, err := q.tasks(u, first, room)
-		if err != nil {
-			return nil, err
-		}
+		tasks, more := u.tasks(shown, room)
 		for _, t := range tasks {
-			out = append(out, allocOf(&u.job, u.group, u.index, now, t))
+			out = append(out, allocOf(&u.job, u.job.Groups[u.group], u.index, now, t))
 		}
 		if more {
-			next := token{u.job.ID, at, tasks[len(tasks)-1].Index + 1}
-			q.w.Header().Set("X-Nomad-NextToken", next.String())
+			q.w.Header().Set("X-Nomad-NextToken", token{u.job.ID, u.group, tasks[len(tasks)-1].Index + 1}.String())
 			return out, nil
 		}
 	}
 	return out, nil
 }
 
-// tasks lists a unit's tasks that are done or on a machine.
-func (q *request) tasks(u unit, first, room int) (tasks []core.TaskView, more bool, err error) {
+// after are the units from a token on; they are in the order of names.
+func after(units []unit, t token) []unit {
+	for len(units) > 0 && (units[0].job.ID < t.job || units[0].job.ID == t.job && units[0].group < t.group) {
+		units = units[1:]
+	}
+	if len(units) > 0 && units[0].job.ID == t.job && units[0].group == t.group {
+		units[0].first = t.task
+	}
+	return units
+}
+
+// ask asks the leader about the units that are not over, by native job. What
+// it leaves out is beyond the limit, where the list ends before.
+func (q *request) ask(units []unit, limit int) (map[string]peer.JobShown, error) {
+	a := &peer.Ask{Limit: limit}
+	for _, u := range units {
+		if u.rec.Phase == core.Pending {
+			a.Jobs = append(a.Jobs, peer.JobAsk{Job: u.native(), From: u.first})
+		}
+	}
+	if len(a.Jobs) == 0 {
+		return nil, nil
+	}
+	ctx, cancel := q.work()
+	defer cancel()
+	s, err := q.b.ShowAll(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	out := map[string]peer.JobShown{}
+	for _, j := range s.Jobs {
+		out[j.Job] = j
+	}
+	return out, nil
+}
+
+// tasks are a unit's tasks that are done or on a machine, at most room of them.
+func (u *unit) tasks(shown map[string]peer.JobShown, room int) (tasks []core.TaskView, more bool) {
 	switch u.rec.Phase {
 	case core.Done:
-		for i := first; i < u.rec.Spec.Tasks; i++ {
+		for i := u.first; i < u.rec.Spec.Tasks; i++ {
 			if len(tasks) == room {
-				return tasks, true, nil
+				return tasks, true
 			}
 			tasks = append(tasks, core.TaskView{Index: i, Done: true})
 		}
 	case core.Pending:
-		s, err := q.b.ShowAll(q.r.Context(), &peer.Ask{Jobs: []peer.JobAsk{{Job: u.group.Native, From: first}}, Limit: room})
-		if err != nil {
-			return nil, false, err
-		}
-		for _, j := range s.Jobs {
-			tasks, more = append(tasks, j.Tasks...), j.More && len(j.Tasks) > 0
+		j := shown[u.native()]
+		tasks, more = j.Tasks, j.More
+		if len(tasks) > room {
+			tasks, more = tasks[:room], true
 		}
+		more = more && len(tasks) > 0
 	}
-	return tasks, more, nil
+	return tasks, more
 }
 
 func unitsOf(r *registry.Registry, j *registry.Job, index uint64) []unit {
 	var out []unit
-	for _, g := range j.Groups {
-		u := unit{job: *j, group: g, index: index}
-		u.rec, _ = r.Native(g.Native)
-		out = append(out, u)
+	for i, g := range j.Groups {
+		rec, _ := r.Native(g.Native)
+		out = append(out, unit{job: *j, group: i, rec: rec, index: index})
 	}
 	return out
 }
@@ -200,7 +223,8 @@
 		}
 		for _, j := range r.List(q.team, "") {
 			for _, k := range unitsOf(r, j, r.ModifyIndex(j)) {
-				if allocationID(k.group.Native, int(index)) == q.id {
+				if allocationID(k.native(), int(index)) == q.id {
+					k.first = int(index)
 					u = &k
 				}
 			}
@@ -212,14 +236,15 @@
 	if u == nil {
 		return nil, missing
 	}
-	tasks, _, err := q.tasks(*u, int(index), 1)
+	shown, err := q.ask([]unit{*u}, 1)
 	if err != nil {
 		return nil, err
 	}
+	tasks, _ := u.tasks(shown, 1)
 	if len(tasks) == 0 || tasks[0].Index != int(index) {
 		return nil, missing // it waits: it has no place yet
 	}
-	return allocOf(&u.job, u.group, u.index, core.Micros(time.Now().UnixMicro()), tasks[0]), nil
+	return allocOf(&u.job, u.job.Groups[u.group], u.index, core.Micros(time.Now().UnixMicro()), tasks[0]), nil
 }
 
 // evaluations lists the last decision on each of the team's jobs.
