--- /dev/null
+++ b/internal/notify/deliver/deliver_test.go
@@ -0,0 +1,235 @@
+package deliver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/netdial"
+	"aspenstall/internal/notify"
+)
+
+var anEvent = notify.Send{Sub: "s", Key: "k1", Attempt: 1, Event: notify.Event{Job: "job-000001", Team: "blue", Class: "c", Kind: notify.Done, At: 1_700_000_000_500_000}}
+
+func sender(t *testing.T, r Receiver) *Sender {
+	t.Helper()
+	if r.Timeout == 0 {
+		r.Timeout = time.Second
+	}
+	return New(r, netdial.TCP(time.Second))
+}
+
+// What a receiver answers, or does not, is read as what the outbox needs to know.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		serve http.HandlerFunc
+		out   notify.Outcome
+		after time.Duration
+	}{
+		{"taken", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }, notify.Delivered, 0},
+		{"gone", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(410) }, notify.Rejected, 0},
+		{"unreadable", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(422) }, notify.Rejected, 0},
+		{"too many", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Retry-After", "7"); w.WriteHeader(429) }, notify.NotSent, 7 * time.Second},
+		{"for ages", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "999999")
+			w.WriteHeader(429)
+		}, notify.NotSent, maxAfter},
+		{"not allowed, for now", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(403) }, notify.NotSent, 0},
+		{"elsewhere", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/other", 307) }, notify.NotSent, 0},
+		{"failed", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, notify.Unknown, 0},
+		{"cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, notify.Unknown, 0},
+		{"garbage", func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_, _ = c.Write([]byte("what is this\r\n\r\n"))
+				_ = c.Close()
+			}
+		}, notify.Unknown, 0},
+		{"never", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, notify.Unknown, 0},
+		{"endless", func(w http.ResponseWriter, _ *http.Request) {
+			for i := 0; i < 1000; i++ {
+				if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+					return
+				}
+			}
+		}, notify.Delivered, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			hits := 0
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				hits++
+				_, _ = io.Copy(io.Discard, r.Body)
+				c.serve(w, r)
+			}))
+			defer srv.Close()
+			out, after := sender(t, Receiver{URL: srv.URL, Timeout: 300 * time.Millisecond}).Send(t.Context(), anEvent, 9)
+			if out != c.out || after != core.Micros(c.after/time.Microsecond) || hits != 1 {
+				t.Errorf("outcome %d, again after %d us, %d requests", out, after, hits)
+			}
+		})
+	}
+	srv := httptest.NewServer(nil)
+	srv.Close()
+	if out, _ := sender(t, Receiver{URL: srv.URL}).Send(t.Context(), anEvent, 9); out != notify.NotSent {
+		t.Errorf("nobody there: outcome %d", out)
+	}
+}
+
+// A delivery is a CloudEvent that its receiver can check, with either secret
+// while one is being replaced; a changed or an old one is noticed.
+func TestSignature(t *testing.T) {
+	var got http.Header
+	var body []byte
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		got = r.Header
+		body, _ = io.ReadAll(r.Body)
+	}))
+	defer srv.Close()
+	s := sender(t, Receiver{URL: srv.URL, Secrets: [][]byte{[]byte("new"), []byte("old")}})
+	if out, _ := s.Send(t.Context(), anEvent, 41); out != notify.Delivered {
+		t.Fatal(out)
+	}
+	var e struct {
+		SpecVersion, ID, Source, Type, Subject, Time string
+		Data                                         map[string]string
+	}
+	if err := json.Unmarshal(body, &e); err != nil || e.SpecVersion != "1.0" || e.ID != "k1" || e.Type != "aspenstall.job.done" || e.Source != "/aspenstall/blue" ||
+		e.Subject != "job-000001" || e.Time != "2023-11-14T22:13:20.5Z" || e.Data["class"] != "c" {
+		t.Errorf("%s: %+v %v", body, e, err)
+	}
+	if got.Get(HeaderKey) != "k1" || got.Get(HeaderToken) != "41" || got.Get("Content-Type") != "application/cloudevents+json" {
+		t.Errorf("%v", got)
+	}
+	now := time.Now()
+	other := got.Clone()
+	other.Set(HeaderToken, "42")
+	for _, c := range []struct {
+		name   string
+		secret string
+		h      http.Header
+		body   string
+		now    time.Time
+		want   bool
+	}{
+		{"new secret", "new", got, string(body), now, true},
+		{"old secret", "old", got, string(body), now, true},
+		{"no secret of ours", "none", got, string(body), now, false},
+		{"another body", "new", got, string(body) + " ", now, false},
+		{"another token", "new", other, string(body), now, false},
+		{"too late", "new", got, string(body), now.Add(time.Hour), false},
+		{"from the future", "new", got, string(body), now.Add(-time.Hour), false},
+		{"unsigned", "new", http.Header{}, string(body), now, false},
+	} {
+		if v := Verify([]byte(c.secret), c.h, []byte(c.body), c.now, time.Minute); v != c.want {
+			t.Errorf("%s: %v", c.name, v)
+		}
+	}
+}
+
+// A receiver that keeps no keys is asked before what may have had its effect is
+// sent; one that has seen the key is not sent it again.
+func TestAsk(t *testing.T) {
+	seen, posts, down := false, 0, false
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodPost:
+			posts++
+		case down:
+			w.WriteHeader(503)
+		case r.URL.Query().Get("key") == "k1" && seen:
+		default:
+			w.WriteHeader(404)
+		}
+	}))
+	defer srv.Close()
+	s := sender(t, Receiver{URL: srv.URL, Ask: srv.URL + "/seen?of=us"})
+	for _, c := range []struct {
+		ask, seen, down bool
+		out             notify.Outcome
+		posts           int
+	}{
+		{true, false, false, notify.Delivered, 1},
+		{true, true, false, notify.Delivered, 0},
+		{false, true, false, notify.Delivered, 1},
+		{true, false, true, notify.NotSent, 0},
+	} {
+		a := anEvent
+		a.Ask, seen, down, posts = c.ask, c.seen, c.down, 0
+		if out, _ := s.Send(t.Context(), a, 1); out != c.out || posts != c.posts {
+			t.Errorf("%+v: outcome %d, %d posts", c, out, posts)
+		}
+	}
+}
+
+// A receiver that fails again and again is left alone for a while.
+func TestBreaker(t *testing.T) {
+	hits := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { hits++; w.WriteHeader(500) }))
+	defer srv.Close()
+	s := sender(t, Receiver{URL: srv.URL})
+	for range 20 {
+		out, after := s.Send(context.Background(), anEvent, 1)
+		if hits == breakAfter && out == notify.NotSent && after == 0 {
+			t.Error("no word of when to come back")
+		}
+	}
+	if hits != breakAfter {
+		t.Errorf("%d attempts got through", hits)
+	}
+}
+
+// Templates are tried when they are read.
+func TestBody(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"page": {{json .Job}}, "what": {{json .Kind}}}`: `{"page": "job-000001", "what": "done"}`,
+		`{{.Job | printf "%s done"}}`:                     "job-000001 done",
+		`{{.Nothing}}`:                                    "!",
+		`{{.Job`:                                          "!",
+		`{{template "x"}}`:                                "!",
+	} {
+		b, err := ParseBody("t", text)
+		if want == "!" {
+			if err == nil {
+				t.Errorf("%s: is taken", text)
+			}
+			continue
+		}
+		if err != nil {
+			t.Errorf("%s: %v", text, err)
+			continue
+		}
+		got, kind, err := sender(t, Receiver{Body: b, Type: "text/plain"}).body(anEvent)
+		if err != nil || string(got) != want || kind != "text/plain" {
+			t.Errorf("%s: %q %q %v", text, got, kind, err)
+		}
+	}
+}
+
+func FuzzBody(f *testing.F) {
+	f.Add("{{json .Job}}", "job-1", "blue")
+	f.Add("{{range .Job}}{{end}}", "\"\n\x00", "{{.}}")
+	f.Fuzz(func(t *testing.T, text, job, team string) {
+		if strings.Contains(text, "printf") || strings.Contains(text, "range") {
+			t.Skip("can be made as long as one likes: operators' templates are their own")
+		}
+		b, err := ParseBody("t", text)
+		if err != nil {
+			return
+		}
+		a := anEvent
+		a.Event.Job, a.Event.Team = job, team
+		one, _, err1 := New(Receiver{Body: b}, nil).body(a)
+		two, _, err2 := New(Receiver{Body: b}, nil).body(a)
+		if string(one) != string(two) || fmt.Sprint(err1) != fmt.Sprint(err2) {
+			t.Errorf("%q: %q and %q", text, one, two)
+		}
+	})
+}
