Notifications: the leader tells receivers what job records say

A receiver is to be told of each job that is accepted, done or cancelled, once.

Change: final records say when the job was accepted and ended; the leader reads what is settled as its term begins, feeds the outbox from the watch in the order of revisions, delivers under its lease and writes marks behind what jobs wait for. Settings (:notify) are read and checked; a promise of exactly once needs a receiver that keeps keys or can be asked. Off unless set.

Ruled out: feeding the outbox as the node learns of records, since its own writes come early.

--- /dev/null
+++ b/internal/config/notify.go
@@ -0,0 +1,253 @@
+package config
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"maps"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"olympos.io/encoding/edn"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/notify"
+	"aspenstall/internal/notify/deliver"
+)
+
+// Notify are the settings of notifications.
+type Notify struct {
+	Subs      []notify.Subscription // by name
+	Receivers []NotifyReceiver      // by name
+}
+
+// NotifyReceiver is a receiver: what the outbox and what the delivery know of it.
+type NotifyReceiver struct {
+	Limits notify.Receiver
+	Reach  deliver.Receiver
+	Keys   bool // it keeps keys
+}
+
+// notifySettings reads the settings of notifications.
+func notifySettings(dir string, to **Notify) setting {
+	return func(b edn.RawMessage) error {
+		n := &Notify{}
+		var receivers, subs map[string]edn.RawMessage
+		if err := readMap(b, map[string]setting{"receivers": rawMap(&receivers), "subscriptions": rawMap(&subs)}); err != nil {
+			return err
+		}
+		for _, name := range slices.Sorted(maps.Keys(receivers)) {
+			r, err := readReceiver(dir, name, receivers[name])
+			if err != nil {
+				return fmt.Errorf(":receivers: %q: %w", name, err)
+			}
+			n.Receivers = append(n.Receivers, r)
+		}
+		for _, name := range slices.Sorted(maps.Keys(subs)) {
+			s, err := readSubscription(name, subs[name], n.Receivers)
+			if err != nil {
+				return fmt.Errorf(":subscriptions: %q: %w", name, err)
+			}
+			n.Subs = append(n.Subs, s)
+		}
+		*to = n
+		return nil
+	}
+}
+
+func rawMap(to *map[string]edn.RawMessage) setting {
+	return func(b edn.RawMessage) error {
+		if err := edn.Unmarshal(b, to); err != nil {
+			return errors.New("want a map from names to settings")
+		}
+		for name := range *to {
+			// It stands in keys of the state service and in logs.
+			if name == "" || len(name) > 40 || strings.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789-") != "" {
+				return fmt.Errorf("%q: want a name of at most 40 small letters, digits and dashes", name)
+			}
+		}
+		return nil
+	}
+}
+
+func readReceiver(dir, name string, b edn.RawMessage) (NotifyReceiver, error) {
+	r := NotifyReceiver{Limits: notify.Receiver{Name: name, InFlight: 4}, Reach: deliver.Receiver{Name: name}}
+	var timeout, maxAge float64
+	var secrets []string
+	var body, ca, cert, key string
+	err := readMap(b, map[string]setting{
+		"url": text(&r.Reach.URL), "keeps-keys": flag(&r.Keys), "ask-url": text(&r.Reach.Ask), "max-age-s": number(1, 86400, &maxAge),
+		"per-s": number(0.01, 10_000, &r.Limits.PerSecond), "in-flight": whole(1, 1000, &r.Limits.InFlight), "timeout-s": number(0.1, 300, &timeout),
+		"secret-files": texts(&secrets), "body-file": text(&body), "content-type": text(&r.Reach.Type),
+		"ca-file": text(&ca), "cert-file": text(&cert), "key-file": text(&key),
+	})
+	if err != nil {
+		return r, err
+	}
+	for _, u := range []struct {
+		name, url string
+		needed    bool
+	}{{":url", r.Reach.URL, true}, {":ask-url", r.Reach.Ask, false}} {
+		if p, err := url.Parse(u.url); u.needed && u.url == "" || u.url != "" && (err != nil || p.Host == "" || p.Scheme != "http" && p.Scheme != "https") {
+			return r, fmt.Errorf("%s: want an http or https URL, not %q", u.name, u.url)
+		}
+	}
+	if (r.Reach.Ask == "") != (maxAge == 0) {
+		return r, errors.New(":ask-url and :max-age-s go together: who is asked has to refuse what is older")
+	}
+	r.Limits.MaxAge, r.Reach.Timeout = core.Seconds(maxAge), time.Duration(timeout*float64(time.Second))
+	if len(secrets) > 2 {
+		return r, errors.New(":secret-files: want one, or two while one is being replaced")
+	}
+	read := func(path string) ([]byte, error) {
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(dir, path)
+		}
+		return os.ReadFile(path)
+	}
+	for _, path := range secrets {
+		s, err := read(path)
+		if err != nil {
+			return r, err
+		}
+		if s = bytes.TrimSpace(s); len(s) < minKey {
+			return r, fmt.Errorf("%s: want a secret of %d bytes or more", path, minKey)
+		}
+		r.Reach.Secrets = append(r.Reach.Secrets, s)
+	}
+	if (body == "") != (r.Reach.Type == "") {
+		return r, errors.New(":body-file and :content-type go together")
+	}
+	if body != "" {
+		t, err := read(body)
+		if err != nil {
+			return r, err
+		}
+		if r.Reach.Body, err = deliver.ParseBody(body, string(t)); err != nil {
+			return r, fmt.Errorf(":body-file: %w", err)
+		}
+	}
+	r.Reach.TLS, err = clientTLS(read, ca, cert, key)
+	return r, err
+}
+
+// clientTLS reads the operators' roots and the certificate that is shown to a
+// receiver; nil if there are neither.
+func clientTLS(read func(string) ([]byte, error), ca, cert, key string) (*tls.Config, error) {
+	if (cert == "") != (key == "") {
+		return nil, errors.New(":cert-file and :key-file go together")
+	}
+	if ca == "" && cert == "" {
+		return nil, nil
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS12}
+	if ca != "" {
+		pem, err := read(ca)
+		if err != nil {
+			return nil, err
+		}
+		c.RootCAs = x509.NewCertPool()
+		if !c.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("%s: holds no certificate", ca)
+		}
+	}
+	if cert != "" {
+		c1, err := read(cert)
+		if err != nil {
+			return nil, err
+		}
+		k, err := read(key)
+		if err != nil {
+			return nil, err
+		}
+		pair, err := tls.X509KeyPair(c1, k)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", cert, err)
+		}
+		c.Certificates = []tls.Certificate{pair}
+	}
+	return c, nil
+}
+
+var promises = map[string]notify.Promise{"exactly": notify.Exactly, "at-least": notify.AtLeast, "at-most": notify.AtMost}
+
+// servedKinds are the kinds that go with a record.
+var servedKinds = []notify.Kind{notify.Accepted, notify.Done, notify.Cancelled}
+
+func readSubscription(name string, b edn.RawMessage, receivers []NotifyReceiver) (notify.Subscription, error) {
+	s := notify.Subscription{Name: name}
+	deadline := 86400.0
+	var events []string
+	promise := "exactly"
+	err := readMap(b, map[string]setting{
+		"team": text(&s.Team), "class": text(&s.Class), "receiver": text(&s.Receiver), "deadline-s": number(1, 30*86400, &deadline),
+		"events": keywords(&events), "promise": keyword(&promise),
+	})
+	if err != nil {
+		return s, err
+	}
+	s.Deadline = core.Seconds(deadline)
+	for _, e := range events {
+		k, ok := notify.ParseKind(e)
+		if !ok || !slices.Contains(servedKinds, k) {
+			return s, fmt.Errorf(":events: want :accepted, :done and :cancelled, not :%s", e)
+		}
+		s.Kinds = append(s.Kinds, k)
+	}
+	if len(events) == 0 {
+		return s, errors.New(":events: none")
+	}
+	i := slices.IndexFunc(receivers, func(r NotifyReceiver) bool { return r.Limits.Name == s.Receiver })
+	if i < 0 {
+		return s, fmt.Errorf(":receiver: there is no receiver %q", s.Receiver)
+	}
+	p, ok := promises[promise]
+	if !ok {
+		return s, fmt.Errorf(":promise: want :exactly, :at-least or :at-most, not :%s", promise)
+	}
+	if r := receivers[i]; p == notify.Exactly && !r.Keys && r.Reach.Ask == "" {
+		return s, fmt.Errorf(":promise: receiver %q neither keeps keys nor can be asked, so that :exactly cannot be promised; choose :at-least or :at-most", s.Receiver)
+	}
+	s.Promise = p
+	return s, nil
+}
+
+func flag(to *bool) setting {
+	return func(b edn.RawMessage) error {
+		if err := edn.Unmarshal(b, to); err != nil {
+			return fmt.Errorf("want true or false, not %s", bytes.TrimSpace(b))
+		}
+		return nil
+	}
+}
+
+func keyword(to *string) setting {
+	return func(b edn.RawMessage) error {
+		var k edn.Keyword
+		if err := edn.Unmarshal(b, &k); err != nil {
+			return fmt.Errorf("want a keyword, not %s", bytes.TrimSpace(b))
+		}
+		*to = string(k)
+		return nil
+	}
+}
+
+func keywords(to *[]string) setting {
+	return func(b edn.RawMessage) error {
+		var ks []edn.Keyword
+		if err := edn.Unmarshal(b, &ks); err != nil {
+			return fmt.Errorf("want a list of keywords, not %s", bytes.TrimSpace(b))
+		}
+		*to = nil
+		for _, k := range ks {
+			*to = append(*to, string(k))
+		}
+		return nil
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -31,7 +31,8 @@
 	// PriorityCaps are the highest priorities that teams may ask for, in
 	// whatever form they submit. A team without one may ask for any.
 	PriorityCaps map[string]core.Priority
-	Nomad        *Nomad // nil: job files are not served
+	Nomad        *Nomad  // nil: job files are not served
+	Notify       *Notify // nil: nobody is notified
 }
 
 // Nomad are the settings of the interface for Nomad's clients.
@@ -136,6 +137,7 @@
 		"spare-tasks":     whole(0, 1000, &s.SpareTasks),
 		"list-every-s":    number(1, 3600, &s.ListEveryS),
 		"priority-caps":   caps(&s.PriorityCaps),
+		"notify":          notifySettings(dir, &s.Notify),
 		"nomad": func(b edn.RawMessage) error {
 			n := DefaultNomad()
 			s.Nomad = &n
@@ -192,6 +194,13 @@
 			return fmt.Errorf(":priority-caps: there is no team %q", team)
 		}
 	}
+	if s.Notify != nil {
+		for _, sub := range s.Notify.Subs {
+			if sub.Team != "" && !known[sub.Team] {
+				return fmt.Errorf(":notify: :subscriptions: %q: there is no team %q", sub.Name, sub.Team)
+			}
+		}
+	}
 	if s.Nomad == nil {
 		return nil
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -147,6 +147,19 @@
 	Phase     Phase
 	Submitted Micros // wall clock
 	Stamp     uint64 // revision of the record
+	// Born is the revision at which the job was accepted, once the record has
+	// another, and Ended when that was, by the wall clock.
+	Born  uint64
+	Ended Micros
+}
+
+// Final is the record of the job once it has ended.
+func (r JobRecord) Final(p Phase, wall Micros) JobRecord {
+	if r.Born == 0 {
+		r.Born = r.Stamp
+	}
+	r.Phase, r.Ended = p, wall
+	return r
 }
 
 // MachineType is a row of the cloud's catalog.
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -147,10 +147,12 @@
 	fail := func() {
 		n.post(func() { n.ifTerm(t, func() { n.core.Written(n.now(), w.ID, core.WriteRefused) }) })
 	}
-	for _, p := range w.Puts {
+	for i, p := range w.Puts {
 		key := p.Key
 		if d, ok := p.Value.(core.JobDone); ok {
 			key = jobPrefix + d.Record.Spec.ID
+			p.Value = core.JobDone{Record: d.Record.Final(core.Done, wall())}
+			w.Puts[i] = p
 		}
 		b, err := wire.EncodeRecord(p.Value)
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,8 +61,9 @@
 	syncing bool
 	waiting []func(ok bool)
 
-	catalog []core.MachineType
-	nomad   *nomad // nil: job files are not served
+	catalog  []core.MachineType
+	nomad    *nomad    // nil: job files are not served
+	notifier *notifier // nil: nobody is notified
 
 	beatHeard  core.Micros            // last report of a worker, answered or not
 	abstain    core.Micros            // does not run for the leadership before this
@@ -116,6 +117,7 @@
 	}
 	n.counts = map[string]peer.Counts{}
 	n.nomad = newNomad(n)
+	n.notifier = newNotifier(n)
 	return n
 }
 
@@ -195,6 +197,9 @@
 		next := tick
 		if n.term != nil && n.mayAct() {
 			next = min(next, n.core.Wake())
+			if n.notifier != nil && n.notifier.box != nil {
+				next = min(next, n.notifier.box.Wake(n.now()))
+			}
 		}
 		if next != wake {
 			wake = next
@@ -230,6 +235,9 @@
 	for _, a := range n.core.Step(n.now()) {
 		n.run(a)
 	}
+	if n.notifier != nil && n.notifier.box != nil {
+		n.actOutbox()
+	}
 }
 
 func (n *Node) run(a core.Action) {
--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -486,8 +486,7 @@
 		}
 	}
 	for _, rec := range ch.End {
-		rec.Phase = core.Cancelled
-		if err := put(rec); err != nil {
+		if err := put(rec.Final(core.Cancelled, wall())); err != nil {
 			return nil, nil, err
 		}
 	}
--- /dev/null
+++ b/internal/node/notify.go
@@ -0,0 +1,331 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"aspenstall/internal/core"
+	"aspenstall/internal/notify"
+	"aspenstall/internal/notify/deliver"
+	"aspenstall/internal/wire"
+)
+
+// Keys of the outbox. Only a leader reads them, as its term begins.
+const (
+	outboxPrefix = "o/"
+	markPrefix   = outboxPrefix + "mark/" // and the subscription
+	setPrefix    = outboxPrefix + "set/"  // and the subscription, and the chunk
+	deadPrefix   = outboxPrefix + "dead/" // and the subscription, the job and the kind
+)
+
+// notifier is what a node has for notifications. box belongs to the owning
+// goroutine, and is there only while this node leads and has read what is
+// settled.
+type notifier struct {
+	settled []string // names of the subscriptions
+	senders map[string]*deliver.Sender
+	box     *notify.Outbox
+}
+
+func newNotifier(n *Node) *notifier {
+	s := n.settings.Notify
+	if s == nil || len(s.Subs) == 0 {
+		return nil
+	}
+	v := &notifier{senders: map[string]*deliver.Sender{}}
+	for _, sub := range s.Subs {
+		v.settled = append(v.settled, sub.Name)
+		for _, r := range s.Receivers {
+			if r.Limits.Name == sub.Receiver {
+				v.senders[sub.Name] = deliver.New(r.Reach, n.dial)
+			}
+		}
+	}
+	return v
+}
+
+// outboxConfig is the outbox's configuration.
+func (n *Node) outboxConfig() notify.Config {
+	c := notify.Config{
+		Begin: n.now(), Subs: n.settings.Notify.Subs, Window: 1000, SaveGap: core.Second,
+		// The rest of the transaction is for what jobs wait for.
+		ChunksPerSave: max(n.cfg.Params.State.TxnOps/2, 2),
+		FirstRetry:    core.Second, LastRetry: 120 * core.Second,
+	}
+	for _, r := range n.settings.Notify.Receivers {
+		c.Receivers = append(c.Receivers, r.Limits)
+	}
+	return c
+}
+
+// beginOutbox reads what is settled and begins to deliver. A subscription that is
+// new begins now, and that is written before anything else.
+func (n *Node) beginOutbox(ctx context.Context, t *term) {
+	for ctx.Err() == nil {
+		err := n.tryOutbox(ctx, t)
+		if err == nil {
+			return
+		}
+		n.log.Info("notifications cannot begin yet", "err", err)
+		sleep(ctx, time.Second)
+	}
+}
+
+func (n *Node) tryOutbox(ctx context.Context, t *term) error {
+	if !n.refresh(ctx) {
+		return fmt.Errorf("the view is not up to date")
+	}
+	// What is written after this reading is in the view by then.
+	type moment struct{ since, token uint64 }
+	at, ok := call(ctx, n, func(reply func(moment)) { reply(moment{n.view.revision, t.stamp}) })
+	if !ok {
+		return ctx.Err()
+	}
+	entries, _, err := n.store.List(ctx, outboxPrefix)
+	if err != nil {
+		return err
+	}
+	box := notify.New(n.outboxConfig())
+	marked := map[string]bool{}
+	for _, e := range entries {
+		sub, err := loadOutbox(box, e)
+		if err != nil {
+			return err
+		}
+		marked[sub] = true
+	}
+	txn := &wire.Txn{If: []wire.Cond{{Key: leaderKey, Version: at.token}}}
+	for _, sub := range n.notifier.settled {
+		if marked[sub] {
+			continue
+		}
+		v, err := wire.Marshal(at.since)
+		if err != nil {
+			return err
+		}
+		txn.Then = append(txn.Then, wire.Write{Put: markPrefix + sub, Value: v})
+		txn.If = append(txn.If, wire.Cond{Key: markPrefix + sub})
+		box.LoadMark(notify.Mark{Sub: sub, To: at.since})
+		if len(txn.Then) == n.cfg.Params.State.TxnOps {
+			break // the others with the next try
+		}
+	}
+	if len(txn.Then) > 0 {
+		if _, err := n.store.Commit(ctx, txn); err != nil {
+			return err
+		}
+		return n.tryOutbox(ctx, t)
+	}
+	n.post(func() {
+		n.ifTerm(t, func() {
+			for _, e := range n.eventsAfter(0, n.view.revision) {
+				box.Event(n.now(), e)
+			}
+			box.Complete(n.view.revision)
+			n.notifier.box = box
+			n.log.Info("notifications begin", "subscriptions", len(n.notifier.settled))
+		})
+	})
+	return nil
+}
+
+// loadOutbox takes over one record and tells whose mark it is, "" for none.
+func loadOutbox(box *notify.Outbox, e wire.Entry) (string, error) {
+	switch {
+	case strings.HasPrefix(e.Key, markPrefix):
+		sub := e.Key[len(markPrefix):]
+		var to uint64
+		err := wire.Unmarshal(e.Value, &to)
+		box.LoadMark(notify.Mark{Sub: sub, To: to})
+		return sub, err
+	case strings.HasPrefix(e.Key, setPrefix):
+		sub, chunk, _ := strings.Cut(e.Key[len(setPrefix):], "/")
+		c, err := strconv.ParseUint(chunk, 10, 64)
+		if err != nil {
+			return "", fmt.Errorf("record %s: %w", e.Key, err)
+		}
+		var bitmap string
+		if err := wire.Unmarshal(e.Value, &bitmap); err != nil {
+			return "", fmt.Errorf("record %s: %w", e.Key, err)
+		}
+		return "", box.LoadChunk(notify.Chunk{ChunkKey: notify.ChunkKey{Sub: sub, Chunk: c}, Bitmap: bitmap})
+	case strings.HasPrefix(e.Key, deadPrefix):
+		var d deadRecord
+		if err := wire.Unmarshal(e.Value, &d); err != nil {
+			return "", fmt.Errorf("record %s: %w", e.Key, err)
+		}
+		k, ok := notify.ParseKind(d.Kind)
+		if !ok {
+			return "", fmt.Errorf("record %s: kind %q", e.Key, d.Kind)
+		}
+		box.LoadDead(notify.DeadLetter{Sub: d.Sub, Why: d.Why, Event: notify.Event{
+			Job: d.Job, Team: d.Team, Class: d.Class, Kind: k, Revision: d.Revision, At: core.Micros(d.At),
+		}})
+	}
+	return "", nil
+}
+
+// deadRecord is a dead letter as it is kept.
+type deadRecord struct {
+	Sub      string `msgpack:"s"`
+	Job      string `msgpack:"j"`
+	Team     string `msgpack:"t"`
+	Class    string `msgpack:"c"`
+	Kind     string `msgpack:"k"`
+	Revision uint64 `msgpack:"r"`
+	At       int64  `msgpack:"at"`
+	Why      string `msgpack:"w"`
+}
+
+func deadKey(d *notify.DeadLetter) string {
+	return deadPrefix + d.Sub + "/" + d.Event.Job + "." + d.Event.Kind.String()
+}
+
+// eventsOf are the events that a job's record implies, those after a revision.
+func eventsOf(rec *core.JobRecord, after uint64) []notify.Event {
+	var out []notify.Event
+	add := func(k notify.Kind, rev uint64, at core.Micros) {
+		if rev > after {
+			out = append(out, notify.Event{Job: rec.Spec.ID, Team: rec.Spec.Team, Class: rec.Spec.Class, Kind: k, Revision: rev, At: at})
+		}
+	}
+	add(notify.Accepted, cmp.Or(rec.Born, rec.Stamp), rec.Submitted)
+	switch rec.Phase {
+	case core.Done:
+		add(notify.Done, rec.Stamp, rec.Ended)
+	case core.Cancelled:
+		add(notify.Cancelled, rec.Stamp, rec.Ended)
+	}
+	return out
+}
+
+func inOrder(events []notify.Event) []notify.Event {
+	slices.SortFunc(events, func(a, b notify.Event) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Job, b.Job))
+	})
+	return events
+}
+
+// eventsAfter are all events after a revision and up to another, in order.
+func (n *Node) eventsAfter(after, upTo uint64) []notify.Event {
+	var out []notify.Event
+	for _, rec := range n.view.jobs {
+		for _, e := range eventsOf(&rec, after) {
+			if e.Revision <= upTo {
+				out = append(out, e)
+			}
+		}
+	}
+	return inOrder(out)
+}
+
+// tellOutbox hands on what the watch brought of jobs, up to a revision; the view
+// held all before.
+func (n *Node) tellOutbox(ids []string, before, upTo uint64) {
+	v := n.notifier
+	if v == nil || v.box == nil || upTo <= before {
+		return
+	}
+	var events []notify.Event
+	for i, id := range ids {
+		if slices.Contains(ids[:i], id) {
+			continue
+		}
+		rec := n.view.jobs[id]
+		for _, e := range eventsOf(&rec, before) {
+			if e.Revision <= upTo {
+				events = append(events, e)
+			}
+		}
+	}
+	for _, e := range inOrder(events) {
+		v.box.Event(n.now(), e)
+	}
+	v.box.Complete(upTo)
+}
+
+// actOutbox does what the outbox wants; mayAct holds.
+func (n *Node) actOutbox() {
+	t, box := n.term, n.notifier.box
+	for _, a := range box.Step(n.now(), wall()) {
+		switch a := a.(type) {
+		case notify.Send:
+			go n.deliver(t.stamp, box, a)
+		case notify.Save:
+			n.saveOutbox(t, box, a)
+		case notify.Page:
+			events, upTo, all := n.pageOfEvents(a)
+			box.Events(n.now(), a.Sub, events, upTo, all)
+		}
+	}
+}
+
+// pageOfEvents reads on where a subscription's memory ended.
+func (n *Node) pageOfEvents(a notify.Page) (events []notify.Event, upTo uint64, all bool) {
+	events = n.eventsAfter(a.After, n.view.revision)
+	for i, e := range events {
+		if i >= a.Limit && e.Revision > events[i-1].Revision {
+			return events[:i], events[i-1].Revision, false
+		}
+	}
+	return events, n.view.revision, true
+}
+
+func (n *Node) deliver(token uint64, box *notify.Outbox, a notify.Send) {
+	out, after := notify.NotSent, core.Micros(0)
+	begun := time.Now()
+	if n.mayAct() {
+		out, after = n.notifier.senders[a.Sub].Send(n.ctx, a, token)
+	}
+	words := [...]string{"delivered", "not taken", "in doubt", "refused"}
+	n.log.Info("notification "+words[out], "subscription", a.Sub, "job", a.Event.Job, "event", a.Event.Kind.String(), "key", a.Key,
+		"attempt", a.Attempt, "took_ms", time.Since(begun).Milliseconds())
+	n.post(func() {
+		if n.notifier.box == box {
+			box.Sent(n.now(), a.ID, out, after)
+		}
+	})
+}
+
+// saveOutbox writes what is settled, in one transaction, with what the leader
+// writes besides: behind what users and tasks wait for.
+func (n *Node) saveOutbox(t *term, box *notify.Outbox, a notify.Save) {
+	it := &item{term: t}
+	put := func(key string, v any) {
+		b, err := wire.Marshal(v)
+		if err != nil {
+			n.log.Error("encode record", "key", key, "err", err) // texts and numbers: it does not fail
+		}
+		it.ops = append(it.ops, wire.Write{Put: key, Value: b})
+	}
+	for _, m := range a.Marks {
+		put(markPrefix+m.Sub, m.To)
+	}
+	for _, c := range a.Put {
+		put(fmt.Sprintf("%s%s/%d", setPrefix, c.Sub, c.Chunk), c.Bitmap)
+	}
+	for _, d := range a.Dead {
+		n.log.Warn("notification put aside", "subscription", d.Sub, "job", d.Event.Job, "event", d.Event.Kind.String(), "why", d.Why)
+		put(deadKey(&d), &deadRecord{d.Sub, d.Event.Job, d.Event.Team, d.Event.Class, d.Event.Kind.String(), d.Event.Revision, int64(d.Event.At), d.Why})
+	}
+	for _, k := range a.Drop {
+		it.ops = append(it.ops, wire.Write{Delete: fmt.Sprintf("%s%s/%d", setPrefix, k.Sub, k.Chunk)})
+	}
+	for _, d := range a.Alive {
+		it.ops = append(it.ops, wire.Write{Delete: deadKey(&d)})
+	}
+	saved := func(ok bool) {
+		if n.notifier.box == box {
+			box.Saved(n.now(), a.ID, ok)
+		}
+	}
+	it.done = func(_ uint64, err error) { saved(err == nil) }
+	if !n.commit.add(it, false) {
+		n.post(func() { saved(false) })
+	}
+}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -180,7 +180,7 @@
 		return
 	}
 	stamp := rec.Stamp
-	rec.Phase = core.Cancelled
+	rec = rec.Final(core.Cancelled, wall())
 	b, err := wire.EncodeJob(&rec)
 	if err != nil {
 		n.log.Error("encode job", "err", err)
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -146,6 +146,9 @@
 			n.term = nil
 			n.core.End()
 			n.commit.endTerm()
+			if n.notifier != nil {
+				n.notifier.box = nil
+			}
 		}
 		reply(t.resigned)
 	})
@@ -206,6 +209,9 @@
 				n.core.Begin(n.now(), wall(), t.stamp, jobs, snap)
 			})
 			go n.tendCloud(ctx, t)
+			if n.notifier != nil {
+				go n.beginOutbox(ctx, t)
+			}
 			return
 		}
 		n.log.Info("term cannot begin yet", "err", err)
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -71,10 +71,14 @@
 // applyList takes over a whole list that was asked for at a time. Jobs are never
 // deleted, and the leader's key may have been: its absence in the list counts.
 func (n *Node) applyList(entries []wire.Entry, rev uint64, asked core.Micros) {
-	leader := false
+	leader, before := false, n.view.revision
+	var jobs []string
 	for i := range entries {
 		e := &entries[i]
 		leader = leader || e.Key == leaderKey
+		if n.notifier != nil && e.Version > before && strings.HasPrefix(e.Key, jobPrefix) {
+			jobs = append(jobs, e.Key[len(jobPrefix):])
+		}
 		n.applyPut(e.Key, e.Value, e.Version)
 	}
 	if rev > n.view.revision {
@@ -84,6 +88,7 @@
 		n.setLeader("", rev)
 	}
 	n.heardState(rev, asked)
+	n.tellOutbox(jobs, before, rev)
 	n.view.ready = true
 	n.judgeHealth()
 	n.wakeElector()
@@ -99,9 +104,14 @@
 
 // apply takes over changes that were asked for at a time.
 func (n *Node) apply(ch *wire.Changes, asked core.Micros) {
+	before := n.view.revision
+	var jobs []string
 	for i := range ch.Events {
 		e := &ch.Events[i]
 		if e.Put != "" {
+			if n.notifier != nil && e.Version > before && strings.HasPrefix(e.Put, jobPrefix) {
+				jobs = append(jobs, e.Put[len(jobPrefix):])
+			}
 			n.applyPut(e.Put, e.Value, e.Version)
 		} else if e.Delete != leaderKey {
 			if e.Version > n.view.revision {
@@ -112,6 +122,7 @@
 		}
 	}
 	n.heardState(ch.Revision, asked)
+	n.tellOutbox(jobs, before, ch.Revision)
 }
 
 // applyPut takes over one record unless a newer one is known: two reads may
--- /dev/null
+++ b/internal/standin/notify_test.go
@@ -0,0 +1,140 @@
+package standin_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"aspenstall/internal/config"
+	"aspenstall/internal/core"
+	"aspenstall/internal/notify"
+	"aspenstall/internal/notify/deliver"
+	"aspenstall/internal/standin"
+)
+
+// TestNotifyDays plays days on which jobs are accepted, done and cancelled while
+// controllers end, services fail and receivers fail: the ledger of a receiver
+// that keeps keys has each event of each job once, in its order, and no other.
+func TestNotifyDays(t *testing.T) {
+	const s = time.Second
+	for i, day := range []struct {
+		name  string
+		setup func(w *standin.World)
+		acts  []act
+	}{
+		{"receivers fail", nil, nil},
+		{"controllers end in mid-delivery", nil, []act{
+			{20 * s, kill(0)}, {24 * s, start(0)}, {31 * s, kill(1)}, {32 * s, kill(2)}, {37 * s, start(1)}, {39 * s, start(2)},
+			{50 * s, killAll}, {54 * s, startAll}, {63 * s, killAll}, {66 * s, startAll}, {75 * s, killAll}, {77 * s, startAll},
+		}},
+		{"the state service is down, and loses answers", func(w *standin.World) {
+			w.StateFaults.LoseAnswer, w.StateFaults.LoseRequest, w.StateFaults.Late, w.StateFaults.LateBy = 0.05, 0.05, 0.03, 9*s
+		}, []act{
+			{30 * s, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
+			{45 * s, func(w *standin.World) {
+				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+				w.State.Renewed()
+			}},
+			{60 * s, func(w *standin.World) { w.State.Forget() }},
+		}},
+		{"a frozen leader wakes and sends", nil, []act{
+			{25 * s, func(w *standin.World) { w.Freeze(max(w.Leader(), 0), true) }}, {50 * s, func(w *standin.World) {
+				for i := range 3 {
+					w.Freeze(i, false)
+				}
+			}},
+		}},
+	} {
+		t.Run(day.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := standin.NewWorld(80+uint64(i), platform(), machineTypes)
+				defer w.Close()
+				all := []notify.Kind{notify.Accepted, notify.Done, notify.Cancelled}
+				hooks := map[string]*standin.Hook{"desk": standin.NewHook(uint64(i)), "billing": standin.NewHook(uint64(i) + 50)}
+				hooks["desk"].LoseReply, hooks["desk"].Refuse, hooks["desk"].Slow = 0.15, 0.1, 0.1
+				hooks["billing"].Refuse = 0.3
+				w.Settings.Notify = &config.Notify{Subs: []notify.Subscription{
+					{Name: "all", Receiver: "desk", Kinds: all, Deadline: 3600 * core.Second},
+					{Name: "blue-done", Receiver: "billing", Kinds: []notify.Kind{notify.Done}, Team: "blue", Deadline: 3600 * core.Second},
+				}}
+				for n, name := range []string{"billing", "desk"} {
+					at := fmt.Sprintf("10.3.0.%d:80", n+1)
+					w.Net.Serve(at, hooks[name])
+					w.Settings.Notify.Receivers = append(w.Settings.Notify.Receivers, config.NotifyReceiver{
+						Limits: notify.Receiver{Name: name, InFlight: 4}, Reach: deliver.Receiver{Name: name, URL: "http://" + at + "/hook"}, Keys: true,
+					})
+				}
+				if day.setup != nil {
+					w.StateFaults.Set(func(*standin.Faults) { day.setup(w) })
+				}
+				startAll(w)
+				time.Sleep(15 * s) // the subscriptions begin
+				var wg sync.WaitGroup
+				for _, a := range day.acts {
+					wg.Go(func() { time.Sleep(max(a.at-15*s, 0)); a.do(w) })
+				}
+				dice := rand.New(rand.NewPCG(uint64(i), 21))
+				end := map[string]string{}
+				var mu sync.Mutex
+				for k := range 40 {
+					job := array(700+k, 1+dice.IntN(3), 3+4*dice.Float64())
+					if k%2 == 1 {
+						job.Team = "green"
+					}
+					after := time.Duration(dice.IntN(70)) * s
+					wg.Go(func() {
+						time.Sleep(after)
+						if !w.Submit(job) {
+							t.Errorf("%s is not accepted", job.ID)
+							return
+						}
+						state := "done"
+						if k%5 == 4 {
+							time.Sleep(2 * s)
+							state = w.Cancel(job.ID)
+						} else if !w.Await(job.ID, "done", 4*time.Minute) {
+							t.Errorf("%s is not done", job.ID)
+						}
+						mu.Lock()
+						end[job.ID] = map[string]string{"done": "done", "aborted": "cancelled"}[state]
+						mu.Unlock()
+					})
+				}
+				wg.Wait()
+				time.Sleep(5 * time.Minute)
+				for id, last := range end {
+					for _, kind := range []string{"accepted", "done", "cancelled"} {
+						want := 0
+						if kind == "accepted" || kind == last {
+							want = 1
+						}
+						if n, _ := hooks["desk"].Effects(kind, id); n != want {
+							t.Errorf("%s %s: %d effects at the desk, want %d", id, kind, n, want)
+						}
+					}
+					if order, _ := hooks["desk"].Order(id); len(order) == 2 && !strings.HasSuffix(order[0], "accepted") {
+						t.Errorf("%s: in the order %v", id, order)
+					}
+					blue := int(id[len(id)-1]-'0')%2 == 0
+					want := 0
+					if blue && last == "done" {
+						want = 1
+					}
+					if n, _ := hooks["billing"].Effects("done", id); n != want {
+						t.Errorf("%s: %d effects at billing, want %d", id, n, want)
+					}
+				}
+				if _, n := hooks["desk"].Effects("", ""); n != 80 {
+					t.Errorf("%d events had effects, of 80", n)
+				}
+				for _, b := range w.Broken() {
+					t.Error(b)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/receiver.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Hook is a stand-in for a receiver of notifications. It keeps keys, fails and
+// delays on purpose, and its ledger counts what had an effect.
+type Hook struct {
+	LoseReply, Refuse, Slow float64 // how often; slow ones take their time before or after the effect
+
+	mu      sync.Mutex
+	dice    *rand.Rand
+	keys    map[string]bool
+	effects map[string]int // by type and job
+	order   map[string][]string
+	posts   int
+}
+
+// NewHook returns a receiver that fails by chance from a seed.
+func NewHook(seed uint64) *Hook {
+	return &Hook{dice: rand.New(rand.NewPCG(seed, 11)), keys: map[string]bool{}, effects: map[string]int{}, order: map[string][]string{}}
+}
+
+// ServeHTTP takes a notification.
+func (h *Hook) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	var e struct{ ID, Type, Subject string }
+	if err != nil || json.Unmarshal(b, &e) != nil || e.ID != r.Header.Get("Idempotency-Key") {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	h.mu.Lock()
+	p, pause := h.dice.Float64(), time.Duration(h.dice.IntN(20))*time.Second
+	lose, refuse, slow := h.LoseReply, h.Refuse, h.Slow
+	h.posts++
+	h.mu.Unlock()
+	switch {
+	case p < refuse:
+		w.Header().Set("Retry-After", "2")
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case p < refuse+slow:
+		time.Sleep(pause)
+		h.take(e.ID, e.Type, e.Subject)
+		return
+	}
+	h.take(e.ID, e.Type, e.Subject)
+	if p < refuse+slow+lose {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (h *Hook) take(key, kind, job string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.keys[key] {
+		return
+	}
+	h.keys[key] = true
+	h.effects[kind+" "+job]++
+	h.order[job] = append(h.order[job], kind)
+}
+
+// Effects says how often an event had an effect, and of how many there were any.
+func (h *Hook) Effects(kind, job string) (n, all int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.effects["aspenstall.job."+kind+" "+job], len(h.effects)
+}
+
+// Order is the order in which a job's events had their effects, and how many
+// requests came in all.
+func (h *Hook) Order(job string) (kinds []string, posts int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.order[job]...), h.posts
+}
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -33,6 +33,8 @@
 	Check     int64    `msgpack:"ck,omitempty"`
 	SaveCost  int64    `msgpack:"sc,omitempty"`
 	Due       int64    `msgpack:"du,omitempty"`
+	Born      uint64   `msgpack:"b,omitempty"`
+	Ended     int64    `msgpack:"e,omitempty"`
 }
 
 // EncodeJob encodes a job record.
@@ -44,6 +46,7 @@
 		CPU: s.Need.CPU, GPU: s.Need.GPU, Mem: s.Need.Mem, Types: s.Types, Zone: s.Zone,
 		OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, Image: s.Image, ImageMB: s.ImageMB,
 		Estimate: int64(s.Estimate), Check: int64(s.Checkpoint), SaveCost: int64(s.SaveCost), Due: int64(s.Due),
+		Born: r.Born, Ended: int64(r.Ended),
 	}
 	return Marshal(&w)
 }
@@ -55,7 +58,7 @@
 		return core.JobRecord{}, fmt.Errorf("job %s: %w", id, err)
 	}
 	return core.JobRecord{
-		Phase: core.Phase(w.Phase), Submitted: core.Micros(w.Submitted), Stamp: stamp,
+		Phase: core.Phase(w.Phase), Submitted: core.Micros(w.Submitted), Stamp: stamp, Born: w.Born, Ended: core.Micros(w.Ended),
 		Spec: core.JobSpec{
 			ID: id, Class: w.Class, Team: w.Team, Kind: core.Kind(w.Kind), Priority: core.Priority(w.Priority),
 			Tasks: w.Tasks, Need: core.Res{CPU: w.CPU, GPU: w.GPU, Mem: w.Mem}, Types: w.Types, Zone: w.Zone,
