--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -60,6 +60,8 @@
 	}
 }
 
+const notifyHead = `{:notify {:receivers {"r" {:url "http://127.0.0.1:1/" :keeps-keys true} "dumb" {:url "http://127.0.0.1:2/"}} :subscriptions `
+
 func TestSettings(t *testing.T) {
 	hash := strings.Repeat("0f", 32)
 	key := file(t, "sixteen bytes or so")
@@ -83,11 +85,23 @@
 		{"tokens without a key", "{:nomad {:listen \"127.0.0.1:4646\" :tokens {\"blue\" [\"" + hash + "\"]}}}", ": :nomad: :token-key-file: missing"},
 		{"a key beside the file", "{:nomad {:listen \"127.0.0.1:4646\" :token-key-file \"file\"}}", ""},
 		{"not a hash", "{:nomad {:tokens {\"blue\" [\"secret\"]}}}", ": :nomad: :tokens: \"blue\": want hashes"},
+		{"notifications", notifyHead + "{\"s\" {:receiver \"r\" :events [:done :accepted] :promise :exactly}}}}", ""},
+		{"no such receiver", notifyHead + "{\"s\" {:receiver \"q\" :events [:done]}}}}", ": :notify: :subscriptions: \"s\": :receiver: there is no receiver \"q\""},
+		{"no such event", notifyHead + "{\"s\" {:receiver \"r\" :events [:begun]}}}}", ": :notify: :subscriptions: \"s\": :events: want"},
+		{"no events", notifyHead + "{\"s\" {:receiver \"r\"}}}}", ":events: none"},
+		{"a promise that cannot be kept", notifyHead + "{\"s\" {:receiver \"dumb\" :events [:done]}}}}", "cannot be promised; choose :at-least or :at-most"},
+		{"one that can", notifyHead + "{\"s\" {:receiver \"dumb\" :events [:done] :promise :at-most}}}}", ""},
+		{"a name for a key", notifyHead + "{\"a/b\" {:receiver \"r\" :events [:done]}}}}", "small letters, digits and dashes"},
+		{"asked without an age", "{:notify {:receivers {\"r\" {:url \"http://h/\" :ask-url \"http://h/seen\"}}}}", ":ask-url and :max-age-s go together"},
+		{"not a URL", "{:notify {:receivers {\"r\" {:url \"desk\"}}}}", ":url: want an http or https URL"},
+		{"a body without a type", "{:notify {:receivers {\"r\" {:url \"http://h/\" :body-file \"KEY\"}}}}", ":body-file and :content-type go together"},
+		{"a body", "{:notify {:receivers {\"r\" {:url \"http://h/\" :body-file \"KEY\" :content-type \"text/plain\" :secret-files [\"KEY\"]}}}}", ""},
+		{"no certificate", "{:notify {:receivers {\"r\" {:url \"https://h/\" :ca-file \"KEY\"}}}}", "holds no certificate"},
 		{"one token of two teams", "{:nomad {:listen \"127.0.0.1:4646\" :tokens {\"blue\" [\"" + hash + "\"] \"green\" [\"" + hash + "\"]} :token-key-file \"KEY\"}}",
 			": :nomad: :tokens: teams \"blue\" and \"green\" have the same token"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			path := file(t, strings.Replace(c.text, "KEY", key, 1))
+			path := file(t, strings.ReplaceAll(c.text, "KEY", key))
 			s, err := LoadSettings(path)
 			if c.name == "unclosed" {
 				if err == nil {
--- /dev/null
+++ b/internal/node/notify_test.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"aspenstall/internal/core"
+)
+
+// A job's record implies each of its events once, at the revision at which it
+// happened, whatever was missed between.
+func TestEventsOf(t *testing.T) {
+	pending := core.JobRecord{Spec: core.JobSpec{ID: "job-1"}, Stamp: 10, Submitted: 5}
+	done := pending.Final(core.Done, 99)
+	done.Stamp = 20
+	cancelled := pending.Final(core.Cancelled, 77)
+	cancelled.Stamp = 15
+	for _, c := range []struct {
+		rec   core.JobRecord
+		after uint64
+		want  string
+	}{
+		{pending, 0, "accepted@10 at 5"},
+		{pending, 9, "accepted@10 at 5"},
+		{pending, 10, ""},
+		{done, 9, "accepted@10 at 5, done@20 at 99"}, // a list after a gap
+		{done, 10, "done@20 at 99"},
+		{done, 20, ""},
+		{cancelled, 12, "cancelled@15 at 77"},
+		{done.Final(core.Done, 99), 10, "done@20 at 99"}, // its beginning stays what it was
+	} {
+		var got []string
+		for _, e := range eventsOf(&c.rec, c.after) {
+			got = append(got, fmt.Sprintf("%v@%d at %d", e.Kind, e.Revision, e.At))
+		}
+		if g := strings.Join(got, ", "); g != c.want {
+			t.Errorf("after %d: %s, want %s", c.after, g, c.want)
+		}
+	}
+}
--- a/internal/standin/notify_test.go
+++ b/internal/standin/notify_test.go
@@ -138,3 +138,48 @@
 		})
 	}
 }
+
+// What
+// happens right before a leader ends is told by the next, and what
+// happens while its watch has a gap is told, too.
+func TestNotifyGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := standin.NewWorld(90, platform(), machineTypes)
+		defer w.Close()
+		hook := standin.NewHook(1)
+		hook.Refuse = 1
+		w.Net.Serve("10.3.0.1:80", hook)
+		w.Settings.Notify = &config.Notify{
+			Subs: []notify.Subscription{{Name: "all", Receiver: "desk", Kinds: []notify.Kind{notify.Accepted}, Deadline: 3600 * core.Second}},
+			Receivers: []config.NotifyReceiver{{
+				Limits: notify.Receiver{Name: "desk", InFlight: 1}, Reach: deliver.Receiver{Name: "desk", URL: "http://10.3.0.1:80/"}, Keys: true,
+			}},
+		}
+		startAll(w)
+		time.Sleep(15 * time.Second)
+		first, second := array(801, 1, 5), array(802, 1, 5)
+		w.Submit(first)
+		time.Sleep(100 * time.Millisecond)
+		killAll(w)
+		startAll(w)
+		time.Sleep(20 * time.Second)
+		hook.Accept()
+		leader := w.Leader()
+		w.Net.Cut(w.NodeAddr(leader), w.StateAddr(), true)
+		if status := w.Post((leader+1)%3, &second); status != 201 {
+			t.Errorf("answered %d", status)
+		}
+		w.State.Forget()
+		time.Sleep(500 * time.Millisecond)
+		w.Net.Cut(w.NodeAddr(leader), w.StateAddr(), false)
+		time.Sleep(3 * time.Minute)
+		for _, job := range []string{first.ID, second.ID} {
+			if n, _ := hook.Effects("accepted", job); n != 1 {
+				t.Errorf("%s: %d effects", job, n)
+			}
+		}
+		if w.Leader() != leader {
+			t.Error("the leader was to stay")
+		}
+	})
+}
--- a/internal/standin/receiver.go
+++ b/internal/standin/receiver.go
@@ -67,6 +67,13 @@
 	h.order[job] = append(h.order[job], kind)
 }
 
+// Accept has it fail no more.
+func (h *Hook) Accept() {
+	h.mu.Lock()
+	h.LoseReply, h.Refuse, h.Slow = 0, 0, 0
+	h.mu.Unlock()
+}
+
 // Effects says how often an event had an effect, and of how many there were any.
 func (h *Hook) Effects(kind, job string) (n, all int) {
 	h.mu.Lock()
