aspenstall notify: operators list, show, retry and drop what was put aside

Need: nothing is dropped silently, so operators need to see and decide.

Change: internal/notify/control, a handler on a loopback address of each controller and the client of the command line; any controller asks the leader (a third call between peers).

--- a/cmd/aspenstall/main.go
+++ b/cmd/aspenstall/main.go
@@ -33,12 +33,13 @@
 const maxPeerConns = 32
 
 type cli struct {
-	Config   string   `help:"The platform's settings (JSON)." type:"path" placeholder:"FILE"`
-	Settings string   `help:"The operators' settings (an S-expression)." type:"path" placeholder:"FILE"`
-	Run      struct{} `cmd:"" default:"1" help:"Run a controller."`
-	Check    struct{} `cmd:"" help:"Check the settings and exit."`
-	Nomad    nomadCmd `cmd:"" help:"Nomad's job files: check them, and make tokens for clients."`
-	Version  struct{} `cmd:"" help:"Print the version and exit."`
+	Config   string    `help:"The platform's settings (JSON)." type:"path" placeholder:"FILE"`
+	Settings string    `help:"The operators' settings (an S-expression)." type:"path" placeholder:"FILE"`
+	Run      struct{}  `cmd:"" default:"1" help:"Run a controller."`
+	Check    struct{}  `cmd:"" help:"Check the settings and exit."`
+	Nomad    nomadCmd  `cmd:"" help:"Nomad's job files: check them, and make tokens for clients."`
+	Notify   notifyCmd `cmd:"" help:"Notifications: how they stand, and what was put aside."`
+	Version  struct{}  `cmd:"" help:"Print the version and exit."`
 }
 
 func main() {
@@ -73,6 +74,9 @@
 	case "nomad token <key-file>":
 		return c.Nomad.Token.run(os.Stdin, os.Stdout)
 	}
+	if strings.HasPrefix(command, "notify ") {
+		return c.Notify.run(command, os.Stdout)
+	}
 	p, s, err := c.load(command != "nomad check <file>")
 	if err != nil {
 		return fmt.Errorf("%w%w", err, errConfig)
@@ -163,6 +167,11 @@
 			return err
 		}
 	}
+	if s.Notify != nil && s.Notify.Listen != "" {
+		if err := serveOperators(n, s.Notify.Listen, log); err != nil {
+			return err
+		}
+	}
 	go n.Run(ctx)
 	log.Info("listening", "address", p.Listen, "version", version)
 	return srv.Serve(l)
--- /dev/null
+++ b/cmd/aspenstall/notify.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"aspenstall/internal/node"
+	"aspenstall/internal/notify/control"
+)
+
+// notifyCmd are the commands about notifications.
+type notifyCmd struct {
+	Controller string        `help:"Address of a controller's :listen of :notify." default:"127.0.0.1:4650" placeholder:"HOST:PORT"`
+	Output     string        `help:"How to print: text or json." enum:"text,json" default:"text"`
+	Timeout    time.Duration `help:"How long to wait." default:"10s"`
+
+	List  struct{} `cmd:"" help:"How the subscriptions stand."`
+	Show  showCmd  `cmd:"" help:"What was put aside."`
+	Retry asideCmd `cmd:"" help:"Send again what was put aside."`
+	Drop  asideCmd `cmd:"" help:"Forget what was put aside."`
+}
+
+type showCmd struct {
+	Subscription string `arg:"" optional:"" help:"Of this subscription only."`
+}
+
+type asideCmd struct {
+	Subscription string `arg:""`
+	Job          string `arg:""`
+	Event        string `arg:"" help:"accepted, done or cancelled"`
+}
+
+// run carries out a command against a controller.
+func (c *notifyCmd) run(command string, w io.Writer) error {
+	ask := &control.Ask{}
+	switch words := strings.Fields(command); control.Op(words[1]) {
+	case control.List:
+		ask.Op = control.List
+	case control.Show:
+		ask.Op, ask.Sub = control.Show, c.Show.Subscription
+	case control.Retry:
+		ask = &control.Ask{Op: control.Retry, Sub: c.Retry.Subscription, Job: c.Retry.Job, Kind: c.Retry.Event}
+	case control.Drop:
+		ask = &control.Ask{Op: control.Drop, Sub: c.Drop.Subscription, Job: c.Drop.Job, Kind: c.Drop.Event}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	out, err := control.Call(ctx, http.DefaultClient, c.Controller, ask)
+	if err != nil {
+		return err
+	}
+	if (ask.Op == control.Retry || ask.Op == control.Drop) && !out.Done {
+		return errors.New("nothing like that is put aside, or it is on its way")
+	}
+	if c.Output == "json" {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(out)
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	switch ask.Op {
+	case control.List:
+		fmt.Fprintln(t, "SUBSCRIPTION\tRECEIVER\tWAITING\tASIDE")
+		for _, s := range out.Subs {
+			waiting := fmt.Sprint(s.Waiting)
+			if s.More {
+				waiting += " and more"
+			}
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\n", s.Name, s.Receiver, waiting, s.Aside)
+		}
+	case control.Show:
+		fmt.Fprintln(t, "SUBSCRIPTION\tJOB\tEVENT\tAT\tWHY")
+		for _, d := range out.Dead {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", d.Sub, d.Job, d.Kind, d.At.Format(time.RFC3339), d.Why)
+		}
+	default:
+		fmt.Fprintln(t, "done")
+	}
+	return t.Flush()
+}
+
+// serveOperators serves the commands about notifications.
+func serveOperators(n *node.Node, address string, log *slog.Logger) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{
+		Handler: control.Handler(n), ReadTimeout: 10 * time.Second, WriteTimeout: 20 * time.Second, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	log.Info("listening for operators", "address", address)
+	go func() {
+		if err := srv.Serve(netutil.LimitListener(l, 16)); err != nil {
+			log.Error("operators are not served", "err", err)
+		}
+	}()
+	return nil
+}
--- a/deploy/notify.sexp
+++ b/deploy/notify.sexp
@@ -1,7 +1,8 @@
 ; Tells receivers of jobs that are accepted, done or cancelled, once each.
 ; See docs/NOTIFICATIONS.md. Use it with --settings deploy/notify.sexp.
 {:notify
- {:receivers
+ {:listen "127.0.0.1:4650"                     ; for `aspenstall notify`
+  :receivers
   {"desk" {:url "http://127.0.0.1:9080/hook"   ; https, with :ca-file and :cert-file, beyond this machine
            :keeps-keys true                    ; it knows the keys that it has seen
            ;; :secret-files ["desk.secret"]    ; signs; two while one is replaced
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -93,6 +93,7 @@
 		{"one that can", notifyHead + "{\"s\" {:receiver \"dumb\" :events [:done] :promise :at-most}}}}", ""},
 		{"a name for a key", notifyHead + "{\"a/b\" {:receiver \"r\" :events [:done]}}}}", "small letters, digits and dashes"},
 		{"asked without an age", "{:notify {:receivers {\"r\" {:url \"http://h/\" :ask-url \"http://h/seen\"}}}}", ":ask-url and :max-age-s go together"},
+		{"operators from anywhere", "{:notify {:listen \"10.0.0.1:4650\"}}", ":notify: :listen: \"10.0.0.1:4650\": want a loopback address"},
 		{"not a URL", "{:notify {:receivers {\"r\" {:url \"desk\"}}}}", ":url: want an http or https URL"},
 		{"a body without a type", "{:notify {:receivers {\"r\" {:url \"http://h/\" :body-file \"KEY\"}}}}", ":body-file and :content-type go together"},
 		{"a body", "{:notify {:receivers {\"r\" {:url \"http://h/\" :body-file \"KEY\" :content-type \"text/plain\" :secret-files [\"KEY\"]}}}}", ""},
--- a/internal/config/notify.go
+++ b/internal/config/notify.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -23,6 +24,7 @@
 
 // Notify are the settings of notifications.
 type Notify struct {
+	Listen    string                // loopback address and port for operators; "" for none
 	Subs      []notify.Subscription // by name
 	Receivers []NotifyReceiver      // by name
 }
@@ -39,7 +41,7 @@
 	return func(b edn.RawMessage) error {
 		n := &Notify{}
 		var receivers, subs map[string]edn.RawMessage
-		if err := readMap(b, map[string]setting{"receivers": rawMap(&receivers), "subscriptions": rawMap(&subs)}); err != nil {
+		if err := readMap(b, map[string]setting{"listen": loopback(&n.Listen), "receivers": rawMap(&receivers), "subscriptions": rawMap(&subs)}); err != nil {
 			return err
 		}
 		for _, name := range slices.Sorted(maps.Keys(receivers)) {
@@ -61,6 +63,23 @@
 	}
 }
 
+// loopback reads an address that only this machine reaches: who does is an
+// operator.
+func loopback(to *string) setting {
+	return func(b edn.RawMessage) error {
+		if err := text(to)(b); err != nil {
+			return err
+		}
+		if err := address("", *to); err != nil {
+			return err
+		}
+		if host, _, _ := net.SplitHostPort(*to); !net.ParseIP(host).IsLoopback() {
+			return fmt.Errorf("%q: want a loopback address: whoever reaches it is an operator", *to)
+		}
+		return nil
+	}
+}
+
 func rawMap(to *map[string]edn.RawMessage) setting {
 	return func(b edn.RawMessage) error {
 		if err := edn.Unmarshal(b, to); err != nil {
--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -343,12 +343,14 @@
 	err error
 }
 
-func ask[T any](ctx context.Context, n *Node, f func(reply func(T, error))) (T, error) {
+// ask runs f on the owning goroutine and waits for what it replies; late is the
+// error if that does not come before ctx ends.
+func ask[T any](ctx context.Context, n *Node, late error, f func(reply func(T, error))) (T, error) {
 	r, ok := call(ctx, n, func(reply func(result[T])) {
 		f(func(v T, err error) { reply(result[T]{v, err}) })
 	})
 	if !ok {
-		return r.v, httpapi.ErrUnavailable
+		return r.v, late
 	}
 	return r.v, r.err
 }
@@ -360,7 +362,7 @@
 // Register takes a job file's job. It is done once it is written: the job, its
 // version, and the native job of each group, in one transaction.
 func (n *Node) Register(ctx context.Context, reg registry.Registration) (httpapi.Registered, error) {
-	return ask(ctx, n, func(reply func(httpapi.Registered, error)) {
+	return ask(ctx, n, httpapi.ErrUnavailable, func(reply func(httpapi.Registered, error)) {
 		n.changeJob(maxTries, reply, func() (*registry.Change, error) {
 			if len(n.catalog) == 0 {
 				return nil, httpapi.ErrUnavailable // what could run is not known
@@ -381,7 +383,7 @@
 		ch  *registry.Change
 		old *registry.Job
 	}
-	p, err := ask(ctx, n, func(reply func(planned, error)) {
+	p, err := ask(ctx, n, httpapi.ErrUnavailable, func(reply func(planned, error)) {
 		n.whenFresh(func(ok bool) {
 			if !ok || len(n.catalog) == 0 {
 				reply(planned{}, httpapi.ErrUnavailable)
@@ -401,7 +403,7 @@
 
 // Deregister stops a job, or purges it.
 func (n *Node) Deregister(ctx context.Context, name registry.Name, purge bool) (httpapi.Registered, error) {
-	return ask(ctx, n, func(reply func(httpapi.Registered, error)) {
+	return ask(ctx, n, httpapi.ErrUnavailable, func(reply func(httpapi.Registered, error)) {
 		n.changeJob(maxTries, reply, func() (*registry.Change, error) {
 			ch, err := n.nomad.reg.Deregister(name, purge)
 			if err == nil && ch == nil {
@@ -519,7 +521,7 @@
 
 // Show asks the leader where tasks and machines are.
 func (n *Node) Show(ctx context.Context, a *peer.Ask) (*peer.Shown, error) {
-	return ask(ctx, n, func(reply func(*peer.Shown, error)) {
+	return ask(ctx, n, httpapi.ErrUnavailable, func(reply func(*peer.Shown, error)) {
 		if n.term == nil || !n.mayAct() {
 			reply(nil, httpapi.ErrNoLeader)
 			return
--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -3,14 +3,19 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"aspenstall/internal/core"
 	"aspenstall/internal/notify"
+	"aspenstall/internal/notify/control"
 	"aspenstall/internal/notify/deliver"
 	"aspenstall/internal/wire"
 )
@@ -330,3 +335,36 @@
 		n.post(func() { saved(false) })
 	}
 }
+
+// Notify carries out an operator's request, if this node leads and delivers.
+func (n *Node) Notify(ctx context.Context, a *control.Ask) (*control.Answer, error) {
+	return ask(ctx, n, control.ErrNoLeader, func(reply func(*control.Answer, error)) {
+		if n.notifier == nil || n.notifier.box == nil || !n.mayAct() {
+			reply(nil, control.ErrNoLeader)
+			return
+		}
+		if a.Op == control.Retry || a.Op == control.Drop {
+			n.log.Info("operator: notification", "op", string(a.Op), "subscription", a.Sub, "job", a.Job, "event", a.Kind)
+		}
+		reply(control.Do(n.notifier.box, n.settings.Notify.Subs, n.now(), a))
+	})
+}
+
+// Notifications has the leader carry out an operator's request.
+func (n *Node) Notifications(ctx context.Context, a *control.Ask) (*control.Answer, error) {
+	leader, _ := call(ctx, n, func(reply func(string)) { reply(n.view.leader) })
+	switch {
+	case leader == n.cfg.Member:
+		return n.Notify(ctx, a)
+	case n.clients[leader] == nil:
+		return nil, control.ErrNoLeader
+	}
+	out, err := n.clients[leader].Notify(ctx, a)
+	if s, ok := status.FromError(err); ok && err != nil {
+		if s.Code() == codes.Unknown && s.Message() != control.ErrNoLeader.Error() {
+			return nil, errors.New(s.Message()) // the leader's own word
+		}
+		return nil, fmt.Errorf("%w (%s)", control.ErrNoLeader, s.Message())
+	}
+	return out, err
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -18,6 +18,7 @@
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/netdial"
+	"aspenstall/internal/notify/control"
 )
 
 // Status is what a node says of itself.
@@ -74,6 +75,7 @@
 	serviceName = "aspenstall.Peer"
 	tellMethod  = "/" + serviceName + "/Tell"
 	showMethod  = "/" + serviceName + "/Show"
+	noteMethod  = "/" + serviceName + "/Notify"
 	codecName   = "msgpack"
 	callTimeout = time.Second
 )
@@ -90,6 +92,8 @@
 	Told(ctx context.Context, s *Status) (*Status, error)
 	// Show fails on a node that does not lead.
 	Show(ctx context.Context, a *Ask) (*Shown, error)
+	// Notify is an operator's request; it fails on a node that does not lead.
+	Notify(ctx context.Context, a *control.Ask) (*control.Answer, error)
 }
 
 // Serve answers peers on l until it fails.
@@ -98,7 +102,7 @@
 	s.RegisterService(&grpc.ServiceDesc{
 		ServiceName: serviceName,
 		HandlerType: (*Handler)(nil),
-		Methods:     []grpc.MethodDesc{method("Tell", Handler.Told), method("Show", Handler.Show)},
+		Methods:     []grpc.MethodDesc{method("Tell", Handler.Told), method("Show", Handler.Show), method("Notify", Handler.Notify)},
 	}, h)
 	return s.Serve(l)
 }
@@ -153,6 +157,11 @@
 	return invoke[Shown](ctx, c, showMethod, a)
 }
 
+// Notify hands an operator's request to the peer, which has to lead.
+func (c *Client) Notify(ctx context.Context, a *control.Ask) (*control.Answer, error) {
+	return invoke[control.Answer](ctx, c, noteMethod, a)
+}
+
 func invoke[Out any](ctx context.Context, c *Client, method string, in any) (*Out, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/standin/notify_test.go
+++ b/internal/standin/notify_test.go
@@ -12,6 +12,7 @@
 	"aspenstall/internal/config"
 	"aspenstall/internal/core"
 	"aspenstall/internal/notify"
+	"aspenstall/internal/notify/control"
 	"aspenstall/internal/notify/deliver"
 	"aspenstall/internal/standin"
 )
@@ -260,3 +261,76 @@
 		}
 	}
 }
+
+// Operators see at any node what was put aside, send it again once its receiver
+// is well, and drop what nobody needs; a new leader knows what was.
+func TestNotifyOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := standin.NewWorld(91, platform(), machineTypes)
+		defer w.Close()
+		hook := standin.NewHook(1)
+		hook.Refuse = 1
+		w.Net.Serve("10.3.0.1:80", hook)
+		w.Settings.Notify = &config.Notify{
+			Subs: []notify.Subscription{{Name: "all", Receiver: "desk", Kinds: []notify.Kind{notify.Accepted}, Deadline: 20 * core.Second}},
+			Receivers: []config.NotifyReceiver{{
+				Limits: notify.Receiver{Name: "desk", InFlight: 4}, Reach: deliver.Receiver{Name: "desk", URL: "http://10.3.0.1:80/"}, Keys: true,
+			}},
+		}
+		startAll(w)
+		time.Sleep(15 * time.Second)
+		for k := range 3 {
+			w.Submit(array(820+k, 1, 5))
+		}
+		time.Sleep(2 * time.Minute)
+		ask := func(i int, a control.Ask) *control.Answer {
+			t.Helper()
+			out, err := w.Operator(i, &a)
+			if err != nil {
+				t.Errorf("node %d, %+v: %v", i, a, err)
+				return &control.Answer{}
+			}
+			return out
+		}
+		for i := range 3 {
+			if out := ask(i, control.Ask{Op: control.List}); len(out.Subs) != 1 || out.Subs[0].Aside != 3 || out.Subs[0].Waiting != 0 {
+				t.Errorf("node %d: %+v", i, out)
+			}
+		}
+		killed := w.Leader()
+		w.Kill(killed)
+		time.Sleep(20 * time.Second)
+		if len(ask(w.Leader(), control.Ask{Op: control.Show, Sub: "all"}).Dead) != 3 {
+			t.Error("the new leader does not know what was put aside")
+		}
+		w.StartNode(killed)
+		time.Sleep(10 * time.Second)
+		hook.Accept()
+		leader := w.Leader()
+		for k, c := range []struct {
+			ask  control.Ask
+			done bool
+			err  string
+		}{
+			{control.Ask{Op: control.Retry, Sub: "all", Job: "job-000820", Kind: "accepted"}, true, ""},
+			{control.Ask{Op: control.Drop, Sub: "all", Job: "job-000821", Kind: "accepted"}, true, ""},
+			{control.Ask{Op: control.Drop, Sub: "all", Job: "job-000821", Kind: "accepted"}, false, ""},
+			{control.Ask{Op: control.Retry, Sub: "all", Job: "job-000822", Kind: "done"}, false, ""},
+			{control.Ask{Op: control.Retry, Sub: "all", Job: "job-000822"}, false, "name a subscription"},
+			{control.Ask{Op: control.Show, Sub: "none"}, false, "there is no subscription"},
+			{control.Ask{Op: "burn"}, false, "there is no operation"},
+		} {
+			out, err := w.Operator((leader+k)%3, &c.ask)
+			if c.err == "" && (err != nil || out.Done != c.done) || c.err != "" && (err == nil || !strings.Contains(err.Error(), c.err)) {
+				t.Errorf("%+v: %+v %v", c.ask, out, err)
+			}
+		}
+		time.Sleep(time.Minute)
+		if n, all := hook.Effects("accepted", "job-000820"); n != 1 || all != 1 {
+			t.Errorf("%d effects, %d in all", n, all)
+		}
+		if out := ask(0, control.Ask{Op: control.Show}); len(out.Dead) != 1 || out.Dead[0].Job != "job-000822" {
+			t.Errorf("left: %+v", out)
+		}
+	})
+}
--- a/internal/standin/receiver.go
+++ b/internal/standin/receiver.go
@@ -1,13 +1,17 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
+
+	"aspenstall/internal/notify/control"
 )
 
 // Hook is a stand-in for a receiver of notifications. It keeps keys, fails and
@@ -101,3 +105,15 @@
 	defer h.mu.Unlock()
 	return append([]string(nil), h.order[job]...), h.posts
 }
+
+// Operator sends an operator's request to a node.
+func (w *World) Operator(i int, a *control.Ask) (*control.Answer, error) {
+	at := fmt.Sprintf("10.9.9.%d:4650", i)
+	l := w.Net.Serve(at, control.Handler(w.Nodes[i].nd))
+	defer l.Close()
+	ctx, cancel := context.WithTimeout(w.ctx, 10*time.Second)
+	defer cancel()
+	c := w.Net.Client("operator")
+	defer c.CloseIdleConnections()
+	return control.Call(ctx, c, at, a)
+}
