Notifications: a hundred receivers, marks that have to fit, and a clock that steps

Change: the cost test has a hundred subscriptions of which thirty receivers are away; settings whose marks do not fit into a value of the state service are refused by check; deadlines run on the steady clock from the time of day at the start.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,12 +1,14 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"aspenstall/internal/core"
+	"aspenstall/internal/notify"
 )
 
 const goodPlatform = `{"member":"n0","area":"a","listen":"10.0.0.1:1","cluster_listen":"10.0.0.1:2",
@@ -62,6 +64,30 @@
 
 const notifyHead = `{:notify {:receivers {"r" {:url "http://127.0.0.1:1/" :keeps-keys true} "dumb" {:url "http://127.0.0.1:2/"}} :subscriptions `
 
+// Settings that are good by themselves may not fit the platform.
+func TestCheck(t *testing.T) {
+	p, err := LoadPlatform(file(t, goodPlatform))
+	if err != nil {
+		t.Fatal(err)
+	}
+	many := &Notify{}
+	for i := range 100 {
+		many.Subs = append(many.Subs, notify.Subscription{Name: fmt.Sprintf("a-name-of-some-length-%02d", i)})
+	}
+	for want, s := range map[string]Settings{
+		"":                                       {PriorityCaps: map[string]core.Priority{"blue": core.Low}, Nomad: &Nomad{Tokens: map[string][]Hash{"blue": nil}}, Notify: &Notify{Subs: []notify.Subscription{{Team: "blue"}, {}}}},
+		`:priority-caps: there is no team "red"`: {PriorityCaps: map[string]core.Priority{"red": core.Low}},
+		`:nomad: :tokens: there is no team "red"`:                           {Nomad: &Nomad{Tokens: map[string][]Hash{"red": nil}}},
+		`:notify: :subscriptions: "s": there is no team "red"`:              {Notify: &Notify{Subs: []notify.Subscription{{Name: "s", Team: "red"}}}},
+		`:notify: :subscriptions: 100 of them take 4900 bytes in the state`: {Notify: many},
+	} {
+		err := s.Check(p)
+		if want == "" && err != nil || want != "" && (err == nil || !strings.HasPrefix(err.Error(), want)) {
+			t.Errorf("got %v, want %s", err, want)
+		}
+	}
+}
+
 func TestSettings(t *testing.T) {
 	hash := strings.Repeat("0f", 32)
 	key := file(t, "sixteen bytes or so")
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -195,6 +195,14 @@
 		}
 	}
 	if s.Notify != nil {
+		// One record holds all marks: a name, a number and what is round them.
+		size := 0
+		for _, sub := range s.Notify.Subs {
+			size += len(sub.Name) + 25
+		}
+		if most := int(p.Params.State.ValueKB * 1024); size > most {
+			return fmt.Errorf(":notify: :subscriptions: %d of them take %d bytes in the state service, whose values hold %d", len(s.Notify.Subs), size, most)
+		}
 		for _, sub := range s.Notify.Subs {
 			if sub.Team != "" && !known[sub.Team] {
 				return fmt.Errorf(":notify: :subscriptions: %q: there is no team %q", sub.Name, sub.Team)
--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -254,7 +254,10 @@
 // actOutbox does what the outbox wants; mayAct holds.
 func (n *Node) actOutbox() {
 	t, box := n.term, n.notifier.box
-	for _, a := range box.Step(n.now(), wall()) {
+	// The time of day at the start and the steady clock from there: a clock that is
+	// set forward must not end deadlines.
+	day := core.Micros(n.started.UnixMicro()) + n.now()
+	for _, a := range box.Step(n.now(), day) {
 		switch a := a.(type) {
 		case notify.Send:
 			go n.deliver(t.stamp, box, a)
--- a/internal/standin/notify_test.go
+++ b/internal/standin/notify_test.go
@@ -245,7 +245,7 @@
 	for _, k := range []struct {
 		subs, down  int
 		extra, most float64 // changes a job besides, and the 99th percentile in seconds
-	}{{1, 0, 0.8, 1}, {5, 0, 0.8, 1}, {5, 2, 0.8, 1}} {
+	}{{1, 0, 0.8, 1}, {5, 0, 0.8, 1}, {5, 2, 0.8, 1}, {100, 30, 1, 1}} {
 		c := day(t, k.subs, k.down)
 		if n, want := len(c.late), 2*jobs*(k.subs-k.down); n < want*95/100 {
 			t.Errorf("%d subscriptions: %d effects of %d", k.subs, n, want)
