When the outbox writes next is decided in one place; no turns without work

Cause: on rereading, Step and Wake each had their own word on when something is to be written, and differed: a dead letter of an at-most subscription that waits for a bitmap woke the node at once, again and again, for up to 15 s. Step also made a write's maps before it knew that there was nothing to write.

Change: saveDue says so for both. The test was seen failing with the old condition (100 turns without getting on).

--- a/internal/notify/outbox.go
+++ b/internal/notify/outbox.go
@@ -528,7 +528,7 @@
 			s.dirtyAt = now
 		}
 	}
-	if o.saving != nil || now < o.saveAt && !o.urgent() {
+	if now < o.saveDue(now) {
 		return
 	}
 	o.nextID++
@@ -592,9 +592,33 @@
 	o.out = append(o.out, a)
 }
 
-// urgent reports whether there is something put aside to be written.
-func (o *Outbox) urgent() bool {
-	return slices.ContainsFunc(o.order, func(s *sub) bool { return len(s.dead) > 0 })
+// saveDue is when there is next something to write, given what is known now.
+func (o *Outbox) saveDue(now core.Micros) core.Micros {
+	at := core.MaxMicros
+	if o.saving != nil {
+		return at
+	}
+	for _, s := range o.order {
+		switch {
+		case len(s.dead) > 0:
+			return now
+		case s.mark > s.savedTo, s.passed(), len(s.alive) > 0 && s.written(s.alive[0].Event.Revision, s.savedTo):
+			at = min(at, max(o.saveAt, now))
+		case len(s.dirty) > 0:
+			at = min(at, max(o.saveAt, s.dirtyAt+o.cfg.ChunkGap, now))
+		}
+	}
+	return at
+}
+
+// passed reports whether a bitmap has a record that the mark has passed.
+func (s *sub) passed() bool {
+	for c := range s.stored {
+		if s.settled[c] == nil {
+			return true
+		}
+	}
+	return false
 }
 
 // written reports whether a revision is written as settled, given the mark.
@@ -658,7 +682,7 @@
 
 // Wake is when Step is wanted next if nothing happens before.
 func (o *Outbox) Wake(now core.Micros) core.Micros {
-	at := core.MaxMicros
+	at := o.saveDue(now)
 	for _, s := range o.order {
 		if len(s.ready) > 0 {
 			next := max(s.ready[0].at, s.recv.from)
@@ -671,15 +695,6 @@
 			}
 			at = min(at, next)
 		}
-		switch {
-		case o.saving != nil:
-		case len(s.dead) > 0:
-			at = min(at, now)
-		case s.mark > s.savedTo, len(s.alive) > 0:
-			at = min(at, max(o.saveAt, now))
-		case len(s.dirty) > 0:
-			at = min(at, max(o.saveAt, s.dirtyAt+o.cfg.ChunkGap, now))
-		}
 	}
 	return at
 }
--- a/internal/notify/outbox_test.go
+++ b/internal/notify/outbox_test.go
@@ -574,3 +574,33 @@
 
 // asked has the outbox believe that it asked for a page.
 func (o *Outbox) asked(sub string) { o.subs[sub].asked = true }
+
+// A dead letter that may not go yet wakes nobody: what it waits for is written
+// first. Without that the node would go round and round until then.
+func TestWakeWaitsForWhatIsWritten(t *testing.T) {
+	o := New(Config{
+		Subs: []Subscription{{Name: "s", Receiver: "r", Kinds: []Kind{Done}, Promise: AtMost}}, Receivers: []Receiver{{Name: "r"}}, Window: 10, ChunksPerSave: 10,
+		SaveGap: core.Second, ChunkGap: 15 * core.Second, FirstRetry: 100 * core.Second, LastRetry: 100 * core.Second,
+	})
+	now := core.Second
+	o.Event(now, Event{Job: "1", Kind: Done, Revision: 5})
+	o.Event(now, Event{Job: "2", Kind: Done, Revision: 5})
+	o.Event(now, Event{Job: "3", Kind: Done, Revision: 6})
+	o.Complete(6)
+	o.subs["s"].open[5]++ // another of revision 5 stays unsettled, and the mark before it
+	turns := 0
+	for end := now + 10*core.Second; now < end && turns < 100; turns++ {
+		for _, a := range o.Step(now, now) {
+			switch a := a.(type) {
+			case Send:
+				o.Sent(now, a.ID, Delivered, 0)
+			case Save:
+				o.Saved(now, a.ID, true)
+			}
+		}
+		now = max(o.Wake(now), now)
+	}
+	if turns > 10 || len(o.subs["s"].alive) != 3 {
+		t.Errorf("%d turns in ten seconds, %d dead letters wait", turns, len(o.subs["s"].alive))
+	}
+}
