Nomad and notifications: pieces that stood twice are one

Change: whether a namespace is the caller's is decided in look, not in ten callbacks; a group's record is the group; both questions to the leader find it by leaderClient; files beside the settings are read, and keys and secrets checked, by one function each; both side listeners start by serveAside; changed jobs are made unique by sorting, not by looking through all before. Behaviour stays, but for a short secret's message, which says key now.

--- a/cmd/aspenstall/nomad.go
+++ b/cmd/aspenstall/nomad.go
@@ -264,21 +264,25 @@
 
 // serveNomad serves Nomad's clients on a listener of their own.
 func serveNomad(n *node.Node, s *config.Nomad, log *slog.Logger) error {
-	l, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return err
-	}
-	srv := &http.Server{
+	return serveAside("Nomad's clients", s.Listen, s.Conns, log, &http.Server{
 		Handler:           httpapi.Handler(n, s, log),
 		ReadHeaderTimeout: 10 * time.Second, // bodies and answers have limits of their own: queries wait long
 		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    16 << 10,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	})
+}
+
+// serveAside serves others than users and workers, on a listener of their own.
+func serveAside(whom, address string, conns int, log *slog.Logger, srv *http.Server) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
 	}
-	log.Info("listening for Nomad's clients", "address", s.Listen)
+	srv.MaxHeaderBytes = 16 << 10
+	srv.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelDebug)
+	log.Info("listening for "+whom, "address", address)
 	go func() {
-		if err := srv.Serve(netutil.LimitListener(l, s.Conns)); err != nil {
-			log.Error("Nomad's clients are not served", "err", err)
+		if err := srv.Serve(netutil.LimitListener(l, conns)); err != nil {
+			log.Error(whom+" are not served", "err", err)
 		}
 	}()
 	return nil
--- a/cmd/aspenstall/notify.go
+++ b/cmd/aspenstall/notify.go
@@ -7,14 +7,11 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"text/tabwriter"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"aspenstall/internal/node"
 	"aspenstall/internal/notify/control"
 )
@@ -92,19 +89,7 @@
 
 // serveOperators serves the commands about notifications.
 func serveOperators(n *node.Node, address string, log *slog.Logger) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	srv := &http.Server{
-		Handler: control.Handler(n), ReadTimeout: 10 * time.Second, WriteTimeout: 20 * time.Second, MaxHeaderBytes: 16 << 10,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}
-	log.Info("listening for operators", "address", address)
-	go func() {
-		if err := srv.Serve(netutil.LimitListener(l, 16)); err != nil {
-			log.Error("operators are not served", "err", err)
-		}
-	}()
-	return nil
+	return serveAside("operators", address, 16, log, &http.Server{
+		Handler: control.Handler(n), ReadTimeout: 10 * time.Second, WriteTimeout: 20 * time.Second,
+	})
 }
--- a/internal/config/notify.go
+++ b/internal/config/notify.go
@@ -9,8 +9,6 @@
 	"maps"
 	"net"
 	"net/url"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -124,20 +122,15 @@
 	if len(secrets) > 2 {
 		return r, errors.New(":secret-files: want one, or two while one is being replaced")
 	}
-	read := func(path string) ([]byte, error) {
-		if !filepath.IsAbs(path) {
-			path = filepath.Join(dir, path)
-		}
-		return os.ReadFile(path)
-	}
+	read := func(path string) ([]byte, error) { return readBeside(dir, path) }
 	for _, path := range secrets {
 		s, err := read(path)
+		if err == nil {
+			s, err = TokenKey(path, s)
+		}
 		if err != nil {
 			return r, err
 		}
-		if s = bytes.TrimSpace(s); len(s) < minKey {
-			return r, fmt.Errorf("%s: want a secret of %d bytes or more", path, minKey)
-		}
 		r.Reach.Secrets = append(r.Reach.Secrets, s)
 	}
 	if (body == "") != (r.Reach.Type == "") {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -336,19 +336,20 @@
 		if err := text(&path)(b); err != nil {
 			return err
 		}
-		if !filepath.IsAbs(path) {
-			path = filepath.Join(dir, path)
-		}
-		key, err := os.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		if key, err = TokenKey(path, key); err != nil {
-			return err
+		b, err := readBeside(dir, path)
+		if err == nil {
+			*to, err = TokenKey(path, b)
 		}
-		*to = key
-		return nil
+		return err
+	}
+}
+
+// readBeside reads a file whose path counts from the settings' place.
+func readBeside(dir, path string) ([]byte, error) {
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(dir, path)
 	}
+	return os.ReadFile(path)
 }
 
 // TokenKey is the key that a file holds, without the space round it.
--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -547,22 +547,27 @@
 
 // ShowAll answers a question to the leader, on whatever node.
 func (n *Node) ShowAll(ctx context.Context, a *peer.Ask) (*peer.Shown, error) {
-	leader, ok := call(ctx, n, func(reply func(string)) { reply(n.view.leader) })
+	c, here := n.leaderClient(ctx)
 	switch {
-	case !ok || leader == "":
-		return nil, httpapi.ErrNoLeader
-	case leader == n.cfg.Member:
+	case here:
 		return n.Show(ctx, a)
-	case n.clients[leader] == nil:
+	case c == nil:
 		return nil, httpapi.ErrNoLeader
 	}
-	s, err := n.clients[leader].Show(ctx, a)
+	s, err := c.Show(ctx, a)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", httpapi.ErrNoLeader, err)
 	}
 	return s, nil
 }
 
+// leaderClient is the way to the leader: here if it is this node, else a client,
+// nil if nobody is known to lead.
+func (n *Node) leaderClient(ctx context.Context) (c *peer.Client, here bool) {
+	leader, _ := call(ctx, n, func(reply func(string)) { reply(n.view.leader) })
+	return n.clients[leader], leader == n.cfg.Member
+}
+
 // Members lists the controllers.
 func (n *Node) Members(ctx context.Context) httpapi.Members {
 	leader, _ := call(ctx, n, func(reply func(string)) { reply(n.view.leader) })
--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -83,7 +83,7 @@
 
 func (n *Node) tryOutbox(ctx context.Context, t *term) error {
 	if !n.refresh(ctx) {
-		return fmt.Errorf("the view is not up to date")
+		return errors.New("the view is not up to date")
 	}
 	// What is written after this reading is in the view by then.
 	type moment struct{ since, token uint64 }
@@ -234,10 +234,8 @@
 		return
 	}
 	var events []notify.Event
-	for i, id := range ids {
-		if slices.Contains(ids[:i], id) {
-			continue
-		}
+	slices.Sort(ids)
+	for _, id := range slices.Compact(ids) {
 		rec := n.view.jobs[id]
 		for _, e := range eventsOf(&rec, before) {
 			if e.Revision <= upTo {
@@ -355,14 +353,14 @@
 
 // Notifications has the leader carry out an operator's request.
 func (n *Node) Notifications(ctx context.Context, a *control.Ask) (*control.Answer, error) {
-	leader, _ := call(ctx, n, func(reply func(string)) { reply(n.view.leader) })
+	c, here := n.leaderClient(ctx)
 	switch {
-	case leader == n.cfg.Member:
+	case here:
 		return n.Notify(ctx, a)
-	case n.clients[leader] == nil:
+	case c == nil:
 		return nil, control.ErrNoLeader
 	}
-	out, err := n.clients[leader].Notify(ctx, a)
+	out, err := c.Notify(ctx, a)
 	if s, ok := status.FromError(err); ok && err != nil {
 		if s.Code() == codes.Unknown && s.Message() != control.ErrNoLeader.Error() {
 			return nil, errors.New(s.Message()) // the leader's own word
--- a/internal/nomad/httpapi/allocs.go
+++ b/internal/nomad/httpapi/allocs.go
@@ -168,9 +168,6 @@
 func allocations(q *request) (any, error) {
 	var units []unit
 	err := q.look(registry.Name{Team: q.team}, false, func(r *registry.Registry) {
-		if !q.visible() {
-			return
-		}
 		for _, j := range r.List(q.team, "") {
 			units = append(units, unitsOf(r, j, r.ModifyIndex(j))...)
 		}
@@ -198,7 +195,7 @@
 func jobAllocations(q *request) (any, error) {
 	var units []unit
 	err := q.look(q.name(), true, func(r *registry.Registry) {
-		if j := r.Get(q.name()); j != nil && q.visible() {
+		if j := r.Get(q.name()); j != nil {
 			units = unitsOf(r, j, r.ModifyIndex(j))
 		}
 	})
@@ -218,7 +215,7 @@
 	index := binary.BigEndian.Uint64(b[8:])
 	var u *unit
 	err = q.look(registry.Name{Team: q.team}, false, func(r *registry.Registry) {
-		if !q.visible() || index >= core.MaxTasks {
+		if index >= core.MaxTasks {
 			return
 		}
 		for _, j := range r.List(q.team, "") {
@@ -255,9 +252,6 @@
 	}
 	out := []evalView{}
 	err = q.look(registry.Name{Team: q.team}, false, func(r *registry.Registry) {
-		if !q.visible() {
-			return
-		}
 		for _, j := range cut(q, r.List(q.team, ""), p, func(j *registry.Job) string { return j.ID }) {
 			out = append(out, evaluationOf(r, j))
 		}
@@ -268,7 +262,7 @@
 func jobEvaluations(q *request) (any, error) {
 	out := []evalView{}
 	err := q.look(q.name(), false, func(r *registry.Registry) {
-		if j := r.Get(q.name()); j != nil && q.visible() {
+		if j := r.Get(q.name()); j != nil {
 			out = append(out, evaluationOf(r, j))
 		}
 	})
@@ -279,9 +273,6 @@
 func (q *request) evaluated(see func(r *registry.Registry, j *registry.Job)) error {
 	missing := true
 	err := q.look(registry.Name{Team: q.team}, false, func(r *registry.Registry) {
-		if !q.visible() {
-			return
-		}
 		for _, j := range r.List(q.team, "") {
 			if evaluationID(j.Name, j.JobModifyIndex) == q.id {
 				see(r, j)
--- a/internal/nomad/httpapi/jobs.go
+++ b/internal/nomad/httpapi/jobs.go
@@ -26,9 +26,6 @@
 	}
 	out := []jobStub{}
 	err = q.look(registry.Name{Team: q.team}, false, func(r *registry.Registry) {
-		if !q.visible() {
-			return
-		}
 		list := r.List(q.team, q.q.Get("prefix"))
 		for _, j := range cut(q, list, page, func(j *registry.Job) string { return j.ID }) {
 			out = append(out, stubOf(r, j))
@@ -244,7 +241,7 @@
 	var out *fullJob
 	var failed error
 	err := q.look(q.name(), true, func(r *registry.Registry) {
-		if j := r.Get(q.name()); j != nil && q.visible() {
+		if j := r.Get(q.name()); j != nil {
 			out, failed = fullOf(r, j, j.Version)
 		}
 	})
@@ -303,7 +300,7 @@
 func summary(q *request) (any, error) {
 	var out *jobSummary
 	err := q.look(q.name(), true, func(r *registry.Registry) {
-		if j := r.Get(q.name()); j != nil && q.visible() {
+		if j := r.Get(q.name()); j != nil {
 			out = summaryOf(r, j)
 		}
 	})
@@ -315,7 +312,7 @@
 	var failed error
 	err := q.look(q.name(), false, func(r *registry.Registry) {
 		j := r.Get(q.name())
-		if j == nil || !q.visible() {
+		if j == nil {
 			return
 		}
 		out = &jobVersions{Versions: []*fullJob{}}
--- a/internal/nomad/httpapi/server.go
+++ b/internal/nomad/httpapi/server.go
@@ -213,11 +213,15 @@
 }
 
 // look looks at the registry as a blocking query and sets the headers of one.
+// Of a namespace that is not the caller's nothing is seen.
 func (q *request) look(of registry.Name, progress bool, see func(*registry.Registry)) error {
 	qu, err := q.query(of, progress)
 	if err != nil {
 		return err
 	}
+	if !q.visible() {
+		see = func(*registry.Registry) {}
+	}
 	_, err = q.lookFor(qu, see)
 	return err
 }
--- a/internal/nomad/registry/change.go
+++ b/internal/nomad/registry/change.go
@@ -101,7 +101,7 @@
 			native = spec.ID
 			ch.Start = append(ch.Start, spec)
 		}
-		h.Groups = append(h.Groups, headUnit{Name: g.Name, Native: native, Digest: g.Digest})
+		h.Groups = append(h.Groups, Group{Name: g.Name, Native: native, Digest: g.Digest})
 	}
 	r.end(ch, old, kept)
 	src, err := encode(sourceKey(key, h.Version), &source{Packed: packed, At: int64(now)})
@@ -203,10 +203,7 @@
 	}
 	h := &head{
 		Stub: old.Stub, Team: n.Team, ID: n.ID, Version: old.Version, Stopped: true, At: int64(old.Submitted),
-		Create: old.CreateIndex, Before: old.JobModifyIndex,
-	}
-	for _, g := range old.Groups {
-		h.Groups = append(h.Groups, headUnit{Name: g.Name, Native: g.Native, Digest: g.Digest})
+		Groups: old.Groups, Create: old.CreateIndex, Before: old.JobModifyIndex,
 	}
 	hd, err := h.put(key)
 	if err != nil {
--- a/internal/nomad/registry/record.go
+++ b/internal/nomad/registry/record.go
@@ -40,22 +40,15 @@
 
 // head is a job's record.
 type head struct {
-	Team    string     `msgpack:"t"`
-	ID      string     `msgpack:"i"`
-	Version uint64     `msgpack:"v"`
-	Groups  []headUnit `msgpack:"g"`
-	Stopped bool       `msgpack:"x,omitempty"`
-	At      int64      `msgpack:"at"`
-	Create  uint64     `msgpack:"c,omitempty"` // 0: this record was the first
-	Before  uint64     `msgpack:"b,omitempty"`
-	Stub    Stub       `msgpack:"s"`
-}
-
-type headUnit struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Name     string
-	Native   string
-	Digest   string
+	Team    string  `msgpack:"t"`
+	ID      string  `msgpack:"i"`
+	Version uint64  `msgpack:"v"`
+	Groups  []Group `msgpack:"g"`
+	Stopped bool    `msgpack:"x,omitempty"`
+	At      int64   `msgpack:"at"`
+	Create  uint64  `msgpack:"c,omitempty"` // 0: this record was the first
+	Before  uint64  `msgpack:"b,omitempty"`
+	Stub    Stub    `msgpack:"s"`
 }
 
 // source is a version's job, packed.
@@ -142,12 +135,9 @@
 		return n, false, nil
 	}
 	j := &Job{
-		Name: n, Stub: h.Stub, Version: h.Version, Stopped: h.Stopped, Submitted: core.Micros(h.At),
+		Name: n, Stub: h.Stub, Version: h.Version, Groups: h.Groups, Stopped: h.Stopped, Submitted: core.Micros(h.At),
 		JobModifyIndex: stamp, CreateIndex: cmp.Or(h.Create, stamp), before: h.Before,
 	}
-	for _, g := range h.Groups {
-		j.Groups = append(j.Groups, Group{g.Name, g.Native, g.Digest})
-	}
 	if old != nil {
 		j.versions = old.versions
 		r.forgetNatives(old)
--- a/internal/nomad/registry/registry.go
+++ b/internal/nomad/registry/registry.go
@@ -23,9 +23,10 @@
 
 // Group is a group of a job and its native job.
 type Group struct {
-	Name   string
-	Native string // the native job's id
-	Digest string
+	_msgpack struct{} `msgpack:",as_array"` // as it is kept
+	Name     string
+	Native   string // the native job's id
+	Digest   string
 }
 
 // Stub is what lists show of a job's content.
