What is kept in a cut zone is recorded, and moves out before its leases end

Now the leader records what is on the machines that it keeps and places nothing on them until that record has ended; a later leader reads it and settles without them. Room is rented elsewhere before the leases may end, and machines go back as soon as what they serve has room. Machines of a zone that is cut off are not probed one by one to be found silent.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -171,6 +171,7 @@
 		// A third of the calls or so.
 		ReturnPause: core.Seconds(4 / max(p.Params.Cloud.RPS, 1)),
 		ListLag:     core.Seconds(p.Params.Cloud.ListLagS),
+		ValueBytes:  int(p.Params.State.ValueKB*1024 - 200),
 		// Five words of a machine take about as many letters, as JSON.
 		MachinesPerRecord: max(int(p.Params.State.ValueKB*1024-200)/100, 1),
 		// Every second task finished is the worst case: two numbers with their
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,6 +51,8 @@
 	gone      map[string]bool // machines known to be deleted
 	chunks    []*chunk
 	chunkID   int
+	kept      []*kept
+	keptID    int
 	rents     map[string]*rent
 	rentOf    map[string]*rent // of machines that are coming
 	unsettled int
@@ -208,7 +210,7 @@
 	c.gone = map[string]bool{}
 	c.rents = map[string]*rent{}
 	c.rentOf = map[string]*rent{}
-	c.chunks = nil
+	c.chunks, c.kept = nil, nil
 	c.unsettled = 0
 	c.refused = map[offer]Micros{}
 	c.backlog, c.returnOut, c.returnFrom = nil, false, 0
@@ -290,8 +292,15 @@
 			c.dropRent(rt)
 		}
 	}
+	for _, r := range snap.Kept {
+		if len(r.Machines) > 0 {
+			c.takeKept(r, now, wall)
+		} else {
+			stray.Drops = append(stray.Drops, r.Key)
+		}
+	}
 	if len(stray.Drops) > 0 {
-		c.write(stray, nil) // of jobs that are over
+		c.write(stray, nil) // of jobs and cuts that are over
 	}
 	c.dirty = true
 	if c.unsettled == 0 {
@@ -433,6 +442,7 @@
 	RangesPrefix  = "b/done/"
 	MachinePrefix = "b/machine/"
 	RentPrefix    = "b/rent/"
+	KeptPrefix    = "b/kept/"
 )
 
 // RangeKey is where a chunk of a job's finished tasks is kept.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -33,6 +33,8 @@
 	}
 	c.judgeZones(now)
 	c.lookBack(now)
+	c.recordKept(now)
+	c.moveOut(now)
 	coming := c.coming(now)
 	short := c.shortOfHeld(now, coming)
 	c.returns(now, &short)
@@ -148,10 +150,11 @@
 			if m.typ != nil && now-m.seen > 3*m.typ.Boot+10*Second {
 				c.giveBack(m, now, "never came up")
 			}
-		case m.silent && !c.deaf && !(c.cutOff(m.zone, now) && c.keepsServices(m)):
+		case (m.silent || c.silentInCut(m, now)) && !c.deaf && !(c.cutOff(m.zone, now) && c.keepsServices(m)):
 			// Deleting it frees its tasks at once; waiting for its lease would
 			// take longer. But when few others are heard, good machines would be
 			// deleted; and what serves in a zone that is cut off goes on serving.
+			m.silent = true
 			c.giveBack(m, now, silentWhy)
 		case !m.settled:
 		case m.typ == nil && m.used == (Res{}):
@@ -268,12 +271,73 @@
 	}
 }
 
+// moves are services that are to move, by where there is room for them.
+type moves struct {
+	to    []*machine
+	taken map[*machine]Res
+	zones map[zoneOfJob]int // tasks of a job that come to a zone, or leave it
+	made  []move
+}
+
+type move struct {
+	p  *placement
+	to *machine
+}
+
+type zoneOfJob struct {
+	j    *job
+	zone string
+}
+
+func movesTo(to []*machine) *moves {
+	return &moves{to: to, taken: map[*machine]Res{}, zones: map[zoneOfJob]int{}}
+}
+
+// left is what stays free on a machine that services may move to.
+func (v *moves) left(o *machine) Res { return o.free().Sub(v.taken[o]) }
+
+// count notes a move, or one that is not made after all.
+func (v *moves) count(mv move, sign int) {
+	v.taken[mv.to] = v.taken[mv.to].Add(mv.p.need.Times(sign))
+	v.zones[zoneOfJob{mv.p.j, mv.to.zone}] += sign
+	v.zones[zoneOfJob{mv.p.j, mv.p.m.zone}] -= sign
+}
+
+// take finds room for tasks of services away from their machines, with their
+// images there already if cached is set: for all of them, or it reports false and
+// nothing is taken.
+func (c *Core) take(v *moves, ps []*placement, cached bool) bool {
+	before := len(v.made)
+	for _, p := range ps {
+		j, from := p.j, p.m.zone
+		i := slices.IndexFunc(v.to, func(o *machine) bool {
+			if o == p.m || cached && !o.hasImage(j.image) || !p.need.Fits(v.left(o)) {
+				return false
+			}
+			j.zones[from]-- // as it will be
+			ok := c.allowed(j, o) && (!j.spec.Spread || o.zone == from || j.zones[o.zone]+v.zones[zoneOfJob{j, o.zone}] < (j.spec.Tasks+1)/2)
+			j.zones[from]++
+			return ok
+		})
+		if i < 0 {
+			for _, mv := range v.made[before:] {
+				v.count(mv, -1)
+			}
+			v.made = v.made[:before]
+			return false
+		}
+		mv := move{p, v.to[i]}
+		v.count(mv, 1)
+		v.made = append(v.made, mv)
+	}
+	return true
+}
+
 // movable reports whether all services on a machine, and there are some, have
 // room on the machines to, with their image and besides the spare room.
 func (c *Core) movable(m *machine, to []*machine, now Micros) bool {
-	taken := map[*machine]Res{} // by the services that would move
-	moving := map[string]int{}  // services of a job that move to a zone, or away from it
-	n := 0
+	v := movesTo(to)
+	var ps []*placement
 	for _, p := range m.tasks {
 		if !p.holds() {
 			continue
@@ -290,26 +354,9 @@
 			}
 			return false // batches make use of it
 		}
-		n++
-		i := slices.IndexFunc(to, func(o *machine) bool {
-			if o == m || !o.hasImage(p.j.image) || !p.need.Fits(o.free().Sub(taken[o])) {
-				return false
-			}
-			j := p.j
-			j.zones[m.zone]-- // as it will be
-			ok := c.allowed(j, o) && (!j.spec.Spread || o.zone == m.zone || j.zones[o.zone]+moving[j.spec.ID+o.zone] < (j.spec.Tasks+1)/2)
-			j.zones[m.zone]++
-			return ok
-		})
-		if i < 0 {
-			return false
-		}
-		o := to[i]
-		taken[o] = taken[o].Add(p.need)
-		moving[p.j.spec.ID+o.zone]++
-		moving[p.j.spec.ID+m.zone]--
+		ps = append(ps, p)
 	}
-	if n == 0 {
+	if len(ps) == 0 || !c.take(v, ps, true) {
 		return false
 	}
 	if c.spareNeed == (Res{}) {
@@ -319,7 +366,7 @@
 	left := 0
 	for _, o := range c.order {
 		if o != m && !o.spot && !o.vacating && c.usable(o, now) {
-			left += c.spareNeed.copies(o.free().Sub(taken[o]))
+			left += c.spareNeed.copies(v.left(o))
 		}
 	}
 	return left >= c.spareWant
@@ -396,6 +443,7 @@
 	c.clear(m, now)
 	c.settle(m)
 	c.probeOver(m) // its result finds no machine any more
+	c.unkeep(m)
 	delete(c.machines, m.name)
 	i := sort.Search(len(c.order), func(i int) bool { return c.order[i].name >= m.name })
 	c.order = append(c.order[:i:i], c.order[i+1:]...)
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -33,6 +33,7 @@
 	fetching  bool // last it was reported, it waited for its image
 	again     bool // a gang task that gave up waiting: to be forgotten and started once more
 	waits     int  // how often it was
+	listed    bool // taken from a former leader's record of what it kept
 }
 
 func (p *placement) holds() bool { return !(p.shown && p.state == Exited) }
@@ -51,8 +52,10 @@
 
 	chunk    *chunk // the record that it is in, or will be
 	recorded bool
-	settled  bool // everything on it is known to this leader
-	lost     bool // its lease has run out
+	kept     *kept  // nothing is placed while it is in such a record
+	keptFrom Micros // not put in one before this
+	settled  bool   // everything on it is known to this leader
+	lost     bool   // its lease has run out
 	lostAt   Micros
 	booting  bool   // never heard of
 	seen     Micros // when we learnt of it
@@ -164,8 +167,8 @@
 
 // usable reports whether tasks may be given to the machine now.
 func (c *Core) usable(m *machine, now Micros) bool {
-	return m.typ != nil && m.settled && !m.lost && !m.booting && !m.draining && !m.returning &&
-		now >= m.quarantine && now >= m.blocked && now-m.heard < c.silence() &&
+	return m.typ != nil && m.settled && m.kept == nil && !m.lost && !m.booting && !m.draining && !m.returning &&
+		now >= m.quarantine && now >= m.blocked && m.heardWithin(now, c.silence()) &&
 		// It answers direct commands, but its reports do not get through: its
 		// lease runs out soon, with what it is given.
 		now-m.answered < c.cfg.Lease/2
@@ -316,6 +319,9 @@
 	m.session, m.seq = r.Session, r.Seq
 	m.token = max(m.token, r.Token)
 	m.heard, m.misses = now, 0
+	if m.kept != nil {
+		c.fleetAt = now // its record ends
+	}
 	if m.silent {
 		m.silent = false
 		if m.returning && m.returnWhy == silentWhy {
@@ -378,7 +384,7 @@
 		}
 		c.add(p)
 	}
-	p.beatMark = true
+	p.beatMark, p.listed = true, false
 	if t.State != Exited || t.Cause != CauseStopped {
 		p.fetching = t.State == Fetching // other ends come after it has its image
 	}
@@ -447,13 +453,18 @@
 	switch {
 	case j.cancelled, j.status[t.Index] == taskDone:
 		p.unwanted = true
-	case t.State != Exited && j.live[t.Index] != nil:
+	case t.State != Exited && j.live[t.Index] != nil && !j.live[t.Index].listed:
 		// Two starts of one task can only come from a fault; the one that this
 		// leader knows of stays.
 		p.unwanted = true
 		c.note("task reported on two machines", "job", t.Job, "task", t.Index, "machine", m.name)
-	case j.spec.Kind == Gang && t.State != Exited:
-		j.attempt = max(j.attempt, t.Attempt)
+	case t.State != Exited:
+		if q := j.live[t.Index]; q != nil {
+			c.unlist(q, now) // it was replaced after it was recorded
+		}
+		if j.spec.Kind == Gang {
+			j.attempt = max(j.attempt, t.Attempt)
+		}
 	}
 	if p.unwanted {
 		c.touch(m)
--- a/internal/core/spare.go
+++ b/internal/core/spare.go
@@ -78,6 +78,9 @@
 		}
 		want += spareShare*a.rateAt(now)*float64(c.lead(a.need)) + a.size
 	}
+	need, tasks := c.movingOut(now)
+	c.spareNeed = c.spareNeed.most(need)
+	want += float64(tasks)
 	clear(c.spare)
 	if c.spareNeed == (Res{}) {
 		return
@@ -86,7 +89,9 @@
 	for _, t := range c.typeOrder {
 		if c.spareNeed.Fits(t.Cap) {
 			for _, z := range t.Zones {
-				zones[z] = true
+				if !c.cutOff(z, now) {
+					zones[z] = true
+				}
 			}
 		}
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -270,6 +270,8 @@
 	// RecordPause lets machines that come up shortly after one another share a
 	// write.
 	RecordPause Micros
+	// ValueBytes is how much a record may hold, as JSON.
+	ValueBytes int
 	// MachinesPerRecord is how many machines share one record.
 	MachinesPerRecord int
 	StartWithin       map[string][]Micros // aims for how soon a class's tasks start, the earliest first
@@ -319,7 +321,9 @@
 	Drops   []string
 	IfJob   string // a job's id, "" for none
 	IfStamp uint64
-	Urgent  bool
+	// IfAbsent is a key that must not exist, "" for none.
+	IfAbsent string
+	Urgent   bool
 }
 
 // Put is one record to write; Value is one of the record types.
@@ -407,12 +411,35 @@
 // OpenRecord says that tasks of a job may have been started.
 type OpenRecord struct{ Job string }
 
+// KeptRecord says what can be on machines that are kept in a zone that is cut
+// off; one without machines says that this is over.
+type KeptRecord struct {
+	Key      string // where it was read
+	Ago      Micros // since when the zone was cut off, when it was written
+	Began    Micros // the same, by the wall clock; set where the record is encoded
+	Machines []KeptMachine
+}
+
+// KeptMachine is a machine and the tasks that can be on it.
+type KeptMachine struct {
+	Name  string
+	Tasks []KeptTask
+}
+
+// KeptTask is one start of a task.
+type KeptTask struct {
+	Job     string
+	Index   int
+	Attempt uint64
+}
+
 // Snapshot is all that a new leader reads before it acts.
 type Snapshot struct {
 	Machines []MachinesRecord
 	Rents    []RentRecord
 	Ranges   []RangeRecord
 	Open     []string
+	Kept     []KeptRecord
 }
 
 // Listed is a machine in the cloud's list.
--- a/internal/core/zone.go
+++ b/internal/core/zone.go
@@ -10,6 +10,7 @@
 	up       int    // machines that came up
 	heard    int    // those of them that were heard within the moment
 	moment   Micros // in which cutHeard of them are to be heard, as a rule
+	began    Micros // about when the last cut did
 	silent   Micros // when it was last found cut off
 	cutUntil Micros // found so again before this, the same cut goes on
 }
@@ -80,12 +81,16 @@
 			continue
 		}
 		if now >= z.cutUntil {
+			z.began = now - z.moment
 			c.note("zone cut off", "zone", name, "machines", z.up, "heard", z.heard, "in_ms", z.moment/Millisecond)
 		}
-		z.silent, z.cutUntil = now, now+2*c.cfg.ReportGap+5*Second
+		z.silent, z.cutUntil = now, now+c.cutLasts()
 	}
 }
 
+// cutLasts is how long a cut is taken as the same one without being found again.
+func (c *Core) cutLasts() Micros { return 2*c.cfg.ReportGap + 5*Second }
+
 // due says how many machines are to be heard within the moment, as a rule.
 func (z *zone) due(gap Micros) Micros { return Micros(z.up) * z.moment / max(gap, 1) }
 
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -149,10 +149,14 @@
 	}
 	for i, p := range w.Puts {
 		key := p.Key
-		if d, ok := p.Value.(core.JobDone); ok {
-			key = jobPrefix + d.Record.Spec.ID
-			p.Value = core.JobDone{Record: d.Record.Final(core.Done, wall())}
+		switch v := p.Value.(type) {
+		case core.JobDone:
+			key = jobPrefix + v.Record.Spec.ID
+			p.Value = core.JobDone{Record: v.Record.Final(core.Done, wall())}
 			w.Puts[i] = p
+		case core.KeptRecord:
+			v.Began = wall() - v.Ago
+			p.Value = v
 		}
 		b, err := wire.EncodeRecord(p.Value)
 		if err != nil {
@@ -181,6 +185,9 @@
 	if w.IfJob != "" {
 		it.conds = append(it.conds, wire.Cond{Key: jobPrefix + w.IfJob, Version: w.IfStamp})
 	}
+	if w.IfAbsent != "" {
+		it.conds = append(it.conds, wire.Cond{Key: w.IfAbsent})
+	}
 	it.done = func(rev uint64, err error) {
 		if err != nil {
 			n.log.Debug("write failed", "err", err, "job", w.IfJob)
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -240,6 +240,10 @@
 			var r core.RangeRecord
 			r, err = wire.DecodeRanges(e.Value)
 			s.Ranges = append(s.Ranges, r)
+		case strings.HasPrefix(e.Key, core.KeptPrefix):
+			var r core.KeptRecord
+			r, err = wire.DecodeKept(e.Key, e.Value)
+			s.Kept = append(s.Kept, r)
 		case strings.HasPrefix(e.Key, core.OpenPrefix):
 			s.Open = append(s.Open, e.Key[len(core.OpenPrefix):])
 		}
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -102,6 +102,24 @@
 	Job string `msgpack:"job"`
 }
 
+type keptTask struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Job      string
+	Index    int
+	Attempt  uint64
+}
+
+type keptMachine struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Name     string
+	Tasks    []keptTask
+}
+
+type keptRecord struct {
+	Began    int64         `msgpack:"at"`
+	Machines []keptMachine `msgpack:"ms"`
+}
+
 // Leader is the leader's record.
 type Leader struct {
 	Node string `msgpack:"node"`
@@ -123,6 +141,16 @@
 		return Marshal((*rangeRecord)(&r))
 	case core.OpenRecord:
 		return Marshal((*openRecord)(&r))
+	case core.KeptRecord:
+		w := keptRecord{Began: int64(r.Began)}
+		for _, m := range r.Machines {
+			km := keptMachine{Name: m.Name}
+			for _, t := range m.Tasks {
+				km.Tasks = append(km.Tasks, keptTask{Job: t.Job, Index: t.Index, Attempt: t.Attempt})
+			}
+			w.Machines = append(w.Machines, km)
+		}
+		return Marshal(&w)
 	case core.JobDone:
 		return EncodeJob(&r.Record)
 	}
@@ -140,6 +168,21 @@
 	return r, err
 }
 
+// DecodeKept decodes the record at the key of machines that are kept.
+func DecodeKept(key string, b []byte) (core.KeptRecord, error) {
+	var w keptRecord
+	err := Unmarshal(b, &w)
+	r := core.KeptRecord{Key: key, Began: core.Micros(w.Began)}
+	for _, m := range w.Machines {
+		km := core.KeptMachine{Name: m.Name}
+		for _, t := range m.Tasks {
+			km.Tasks = append(km.Tasks, core.KeptTask{Job: t.Job, Index: t.Index, Attempt: t.Attempt})
+		}
+		r.Machines = append(r.Machines, km)
+	}
+	return r, err
+}
+
 // DecodeRent decodes a rental's record.
 func DecodeRent(b []byte) (core.RentRecord, error) {
 	var w rentRecord
