A cut's beginning is recorded; unknown machines in it go once their services have room

Where the leader was cut off with the zone, nobody knows what runs there, and all that was opened waited until the cut's end (50 s). Now those machines go as soon as there is room for every service task that was not heard of, and when their leases are about to end at the latest. A leader to which most zones are silent is cut off itself: it finds no cuts and rents nothing, which would be granted minutes later.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -169,6 +169,7 @@
 		PlacePause:  20 * core.Millisecond,
 		RecordPause: 200 * core.Millisecond,
 		// A third of the calls or so.
+		LeaderLease: core.Seconds(s.LeaderLeaseS),
 		ReturnPause: core.Seconds(4 / max(p.Params.Cloud.RPS, 1)),
 		ListLag:     core.Seconds(p.Params.Cloud.ListLagS),
 		ValueBytes:  int(p.Params.State.ValueKB*1024 - 200),
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,7 @@
 	unsettled int
 	zoneOf    map[string]*zone
 	deaf      bool                 // hardly any machine is heard
+	alone     bool                 // most zones are silent: this leader is cut off
 	deputies  map[string][]*Deputy // by zone
 
 	dirty       bool       // room, work or quota changed: place again
@@ -293,7 +294,7 @@
 		}
 	}
 	for _, r := range snap.Kept {
-		if len(r.Machines) > 0 {
+		if r.Zone != "" {
 			c.takeKept(r, now, wall)
 		} else {
 			stray.Drops = append(stray.Drops, r.Key)
--- a/internal/core/cut.go
+++ b/internal/core/cut.go
@@ -1,5 +1,10 @@
 package core
 
+import (
+	"slices"
+	"sort"
+)
+
 // What serves in a zone that is cut off goes on only as long as somebody in there
 // may answer, and then until the leases end. Before that it moves: room is
 // rented elsewhere in time, and a machine is given back as soon as all that it
@@ -27,12 +32,8 @@
 	return c.cutOff(m.zone, now) && now-c.zoneOf[m.zone].began >= c.cfg.Tuning.Suspect && now-m.heard >= c.cfg.Tuning.Suspect
 }
 
-// serving lists the tasks of services that are kept on a machine in a zone that
-// is cut off.
-func (c *Core) serving(m *machine, now Micros) []*placement {
-	if m.returning || m.lost || !c.cutOff(m.zone, now) {
-		return nil
-	}
+// serving lists the tasks of services on a machine.
+func serving(m *machine) []*placement {
 	var out []*placement
 	for _, p := range m.tasks {
 		if p.j != nil && p.holds() && !p.unwanted && p.j.spec.Kind == Service {
@@ -42,62 +43,120 @@
 	return out
 }
 
-// anyCut reports whether a zone is cut off.
-func (c *Core) anyCut(now Micros) bool {
+// cutZones lists the zones that are cut off.
+func (c *Core) cutZones(now Micros) []string {
+	var out []string
 	for name := range c.zoneOf {
 		if c.cutOff(name, now) {
-			return true
+			out = append(out, name)
 		}
 	}
-	return false
+	sort.Strings(out)
+	return out
 }
 
 // movingOut says for how many tasks of services room is wanted soon, and how much
 // for each, because the leases end where they are.
 func (c *Core) movingOut(now Micros) (need Res, tasks int) {
-	if !c.anyCut(now) {
+	zones := c.cutZones(now)
+	if len(zones) == 0 {
 		return
 	}
+	count := func(p *placement, zone string) {
+		if now+c.lead(p.need)*3/2+5*Second >= c.leasesEnd(c.zoneOf[zone]) {
+			need, tasks = need.most(p.need), tasks+1
+		}
+	}
+	unknown := "" // a zone with machines of which nothing is known
 	for _, m := range c.order {
-		for _, p := range c.serving(m, now) {
-			if now+c.lead(p.need)*3/2+5*Second >= c.leasesEnd(c.zoneOf[m.zone]) {
-				need, tasks = need.most(p.need), tasks+1
+		switch {
+		case m.returning || m.lost || !slices.Contains(zones, m.zone):
+		case !m.settled:
+			unknown = m.zone
+		default:
+			for _, p := range serving(m) {
+				count(p, m.zone)
 			}
 		}
 	}
+	if unknown != "" {
+		for _, p := range c.unheard() {
+			count(p, unknown)
+		}
+	}
 	return need, tasks
 }
 
 // moveOut gives back the machines in a zone that is cut off whose leases are to
-// end, if what they serve has room elsewhere.
+// end, if what they serve has room elsewhere. Where it is not known what that is,
+// all that was opened waits: those go as soon as there is room for every service
+// that may be on them, and at the latest then.
 func (c *Core) moveOut(now Micros) {
-	if c.deaf || !c.anyCut(now) {
+	zones := c.cutZones(now)
+	if c.deaf || len(zones) == 0 {
 		return
 	}
-	var v *moves
-	failed := 0
+	var known, unknown []*machine
+	unsettled, soon := 0, false
 	for _, m := range c.order {
-		if failed == moveMost {
-			return
-		}
-		ps := c.serving(m, now)
-		if len(ps) == 0 || m.heardWithin(now, c.cfg.Tuning.Suspect) || now < c.leasesEnd(c.zoneOf[m.zone]) {
+		if m.returning || m.lost || !slices.Contains(zones, m.zone) || m.heardWithin(now, c.cfg.Tuning.Suspect) {
 			continue
 		}
-		if v == nil {
-			v = movesTo(nil)
-			for _, o := range c.order {
-				if !c.cutOff(o.zone, now) && !o.vacating && c.usable(o, now) {
-					v.to = append(v.to, o)
-				}
+		ends := now >= c.leasesEnd(c.zoneOf[m.zone])
+		if !m.settled {
+			unsettled++
+			if !m.spot {
+				unknown = append(unknown, m)
 			}
+			soon = soon || ends
+		} else if ends && len(serving(m)) > 0 {
+			known = append(known, m)
 		}
-		if !c.take(v, ps, false) {
+	}
+	// Before all others are settled it says nothing that a task was not heard of.
+	look := soon || len(unknown) > 0 && unsettled == c.unsettled
+	if len(known) == 0 && !look {
+		return
+	}
+	v := movesTo(nil)
+	for _, o := range c.order {
+		if !o.vacating && !slices.Contains(zones, o.zone) && c.usable(o, now) {
+			v.to = append(v.to, o)
+		}
+	}
+	failed := 0
+	for _, m := range known {
+		if failed == moveMost {
+			break
+		}
+		if ps := serving(m); c.take(v, ps, false) {
+			c.note("moving out of a zone that is cut off", "machine", m.name, "services", len(ps))
+			m.silent = true
+			c.giveBack(m, now, silentWhy)
+		} else {
 			failed++
-			continue
 		}
-		c.note("moving out of a zone that is cut off", "machine", m.name, "services", len(ps))
+	}
+	if !look || !soon && !c.take(v, c.unheard(), false) {
+		return
+	}
+	c.note("what may serve in a zone that is cut off begins anew", "machines", len(unknown))
+	for _, m := range unknown {
 		m.silent = true
 		c.giveBack(m, now, silentWhy)
 	}
 }
+
+// unheard lists the tasks of services that may run unseen.
+func (c *Core) unheard() []*placement {
+	var out []*placement
+	nowhere := &machine{}
+	for _, j := range c.queue {
+		if j.held && j.spec.Kind == Service {
+			for range j.pending {
+				out = append(out, &placement{j: j, need: j.spec.Need, m: nowhere})
+			}
+		}
+	}
+	return out
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -44,7 +44,8 @@
 	c.pursueRents(now)
 	// After a takeover most machines are heard of within a report's time; before,
 	// what is free on them is not known, and all that waits would be rented for.
-	if c.unsettled == 0 || now-c.begun > 2*c.cfg.ReportGap {
+	// What a leader that is cut off asks for may be rented minutes later.
+	if !c.alone && (c.unsettled == 0 || now-c.begun > 2*c.cfg.ReportGap) {
 		c.rentForDemand(now, coming)
 	}
 	if now >= c.summaryAt {
--- a/internal/core/kept.go
+++ b/internal/core/kept.go
@@ -20,6 +20,7 @@
 // kept is such a record.
 type kept struct {
 	key      string
+	zone     string
 	machines []*machine // that are still there
 	writing  bool
 	from     Micros // not written before this
@@ -36,44 +37,55 @@
 // ended.
 func (c *Core) recordKept(now Micros) {
 	for _, k := range slices.Clone(c.kept) {
-		over := len(k.machines) == 0 || slices.ContainsFunc(k.machines, func(m *machine) bool { return m.heardWithin(now, c.silence()) })
+		over := len(k.machines) == 0 && now >= c.zoneOf[k.zone].cutUntil ||
+			slices.ContainsFunc(k.machines, func(m *machine) bool { return m.heardWithin(now, c.silence()) })
 		if over && !k.writing && now >= k.from {
 			c.endKept(k)
 		}
 	}
-	if !c.anyCut(now) {
-		return
-	}
-	var list []*machine
-	for _, m := range c.order {
-		if c.cutOff(m.zone, now) && m.kept == nil && m.settled && !m.booting && !m.lost && !m.returning && now >= m.keptFrom &&
-			!m.heardWithin(now, c.zoneOf[m.zone].moment) && c.keepsServices(m) {
-			list = append(list, m)
+	for _, name := range c.cutZones(now) {
+		if now < c.zoneOf[name].keptFrom {
+			continue
 		}
-	}
-	for len(list) > 0 {
-		n, size := 0, 0
-		for n < len(list) && (n == 0 || list[n].zone == list[0].zone) {
-			size += keptMachineBytes + len(list[n].name)
-			for _, p := range list[n].tasks {
-				size += keptTaskBytes + len(p.job)
-			}
-			if n > 0 && size > c.cfg.ValueBytes {
-				break
+		var list []*machine
+		for _, m := range c.order {
+			if m.zone == name && m.kept == nil && m.settled && !m.booting && !m.lost && !m.returning &&
+				!m.heardWithin(now, c.zoneOf[name].moment) && c.keepsServices(m) {
+				list = append(list, m)
 			}
-			n++
 		}
-		c.writeKept(list[:n:n], now)
-		list = list[n:]
+		for len(list) > 0 {
+			n := c.fitRecord(list)
+			c.writeKept(name, list[:n:n], now)
+			list = list[n:]
+		}
+		if !slices.ContainsFunc(c.kept, func(k *kept) bool { return k.zone == name }) {
+			c.writeKept(name, nil, now) // since when it is cut off is worth knowing
+		}
+	}
+}
+
+// fitRecord says how many machines, the first at least, fit into one record.
+func (c *Core) fitRecord(ms []*machine) int {
+	size := 0
+	for n, m := range ms {
+		size += keptMachineBytes + len(m.name)
+		for _, p := range m.tasks {
+			size += keptTaskBytes + len(p.job)
+		}
+		if n > 0 && size > c.cfg.ValueBytes {
+			return n
+		}
 	}
+	return len(ms)
 }
 
-// writeKept records machines of one zone.
-func (c *Core) writeKept(ms []*machine, now Micros) {
+// writeKept records that a zone is cut off, and what is on machines in it.
+func (c *Core) writeKept(zone string, ms []*machine, now Micros) {
 	c.keptID++
-	k := &kept{key: fmt.Sprintf("%s%d-%d", KeptPrefix, c.token, c.keptID), machines: slices.Clone(ms), writing: true}
+	k := &kept{key: fmt.Sprintf("%s%d-%d", KeptPrefix, c.token, c.keptID), zone: zone, machines: slices.Clone(ms), writing: true}
 	c.kept = append(c.kept, k)
-	rec := KeptRecord{Ago: now - c.zoneOf[ms[0].zone].began}
+	rec := KeptRecord{Zone: zone, Ago: now - c.zoneOf[zone].began}
 	for _, m := range ms {
 		m.kept = k
 		km := KeptMachine{Name: m.name}
@@ -86,29 +98,30 @@
 	}
 	c.write(Write{Puts: []Put{{k.key, rec}}, IfAbsent: k.key, Urgent: true}, func(now Micros, o WriteOutcome) {
 		k.writing = false
-		if o != WriteRefused {
-			return // what got no answer may stand, or may come to
-		}
-		for _, m := range k.machines {
-			m.kept, m.keptFrom = nil, now+writeRetry
-		}
-		c.kept = slices.DeleteFunc(c.kept, func(o *kept) bool { return o == k })
+		if o == WriteRefused {
+			c.zoneOf[zone].keptFrom = now + writeRetry
+			c.dropKept(k)
+		} // what got no answer may stand, or may come to
 	})
 }
 
+// dropKept forgets a record that is not in the state service, or is over there.
+func (c *Core) dropKept(k *kept) {
+	for _, m := range k.machines {
+		m.kept = nil
+	}
+	c.dirty = true
+	c.kept = slices.DeleteFunc(c.kept, func(o *kept) bool { return o == k })
+}
+
 // endKept ends a record; its machines can be given tasks once that is stored.
 func (c *Core) endKept(k *kept) {
 	k.writing = true
 	c.write(Write{Puts: []Put{{k.key, KeptRecord{}}}, Urgent: true}, func(now Micros, o WriteOutcome) {
 		k.writing, k.from = false, now+writeRetry
-		if o != Stored {
-			return
+		if o == Stored {
+			c.dropKept(k)
 		}
-		for _, m := range k.machines {
-			m.kept = nil
-		}
-		c.dirty = true
-		c.kept = slices.DeleteFunc(c.kept, func(o *kept) bool { return o == k })
 	})
 }
 
@@ -123,7 +136,14 @@
 // takeKept takes over a record that a former leader left, after the machines and
 // the jobs.
 func (c *Core) takeKept(rec KeptRecord, now, wall Micros) {
-	k := &kept{key: rec.Key}
+	k := &kept{key: rec.Key, zone: rec.Zone}
+	c.kept = append(c.kept, k)
+	z := c.zoneOf[k.zone]
+	if z == nil {
+		z = &zone{moment: c.cfg.ReportGap, began: now}
+		c.zoneOf[k.zone] = z
+	}
+	z.began, z.cutUntil = min(z.began, now-max(wall-rec.Began, 0)), now+c.cutLasts()
 	for _, km := range rec.Machines {
 		m := c.machines[km.Name]
 		if m == nil || m.settled || slices.ContainsFunc(km.Tasks, func(t KeptTask) bool { return c.liveAttempt(t) == t.Attempt }) {
@@ -132,13 +152,6 @@
 		m.settled, m.kept = true, k
 		c.unsettled--
 		k.machines = append(k.machines, m)
-		z := c.zoneOf[m.zone]
-		if z == nil {
-			z = &zone{moment: c.cfg.ReportGap}
-			c.zoneOf[m.zone] = z
-		}
-		z.began = now - max(wall-rec.Began, 0)
-		z.cutUntil = now + c.cutLasts()
 		for _, t := range km.Tasks {
 			if c.liveAttempt(t) > t.Attempt {
 				continue // a later start: this one was known to be gone
@@ -149,7 +162,6 @@
 			c.add(p)
 		}
 	}
-	c.kept = append(c.kept, k)
 }
 
 // liveAttempt is the attempt of a task that is known to be on a machine, or 0.
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -52,10 +52,9 @@
 
 	chunk    *chunk // the record that it is in, or will be
 	recorded bool
-	kept     *kept  // nothing is placed while it is in such a record
-	keptFrom Micros // not put in one before this
-	settled  bool   // everything on it is known to this leader
-	lost     bool   // its lease has run out
+	kept     *kept // nothing is placed while it is in such a record
+	settled  bool  // everything on it is known to this leader
+	lost     bool  // its lease has run out
 	lostAt   Micros
 	booting  bool   // never heard of
 	seen     Micros // when we learnt of it
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -259,6 +259,8 @@
 	// meanwhile shares the next one.
 	PlacePause Micros
 	ReportGap  Micros
+	// LeaderLease is how long a leader leads without the state service.
+	LeaderLease Micros
 	// AnswerGrace is how long at most workers are answered, without commands,
 	// in the place of a leader that is cut off or whose lease is over, so that
 	// they outlast a cut or an outage of the state service. It counts from when
@@ -411,10 +413,11 @@
 // OpenRecord says that tasks of a job may have been started.
 type OpenRecord struct{ Job string }
 
-// KeptRecord says what can be on machines that are kept in a zone that is cut
-// off; one without machines says that this is over.
+// KeptRecord says that a zone is cut off, and what can be on machines that are
+// kept in it; one without a zone says that this is over.
 type KeptRecord struct {
 	Key      string // where it was read
+	Zone     string
 	Ago      Micros // since when the zone was cut off, when it was written
 	Began    Micros // the same, by the wall clock; set where the record is encoded
 	Machines []KeptMachine
--- a/internal/core/zone.go
+++ b/internal/core/zone.go
@@ -1,5 +1,7 @@
 package core
 
+import "sort"
+
 // A cut falls on a whole zone at one moment; machines that die or hang do so by
 // themselves, and others of their zone go on reporting. What is cut off goes on
 // working, and its leases go on as long as a controller in there answers
@@ -9,10 +11,12 @@
 type zone struct {
 	up       int    // machines that came up
 	heard    int    // those of them that were heard within the moment
+	known    bool   // one was heard in this term
 	moment   Micros // in which cutHeard of them are to be heard, as a rule
 	began    Micros // about when the last cut did
 	silent   Micros // when it was last found cut off
 	cutUntil Micros // found so again before this, the same cut goes on
+	keptFrom Micros // not recorded before this
 }
 
 const (
@@ -41,7 +45,7 @@
 
 // judgeZones counts what is heard of each zone and finds those that are cut off:
 // nothing is heard of them from one moment on, while others are heard. If hardly
-// anything is heard of any, it is this leader that is.
+// anything is heard of any, or of most, it is this leader that is.
 func (c *Core) judgeZones(now Micros) {
 	c.deaf = true
 	if now-c.begun < firstLook {
@@ -64,6 +68,7 @@
 			c.zoneOf[m.zone] = z
 		}
 		z.up++
+		z.known = z.known || m.session > 0
 		if m.heardWithin(now, z.moment) {
 			z.heard++
 		}
@@ -73,15 +78,31 @@
 		heard += Micros(z.heard)
 		due += z.due(c.cfg.ReportGap)
 	}
-	c.deaf = heard*deafShare < due
+	var silent []string
+	var lacks Micros // that are due in silent zones
 	for name, z := range c.zoneOf {
 		mine := z.due(c.cfg.ReportGap)
-		silent := z.up >= cutLeast && Micros(z.heard)*cutShare < mine && (heard-Micros(z.heard))*2 >= due-mine && due > mine
-		if !silent || now >= z.cutUntil && !c.hasDeputy(name, now) {
+		if z.up >= cutLeast && Micros(z.heard)*cutShare < mine && (heard-Micros(z.heard))*2 >= due-mine && due > mine {
+			silent = append(silent, name)
+			lacks += mine
+		}
+	}
+	c.alone = lacks*2 > due
+	c.deaf = heard*deafShare < due || c.alone
+	if c.alone {
+		return
+	}
+	sort.Strings(silent)
+	for _, name := range silent {
+		z := c.zoneOf[name]
+		if now >= z.cutUntil && !c.hasDeputy(name, now) {
 			continue
 		}
 		if now >= z.cutUntil {
 			z.began = now - z.moment
+			if !z.known {
+				z.began = c.begun - c.cfg.LeaderLease // the former leader was cut off with it
+			}
 			c.note("zone cut off", "zone", name, "machines", z.up, "heard", z.heard, "in_ms", z.moment/Millisecond)
 		}
 		z.silent, z.cutUntil = now, now+c.cutLasts()
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -116,6 +116,7 @@
 }
 
 type keptRecord struct {
+	Zone     string        `msgpack:"z"`
 	Began    int64         `msgpack:"at"`
 	Machines []keptMachine `msgpack:"ms"`
 }
@@ -142,7 +143,7 @@
 	case core.OpenRecord:
 		return Marshal((*openRecord)(&r))
 	case core.KeptRecord:
-		w := keptRecord{Began: int64(r.Began)}
+		w := keptRecord{Zone: r.Zone, Began: int64(r.Began)}
 		for _, m := range r.Machines {
 			km := keptMachine{Name: m.Name}
 			for _, t := range m.Tasks {
@@ -172,7 +173,7 @@
 func DecodeKept(key string, b []byte) (core.KeptRecord, error) {
 	var w keptRecord
 	err := Unmarshal(b, &w)
-	r := core.KeptRecord{Key: key, Began: core.Micros(w.Began)}
+	r := core.KeptRecord{Key: key, Zone: w.Zone, Began: core.Micros(w.Began)}
 	for _, m := range w.Machines {
 		km := core.KeptMachine{Name: m.Name}
 		for _, t := range m.Tasks {
