Tests of what is kept in a cut, moves out of it, or is not known

Room that what is being given back will take is counted: until the cloud answers, the same room was taken again in each pass (seen in the test: 12 machines given back for room of 5).

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -78,6 +78,10 @@
 				}
 				if !fail {
 					for _, p := range a.Puts {
+						if r, ok := p.Value.(KeptRecord); ok {
+							r.Key, r.Began = p.Key, w.now-r.Ago
+							p.Value = r
+						}
 						w.puts[p.Key] = p.Value
 					}
 					for _, k := range a.Drops {
--- a/internal/core/cut.go
+++ b/internal/core/cut.go
@@ -96,10 +96,14 @@
 	if c.deaf || len(zones) == 0 {
 		return
 	}
-	var known, unknown []*machine
+	var known, unknown, going []*machine
 	unsettled, soon := 0, false
 	for _, m := range c.order {
-		if m.returning || m.lost || !slices.Contains(zones, m.zone) || m.heardWithin(now, c.cfg.Tuning.Suspect) {
+		if m.lost || !slices.Contains(zones, m.zone) || m.heardWithin(now, c.cfg.Tuning.Suspect) {
+			continue
+		}
+		if m.returning {
+			going = append(going, m)
 			continue
 		}
 		ends := now >= c.leasesEnd(c.zoneOf[m.zone])
@@ -124,6 +128,9 @@
 			v.to = append(v.to, o)
 		}
 	}
+	for _, m := range going {
+		c.take(v, serving(m), false) // the cloud has not answered yet
+	}
 	failed := 0
 	for _, m := range known {
 		if failed == moveMost {
@@ -147,6 +154,20 @@
 	}
 }
 
+// unsettledInCut counts the machines that a takeover waits for because their zone
+// is cut off.
+func (c *Core) unsettledInCut(now Micros) int {
+	n := 0
+	if c.unsettled > 0 {
+		for _, m := range c.order {
+			if !m.settled && c.cutOff(m.zone, now) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // unheard lists the tasks of services that may run unseen.
 func (c *Core) unheard() []*placement {
 	var out []*placement
