A leader that can write and not read resigns; it no longer acts on old news

It acts for as long as a cancellation allows after what it read, and gives the term up after half of that.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,7 @@
 	// blind how long by a node that does not learn of cancellations, and grace
 	// how long by a deputy after its last word with the leader.
 	answerGrace, blind, grace core.Micros
+	unread                    core.Micros // how long a leader acts on what it has read
 	events                    chan func()
 
 	actUntil atomic.Int64 // micros: this node leads and may act until then
@@ -96,6 +97,7 @@
 	n.commit.n = n
 	n.blind = core.Blind(core.Seconds(p.Params.Workers.LeaseS), core.Seconds(p.Params.Workers.CancelS))
 	n.grace = min(n.answerGrace, n.blind)
+	n.unread = max(n.blind, unreadLeast)
 	n.peers = map[string]*peerState{}
 	zones := map[string][]*core.Deputy{}
 	for _, k := range p.Peers {
@@ -191,11 +193,12 @@
 			tick = n.now() + core.Micros(step/time.Microsecond)
 			n.commit.pump()
 			n.judgeHealth()
+			n.resignBlind()
 		}
 		n.act()
 		// The core may want to go on before the next tick.
 		next := tick
-		if n.term != nil && n.mayAct() {
+		if n.leads() {
 			next = min(next, n.core.Wake())
 			if n.notifier != nil && n.notifier.box != nil {
 				next = min(next, n.notifier.box.Wake(n.now()))
@@ -211,6 +214,34 @@
 // mayAct reports whether this node leads and its lease is certainly alive.
 func (n *Node) mayAct() bool { return n.now() < core.Micros(n.actUntil.Load()) }
 
+// unreadLeast is how long a leader acts at the least on what it has read, where a
+// lease lasts as long as a cancellation may take: no leader reads faster than that.
+const unreadLeast = 5 * core.Second
+
+// leads reports whether this node may act as the leader. Its lease is not enough:
+// it may be renewed while nothing can be read, and a leader that learns of no
+// cancellations must not keep the tasks of cancelled jobs alive.
+func (n *Node) leads() bool {
+	return n.term != nil && n.mayAct() && n.now() < n.informed()+n.unread
+}
+
+// resignBlind ends the term of a leader that can write and not read, while there
+// is time for another one to begin.
+func (n *Node) resignBlind() {
+	if t := n.term; t != nil && n.mayAct() && n.now() > max(t.begun, n.informed())+n.unread/2 {
+		n.resign("nothing can be read from the state service")
+	}
+}
+
+// resign gives the term up and leaves the leadership to others for a while.
+func (n *Node) resign(why string) {
+	t := n.term
+	n.log.Info("resigning", "reason", why, "token", t.stamp)
+	n.abstain = n.now() + abstainFor
+	t.resigned = true
+	t.cancel()
+}
+
 // leaseOrGrace reports whether the last lease of this node's is alive, or ended
 // so lately that workers may still be answered, though not commanded.
 func (n *Node) leaseOrGrace() bool {
@@ -229,7 +260,7 @@
 
 // act lets the core decide and carries out what it wants.
 func (n *Node) act() {
-	if n.term == nil || !n.mayAct() {
+	if !n.leads() {
 		return
 	}
 	for _, a := range n.core.Step(n.now()) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -171,10 +171,7 @@
 		t.deposed = true
 	}
 	if t := n.term; t != nil && core.ShouldResign(n.now(), t.begun, n.beatHeard, core.Seconds(n.cfg.Params.Workers.ReportS), s.Workers) {
-		n.log.Info("resigning: workers reach a peer and not this node", "peer", s.Node, "token", t.stamp)
-		n.abstain = n.now() + abstainFor
-		t.resigned = true
-		t.cancel()
+		n.resign("workers reach a peer and not this node: " + s.Node)
 	}
 	n.judgeHealth()
 }
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -232,7 +232,7 @@
 			n.answerBeat(reply, token, n.stops(r), nil) // the worker counts its lease from its report
 			return
 		}
-		if n.term == nil || !n.mayAct() {
+		if !n.leads() {
 			if n.view.leader == "" || n.view.leader == n.cfg.Member {
 				reply(httpapi.Unavailable())
 				return
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -20,11 +20,12 @@
 	Delay       time.Duration // up to this much before it is executed
 	Down        bool          // 503 to everybody
 	Refuse      map[string]bool
+	RefuseReads map[string]bool // of these clients
 }
 
 // NewFaults returns faults with a seed.
 func NewFaults(seed uint64) *Faults {
-	return &Faults{rand: rand.New(rand.NewPCG(seed, 1)), Refuse: map[string]bool{}}
+	return &Faults{rand: rand.New(rand.NewPCG(seed, 1)), Refuse: map[string]bool{}, RefuseReads: map[string]bool{}}
 }
 
 // Set changes the faults.
@@ -38,7 +39,7 @@
 func (f *Faults) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
-		down := f.Down || f.Refuse[r.RemoteAddr]
+		down := f.Down || f.Refuse[r.RemoteAddr] || r.Method == http.MethodGet && f.RefuseReads[r.RemoteAddr]
 		dice := f.rand.Float64()
 		delay := time.Duration(f.rand.Float64() * float64(f.Delay))
 		loseReq, loseAns, late, lateBy := f.LoseRequest, f.LoseAnswer, f.Late, f.LateBy
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -447,6 +447,12 @@
 			}
 		}
 	}
+	blindLeader := func(w *standin.World) {
+		w.StateFaults.Set(func(f *standin.Faults) { f.RefuseReads[w.NodeAddr(max(w.Leader(), 0))] = true })
+	}
+	sighted := func(w *standin.World) {
+		w.StateFaults.Set(func(f *standin.Faults) { clear(f.RefuseReads) })
+	}
 	for _, day := range []day{
 		{name: "a zone without the leader is cut off for a while", seed: 31, kept: true, acts: []act{{50 * s, cutOther(true)}, {70 * s, cutOther(false)}}},
 		{name: "the leader's zone is cut off for a while", seed: 32, kept: true, acts: []act{{50 * s, cutLeader(true)}, {70 * s, cutLeader(false)}}},
@@ -466,6 +472,7 @@
 		}},
 		{name: "many machines hang and go on", seed: 39, acts: []act{{45 * s, hang}, {70 * s, goOn}, {80 * s, hang}, {88 * s, goOn}}},
 		{name: "the leader stands still for half a minute", seed: 40, acts: []act{{45 * s, freeze}, {75 * s, thaw}, {78 * s, freeze}, {108 * s, thaw}}},
+		{name: "the leader reads nothing from the state service", seed: 42, acts: []act{{50 * s, blindLeader}, {130 * s, sighted}}},
 		{name: "all controllers end in an outage of the state service", seed: 41, acts: []act{
 			{45 * s, down(true)}, {50 * s, killAll}, {54 * s, startAll}, {66 * s, down(false)},
 		}},
