--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -136,9 +136,12 @@
 	return w
 }
 
-// StartNode starts a node's process.
+// StartNode starts a node's process unless it runs.
 func (w *World) StartNode(i int) {
 	n := w.Nodes[i]
+	if n.cancel != nil {
+		return
+	}
 	p := w.platform
 	p.Member, p.Zone, p.Listen = n.Name, n.Zone, n.addr
 	for _, o := range w.Nodes {
@@ -250,6 +253,17 @@
 // NodeAddr is a node's address.
 func (w *World) NodeAddr(i int) string { return w.Nodes[i].addr }
 
+// CutPeers cuts or mends the ways between the nodes, and nothing else.
+func (w *World) CutPeers(cut bool) {
+	for _, a := range w.Nodes {
+		for _, b := range w.Nodes {
+			if a != b {
+				w.Net.Cut(a.addr, b.peers, cut)
+			}
+		}
+	}
+}
+
 // StateAddr is the state service's address.
 func (w *World) StateAddr() string { return stateAddr }
 
