--- a/internal/core/cut_test.go
+++ b/internal/core/cut_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 )
 
@@ -39,8 +41,8 @@
 
 // kept lists the records of cuts that stand, as a new leader reads them.
 func (w *world) kept() (out []KeptRecord, tasks int) {
-	for _, v := range w.puts {
-		if r, ok := v.(KeptRecord); ok && r.Zone != "" {
+	for _, key := range slices.Sorted(maps.Keys(w.puts)) {
+		if r, ok := w.puts[key].(KeptRecord); ok && r.Zone != "" {
 			out = append(out, r)
 			for _, m := range r.Machines {
 				tasks += len(m.Tasks)
@@ -214,14 +216,14 @@
 	w.want("it is not stopped", len(moved.cmds), 0)
 	w.want("tasks in b", o.tasksIn("b"), 11)
 
-	w.puts[KeptPrefix+"later"] = KeptRecord{Key: KeptPrefix + "later", Zone: "a", Machines: []KeptMachine{{"a-00", []KeptTask{{"job-1", b[3].r.Tasks[0].Index, attempt + 1}}}}}
+	w.puts[KeptPrefix+"0"] = KeptRecord{Key: KeptPrefix + "0", Zone: "a", Machines: []KeptMachine{{"a-00", []KeptTask{{"job-1", b[3].r.Tasks[0].Index, attempt + 1}}}}}
 	o = w.next(spec)
 	w.want("tasks in all", o.tasksIn("a")+o.tasksIn("b"), 12)
 	w.want("where the later one is", o.tasksIn("a"), 1)
 
 	// A gang's task is replaced with the same attempt: which of two records is
 	// right is not known, and one of the machines is waited for.
-	w.puts[KeptPrefix+"later"] = KeptRecord{Key: KeptPrefix + "later", Zone: "a", Machines: []KeptMachine{{"a-00", []KeptTask{{"job-1", b[3].r.Tasks[0].Index, attempt}}}}}
+	w.puts[KeptPrefix+"0"] = KeptRecord{Key: KeptPrefix + "0", Zone: "a", Machines: []KeptMachine{{"a-00", []KeptTask{{"job-1", b[3].r.Tasks[0].Index, attempt}}}}}
 	o = w.next(spec)
 	w.want("machines to be heard", o.c.unsettled, 12)
 	w.want("both are waited for", o.c.machines["a-00"].settled && o.c.machines["b-03"].settled, false)
--- a/internal/standin/cut_test.go
+++ b/internal/standin/cut_test.go
@@ -98,6 +98,13 @@
 	w.StateFaults.Set(func(f *standin.Faults) { f.RefuseReads[w.NodeAddr(max(w.Leader(), 0))] = true })
 }
 
+// fill submits more than there is room for.
+func fill(w *standin.World) {
+	for i := range 3 {
+		w.Submit(array(700+i, 40, 40))
+	}
+}
+
 func refuseText(text string) func(*standin.World) {
 	return func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.RefuseText = text }) }
 }
@@ -137,7 +144,7 @@
 		{name: "many machines hang and go on", seed: 39, acts: []act{{45 * s, c.hang}, {70 * s, c.goOn}, {80 * s, c.hang}, {88 * s, c.goOn}}},
 		{name: "the leader stands still for half a minute", seed: 40, acts: []act{{45 * s, c.freeze}, {75 * s, c.thaw}, {78 * s, c.freeze}, {108 * s, c.thaw}}},
 		{name: "a leader ends before the record of a cut that is over does", seed: 43, acts: []act{
-			{50 * s, c.cutOff(1)}, {58 * s, refuseText("b/kept/")}, {60 * s, c.mend}, {75 * s, func(w *standin.World) {
+			{50 * s, c.cutOff(1)}, {58 * s, refuseText("b/kept/")}, {60 * s, c.mend}, {66 * s, fill}, {75 * s, func(w *standin.World) {
 				w.Net.CutZone(c.zone, true)
 				c.ended = max(w.Leader(), 0)
 				w.Kill(c.ended)
