The core in rooms: files by families of events and decisions; nothing but moves

core.go had 1,251 lines with takeover, gangs, commands and writes mixed, core_test.go 1,515. The core's tests pass unchanged.

--- /dev/null
+++ b/internal/core/fleet_test.go
@@ -0,0 +1,302 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestFleet: what is rented, and what goes back.
+func TestFleet(t *testing.T) {
+	t.Run("spot for jobs that allow it, once", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		w.submit(JobSpec{ID: "job-1", Tasks: 8, Spot: true})
+		w.pass(2 * Second)
+		w.want("requests", len(w.rents), 1)
+		w.want("rented", fmt.Sprint(w.rents[0].Spot, w.rents[0].Count), "true 2")
+		w.c.Rented(w.now, w.now, w.rents[0].Request, RentGranted, []string{"n-1", "n-2"})
+		w.pass(5 * Second)
+		w.want("nothing twice", len(w.rents), 1)
+	})
+	t.Run("a machine that is overdue does not count as coming", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		w.submit(JobSpec{ID: "job-1", Tasks: 1, Zone: "b"})
+		w.pass(Second)
+		w.c.Rented(w.now, w.now, w.rents[0].Request, RentGranted, []string{"n-1"})
+		w.pass(25 * Second)
+		w.want("rented while it is coming", len(w.rents), 1)
+		w.pass(10 * Second)
+		w.want("rented when it is overdue", len(w.rents), 2)
+	})
+	t.Run("refused capacity is remembered, names are not used again", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		w.submit(JobSpec{ID: "job-1", Tasks: 1, Zone: "b"})
+		w.pass(Second)
+		w.c.Rented(w.now, w.now, w.rents[0].Request, RentRefused, nil)
+		w.pass(5 * Second)
+		w.want("asked while refused", len(w.rents), 1)
+		w.pass(15 * Second)
+		w.want("asked again", len(w.rents) == 2 && w.rents[0].Request != w.rents[1].Request, true)
+	})
+	t.Run("an unanswered request is repeated under its name", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		w.submit(JobSpec{ID: "job-1", Tasks: 1})
+		w.pass(Second)
+		name := w.rents[0].Request
+		w.c.Rented(w.now, w.now, name, RentUnknown, nil)
+		w.pass(2 * Second)
+		w.want("repeated", len(w.rents) == 2 && w.rents[1].Request == name, true)
+	})
+	t.Run("what a former leader rented counts as coming, until it is not listed in time", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		job := JobRecord{Spec: JobSpec{ID: "job-1", Team: "blue", Tasks: 4, Need: Res{2000, 0, 2000}, Image: "im", Zone: "b"}, Stamp: 5}
+		w.now = 100 * Second
+		w.begin(200, []JobRecord{job}, Snapshot{Rents: []RentRecord{{Request: "r-1", Type: "m", Zone: "b", Count: 1, Machines: []string{"n-1"}, At: 96 * Second}}})
+		w.pass(2 * Second)
+		w.want("rented", len(w.rents), 0)
+		w.c.Listed(w.now, nil)
+		w.pass(2 * Second)
+		w.want("rented, the list is late", len(w.rents), 0)
+		w.pass(12 * Second)
+		w.c.Listed(w.now, nil)
+		w.pass(2 * Second)
+		w.want("rented, it is gone", len(w.rents), 1)
+	})
+	t.Run("idle machines go back after a minute, drained ones at once", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		f := w.machine("n-1", "a").beat()
+		g := w.machine("n-2", "a").beat()
+		for range 14 {
+			w.pass(Second)
+			f.beat()
+			g.beat()
+		}
+		w.c.Listed(w.now, []Listed{{Name: "n-1", Age: 30 * Second}, {Name: "n-2", Age: 30 * Second}})
+		g.r.Notice = 10 * Second
+		g.beat()
+		w.pass(Second)
+		w.want("back", fmt.Sprint(w.backs), "[{[n-2] drained}]")
+		w.c.Returned(w.now, []string{"n-2"}, true)
+		for range 35 {
+			w.pass(Second)
+			f.beat()
+		}
+		w.want("back later", len(w.backs) == 2 && w.backs[1].Machines[0] == "n-1" && w.backs[1].Reason == "idle", true)
+	})
+	t.Run("many go back with one request; one that reports again before is kept", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		var fs []*fake
+		for i := range 4 {
+			fs = append(fs, w.machine(fmt.Sprintf("n-%d", i), "a").beat())
+		}
+		ms := w.c.machines
+		w.c.giveBack(ms["n-0"], w.now, "idle")
+		w.step()
+		for _, n := range []string{"n-1", "n-2", "n-3"} {
+			ms[n].silent = true
+			w.c.giveBack(ms[n], w.now, silentWhy)
+		}
+		w.step()
+		w.want("one request at a time", fmt.Sprint(w.backs), "[{[n-0] idle}]")
+		fs[2].beat()
+		w.c.Returned(w.now, []string{"n-0"}, true)
+		w.step()
+		w.want("the rest together", fmt.Sprint(w.backs[1:]), "[{[n-1 n-3] silent}]")
+		w.c.Returned(w.now, []string{"n-1", "n-3"}, false)
+		w.pass(2 * Second)
+		w.want("asked again", fmt.Sprint(w.backs[2:]), "[{[n-1 n-3] silent}]")
+	})
+	t.Run("a silent machine is returned, unless it is this side that hears nothing", func(t *testing.T) {
+		for _, c := range []struct{ heard, want int }{{3, 1}, {0, 0}} {
+			w := newWorld(t, Team{Name: "blue"})
+			w.begin(100, nil, Snapshot{})
+			var fs []*fake
+			for i := range 4 {
+				fs = append(fs, w.machine(fmt.Sprintf("n-%d", i), "a").beat())
+			}
+			fs[3].lossy = true
+			for range 12 {
+				w.pass(Second)
+				for i, f := range fs {
+					f.lossy = i >= c.heard
+					f.direct()
+					if i < c.heard {
+						f.beat()
+					}
+				}
+			}
+			w.want("returned", len(w.backs), c.want)
+		}
+	})
+	t.Run("a machine that one service keeps rented is emptied, one that batches use is not", func(t *testing.T) {
+		for _, c := range []struct {
+			batch bool
+			want  string
+		}{{false, "[{[n-1] drained}]"}, {true, "[]"}} {
+			w := newWorld(t, Team{Name: "blue"})
+			w.begin(100, nil, Snapshot{})
+			f, g := w.machine("n-1", "a").beat(), w.machine("n-2", "b").beat()
+			round := func() {
+				w.pass(Second)
+				for _, x := range []*fake{f, g} {
+					x.direct()
+					x.beat()
+				}
+			}
+			// One service on n-1; n-2 is fuller and has room for it.
+			w.submit(JobSpec{ID: "job-1", Kind: Service, Tasks: 1, Zone: "a"})
+			w.submit(JobSpec{ID: "job-2", Kind: Service, Tasks: 2, Zone: "b"})
+			if c.batch {
+				w.submit(JobSpec{ID: "job-3", Tasks: 1, Zone: "a"})
+			}
+			for range 60 { // until no more services are expected
+				round()
+			}
+			w.c.jobs["job-1"].spec.Zone = ""
+			for range 5 {
+				round()
+			}
+			w.want("services", w.c.jobs["job-1"].running+w.c.jobs["job-2"].running, 3)
+			w.want("back", fmt.Sprint(w.backs), c.want)
+		}
+	})
+	t.Run("the more services, the more move in a second", func(t *testing.T) {
+		// After a batch left them thinly spread: one service on every machine.
+		moves := func(machines int) int {
+			w := newWorld(t, Team{Name: "blue"})
+			w.begin(100, nil, Snapshot{})
+			var fs []*fake
+			for i := range machines {
+				fs = append(fs, w.machine(fmt.Sprintf("n-%03d", i), "a").beat())
+			}
+			w.submit(JobSpec{ID: "job-1", Tasks: machines, Need: Res{7000, 0, 1000}})
+			w.submit(JobSpec{ID: "job-2", Kind: Service, Tasks: machines, Need: Res{1000, 0, 1000}})
+			round := func() {
+				for _, f := range fs {
+					f.direct()
+					f.beat()
+				}
+			}
+			round()
+			round()
+			w.want("services", w.c.jobs["job-2"].running, machines)
+			w.cancel("job-1")
+			round()
+			before := w.c.attempts
+			for range 20 {
+				w.pass(Second)
+				round()
+			}
+			return int(w.c.attempts - before)
+		}
+		few, many := moves(20), moves(200)
+		w := &world{t: t}
+		one := 20 * float64(Second) / float64(vacateShare) // a service's moves in that time
+		w.want("few move", float64(few) >= 1 && float64(few) <= 20*one+1, true)
+		w.want("many move", float64(many) >= 0.8*200*one && float64(many) <= 1.2*200*one, true)
+	})
+	t.Run("what a class with a start aim may need before a machine comes is held, by the next leader too", func(t *testing.T) {
+		const sooner, later = 2 * Second, 60 * Second
+		for _, c := range []struct {
+			name   string
+			within Micros
+			gone   bool // no more jobs come
+			want   int  // machines that go back
+		}{
+			{"no aim", 0, false, 2},
+			{"renting would be too late", sooner, false, 0},
+			{"renting is in time", later, false, 2},
+			{"no more are expected", sooner, true, 2},
+		} {
+			w := newWorld(t, Team{Name: "blue"})
+			w.c.cfg.Tuning.Hold = 1000 * Second
+			if c.within > 0 {
+				w.c.cfg.StartWithin = map[string][]Micros{"sweep": {c.within}}
+			}
+			w.begin(100, nil, Snapshot{})
+			fs := []*fake{w.machine("n-1", "a"), w.machine("n-2", "b")}
+			for _, f := range fs {
+				f.r.Type = "g" // of its CPUs one task leaves most, but no GPU
+			}
+			sweep := JobSpec{Class: "sweep", Tasks: 2, Need: Res{1000, 2000, 1000}}
+			n := 0
+			// All that is seen in this time is a job every other report.
+			rounds := func(count int, jobs bool) {
+				for i := range count {
+					w.pass(3 * Second)
+					for _, f := range fs {
+						f.direct()
+						f.beat()
+					}
+					if id := fmt.Sprint("job-", n); jobs && i%2 == 0 {
+						n++
+						sweep.ID = fmt.Sprint("job-", n)
+						w.submit(sweep)
+					} else if w.c.jobs[id] != nil {
+						w.cancel(id)
+					}
+				}
+			}
+			rounds(10, false)
+			rounds(10, true)
+			rounds(6, false) // but for this pause
+			rounds(20, !c.gone)
+			w.want("returned, "+c.name, w.backs != nil, c.want > 0)
+			if c.want > 0 {
+				continue
+			}
+			var records []MachineRecord
+			for i, f := range fs {
+				records = append(records, MachineRecord{Name: f.r.Machine, Address: f.r.Address, Type: "g", Zone: string(rune('a' + i))})
+			}
+			sweep.Tasks, sweep.ID, sweep.Team, sweep.Image = 1, "job-100", "blue", "im"
+			w.begin(200, []JobRecord{{Spec: sweep, Stamp: 5}}, Snapshot{Machines: []MachinesRecord{{MachinePrefix + "1-1", records}}})
+			n = 200
+			rounds(30, true)
+			w.want("returned by the next leader", len(w.backs), 0)
+			// A machine that is lost is replaced before any task waits.
+			w.rents = nil
+			w.c.Returned(w.now, []string{"n-2"}, true)
+			w.pass(2 * Second)
+			w.want("rented in its place", len(w.rents), 1)
+			w.pass(2 * Second)
+			w.want("not asked for twice", len(w.rents), 1)
+		}
+	})
+	for _, c := range []struct {
+		name string
+		typ  string
+		snap Snapshot
+	}{
+		{"a machine of a type that nobody knows goes back", "new", Snapshot{}},
+		{"a machine taken over empty goes back", "m", Snapshot{Machines: recorded("n-1")}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, Team{Name: "blue"})
+			w.begin(100, nil, c.snap)
+			f := w.machine("n-1", "a")
+			f.r.Type = c.typ
+			for range 25 {
+				f.direct()
+				f.beat()
+				w.pass(3 * Second)
+			}
+			w.want("back", len(w.backs), 1)
+		})
+	}
+	t.Run("a machine that never comes up goes back", func(t *testing.T) {
+		w := newWorld(t, Team{Name: "blue"})
+		w.begin(100, nil, Snapshot{})
+		w.submit(JobSpec{ID: "job-1", Tasks: 1})
+		w.pass(Second)
+		w.c.Rented(w.now, w.now, w.rents[0].Request, RentGranted, []string{"n-1"})
+		w.c.Listed(w.now, []Listed{{Name: "n-1", Type: "m", Zone: "a", Booting: true}})
+		w.pass(75 * Second)
+		w.want("back", len(w.backs) > 0 && w.backs[0].Reason == "never came up", true)
+	})
+}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -1,9 +1,6 @@
 package core
 
-import (
-	"sort"
-	"strings"
-)
+import "strings"
 
 type taskStatus uint8
 
@@ -195,20 +192,3 @@
 	}
 	return j.spec.ID < o.spec.ID
 }
-
-// enqueue keeps the queue sorted as a job joins.
-func (c *Core) enqueue(j *job) {
-	i := sort.Search(len(c.queue), func(i int) bool { return j.before(c.queue[i]) })
-	c.queue = append(c.queue, nil)
-	copy(c.queue[i+1:], c.queue[i:])
-	c.queue[i] = j
-}
-
-func (c *Core) dequeue(j *job) {
-	for i, o := range c.queue {
-		if o == j {
-			c.queue = append(c.queue[:i], c.queue[i+1:]...)
-			return
-		}
-	}
-}
--- /dev/null
+++ b/internal/core/term_test.go
@@ -0,0 +1,102 @@
+package core
+
+import "testing"
+
+// TestLeaseUntil: a leader stops before its lease can be over by another clock.
+func TestLeaseUntil(t *testing.T) {
+	if got := LeaseUntil(10*Second, 3*Second); got >= 13*Second || got < 12*Second {
+		t.Errorf("acts until %d", got)
+	}
+}
+
+// TestShouldResign guards against a leader that is cut off from the workers
+// alone and keeps its lease while theirs run out.
+func TestShouldResign(t *testing.T) {
+	const gap = 3 * Second
+	for _, c := range []struct {
+		name            string
+		begun, lastBeat Micros
+		peer, want      bool
+	}{
+		{"hears workers", 0, 99 * Second, true, false},
+		{"a short silence", 0, 94 * Second, true, false},
+		{"silence, a peer hears them", 0, 92 * Second, true, true},
+		{"silence for all", 0, 50 * Second, false, false},
+		{"new term", 95 * Second, 50 * Second, true, false},
+	} {
+		if got := ShouldResign(100*Second, c.begun, c.lastBeat, gap, c.peer); got != c.want {
+			t.Errorf("%s: got %v", c.name, got)
+		}
+	}
+}
+
+// TestLostMachine: tasks of a machine start elsewhere only when its lease is
+// over, counted from the last answer, when it shows a new session, or when a
+// return of it was answered.
+func TestLostMachine(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		event func(w *world, f *fake)
+		moved bool
+	}{
+		{"silent for less than the lease", func(w *world, f *fake) { w.pass(15 * Second) }, false},
+		{"lease over", func(w *world, f *fake) { w.pass(17 * Second) }, true},
+		{"new session", func(w *world, f *fake) {
+			f.r.Session, f.r.Tasks = 2, nil
+			f.r.Seq++
+			r := f.r
+			w.c.Beat(w.now, &r)
+			w.step()
+		}, true},
+		{"older report", func(w *world, f *fake) {
+			r := f.r
+			r.Seq, r.Tasks = 1, nil
+			w.c.Beat(w.now, &r)
+			w.step()
+		}, false},
+		{"return not answered", func(w *world, f *fake) { w.c.Returned(w.now, []string{"n-1"}, false); w.step() }, false},
+		{"return answered", func(w *world, f *fake) { w.c.Returned(w.now, []string{"n-1"}, true); w.step() }, true},
+		{"listed as failed", func(w *world, f *fake) { w.c.Listed(w.now, []Listed{{Name: "n-1", Failed: true}}); w.step() }, true},
+		{"missing from the late list", func(w *world, f *fake) { w.c.Listed(w.now, nil); w.step() }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, blue)
+			w.begin(100, nil, Snapshot{})
+			f := w.machine("n-1", "a").beat()
+			w.submit(JobSpec{ID: "job-1", Tasks: 1})
+			f.direct()
+			f.beat()
+			w.want("runs", f.live(), "job-1/0 ")
+			w.sent = nil
+			c.event(w, f)
+			p := w.c.jobs["job-1"].live[0]
+			w.want("moved", p == nil || p.m.name != "n-1" || p.attempt != w.c.token<<24|1, c.moved)
+		})
+	}
+}
+
+// TestSessionLease: a new session's lease counts from when it began, not from
+// the last answer, which belongs to the session before. A machine whose beats
+// did not get through was given tasks directly, and counted as lost while they
+// ran.
+func TestSessionLease(t *testing.T) {
+	w := newWorld(t, blue)
+	w.begin(100, nil, Snapshot{})
+	f := w.machine("n-1", "a").beat()
+	w.pass(15 * Second)
+	// A direct command is refused: the worker has begun its next session.
+	r := f.r
+	r.Session, r.Seq = 2, 1
+	w.c.Commanded(w.now, "n-1", 100, Refused, &r)
+	f.r = r
+	w.submit(JobSpec{ID: "job-1", Tasks: 1})
+	f.direct()
+	w.want("started directly", f.live(), "job-1/0 ")
+	for range 5 {
+		w.pass(3 * Second)
+		f.direct()
+		w.want("lost", w.c.machines["n-1"].lost, false)
+	}
+	w.pass(3 * Second)
+	w.want("lost, its lease is over", w.c.machines["n-1"].lost, true)
+}
