--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,7 +49,8 @@
 	summaryAt   Micros
 	vacateAt    Micros
 	vacating    []*machine
-	held        []*class // for which machines are held
+	held        []*class // with an aim for how soon their tasks start
+	holds       []*class // those of them that machines are held for, as of lookBack
 	lookedBack  Micros
 	begun       Micros // the term
 	holdFleet   bool   // what is to be held is not known yet
--- a/internal/core/cut.go
+++ b/internal/core/cut.go
@@ -68,7 +68,7 @@
 		return
 	}
 	count := func(p *placement, zone string) {
-		if now+c.lead(p.need)*3/2+5*Second >= c.leasesEnd(c.zoneOf[zone]) {
+		if now+c.lead(&p.j.spec)*3/2+5*Second >= c.leasesEnd(c.zoneOf[zone]) {
 			need, tasks = need.most(p.need), tasks+1
 		}
 	}
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -105,17 +105,6 @@
 	d.boot = max(d.boot, t.Boot)
 }
 
-// lead is how long a machine that the job could use takes to come.
-func (d *demand) lead(j *job) Micros {
-	var lead Micros
-	for _, t := range d.c.typeOrder {
-		if j.spec.typeAllowed(t.Name) && j.spec.Need.Fits(t.Cap) && (lead == 0 || t.Boot < lead) {
-			lead = t.Boot
-		}
-	}
-	return lead
-}
-
 // inTime reports whether a job's waiting tasks would be done by its deadline
 // on the machines there are, behind the work that goes first. A machine that
 // is rented now costs money from now on and helps only once it is up.
@@ -129,7 +118,7 @@
 	// Estimates are often half of what it takes; and it must not be too late yet to
 	// rent when this turns out too hopeful. The same goes for the first aim for
 	// its tasks' start that a rented machine can meet.
-	lead := d.lead(j)
+	lead := d.c.lead(&j.spec)
 	for _, within := range j.class.within {
 		if within > lead {
 			if d.now+wait+5*Second+lead > j.submitted+within {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -30,6 +30,27 @@
 	}
 }
 
+// soonest is the type of machine on which a task of the job fits that takes the
+// shortest time to come; nil if there is none.
+func (c *Core) soonest(s *JobSpec) *MachineType {
+	var best *MachineType
+	for _, t := range c.typeOrder {
+		if s.typeAllowed(t.Name) && s.Need.Fits(t.Cap) && (best == nil || t.Boot < best.Boot) {
+			best = t
+		}
+	}
+	return best
+}
+
+// lead is about how long a machine takes to come on which a task of the job fits,
+// 0 if there is none.
+func (c *Core) lead(s *JobSpec) Micros {
+	if t := c.soonest(s); t != nil {
+		return t.Boot
+	}
+	return 0
+}
+
 // Listed takes a whole list of the cloud's machines; it is late, so a machine
 // missing from it says nothing.
 func (c *Core) Listed(now Micros, list []Listed) {
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -43,17 +43,15 @@
 // be rented and have their image: only then are machines held for it.
 func (c *Core) atOnce(k *class) bool {
 	h := &k.batches
+	t := c.soonest(h.sample)
+	if t == nil {
+		return true
+	}
 	var fetch Micros
-	lead := Micros(math.MaxInt64)
-	for _, t := range c.typeOrder {
-		if h.sample.Need.Fits(t.Cap) && h.sample.typeAllowed(t.Name) && t.Boot < lead {
-			lead = t.Boot
-			if t.FetchMBps > 0 {
-				fetch = Micros(h.mb * float64(Second) / float64(t.FetchMBps))
-			}
-		}
+	if t.FetchMBps > 0 {
+		fetch = Micros(h.mb * float64(Second) / float64(t.FetchMBps))
 	}
-	return k.within[0] < lead+fetch
+	return k.within[0] < t.Boot+fetch
 }
 
 // want is what is to be there for the class.
@@ -81,6 +79,12 @@
 			h.use = h.use.Add(j.spec.Need.Times(j.pending + len(j.live)))
 		}
 	}
+	c.holds = c.holds[:0]
+	for _, k := range c.held {
+		if c.atOnce(k) {
+			c.holds = append(c.holds, k)
+		}
+	}
 	if c.unsettled > 0 {
 		c.lookedBack = now
 		return
@@ -92,8 +96,8 @@
 		for _, k := range c.held {
 			k.batches.peak = k.batches.use
 		}
-		if held := c.heldNow(); len(held) > 0 {
-			h := &held[0].batches
+		if len(c.holds) > 0 {
+			h := &c.holds[0].batches
 			more := Res{}.Sub(c.shortOfHeld(now, nil)).most(Res{})
 			h.peak, h.rise = h.use.Add(more), more
 		}
@@ -102,7 +106,7 @@
 	c.lookedBack = now
 	for _, k := range c.held {
 		h := &k.batches
-		lead := c.lead(h.sample.Need)
+		lead := c.lead(&JobSpec{Need: h.sample.Need})
 		if now-c.begun < lead {
 			h.window = nil // what had been waiting when the term began is no rise
 		}
@@ -110,26 +114,14 @@
 	}
 }
 
-// heldNow lists the classes that machines are held for.
-func (c *Core) heldNow() []*class {
-	var out []*class
-	for _, k := range c.held {
-		if c.atOnce(k) {
-			out = append(out, k)
-		}
-	}
-	return out
-}
-
 // shortOfHeld says what is missing from what is held; where negative, as much
 // can go.
 func (c *Core) shortOfHeld(now Micros, coming []*room) Res {
-	held := c.heldNow()
-	if len(held) == 0 {
+	if len(c.holds) == 0 {
 		return Res{math.MinInt32, math.MinInt32, math.MinInt32}
 	}
 	var short Res
-	for _, k := range held {
+	for _, k := range c.holds {
 		short = short.Add(c.want(k, now))
 	}
 	for _, r := range coming {
@@ -141,7 +133,7 @@
 		}
 		short = short.Sub(m.typ.Cap)
 		for _, p := range m.tasks {
-			if p.holds() && (p.j == nil || !slices.Contains(held, p.j.class)) {
+			if p.holds() && (p.j == nil || !slices.Contains(c.holds, p.j.class)) {
 				short = short.Add(p.need)
 			}
 		}
@@ -155,7 +147,7 @@
 // holding reports whether anything is held: then room on machines that a few
 // services keep is of use.
 func (c *Core) holding(now Micros) bool {
-	return slices.ContainsFunc(c.heldNow(), func(k *class) bool {
+	return slices.ContainsFunc(c.holds, func(k *class) bool {
 		return k.batches.sample.Need.Fits(c.want(k, now))
 	})
 }
@@ -163,7 +155,7 @@
 // hold rents what is missing from what is held.
 func (d *demand) hold() {
 	short := d.c.shortOfHeld(d.now, d.coming)
-	for _, k := range d.c.heldNow() {
+	for _, k := range d.c.holds {
 		for short.lacks() {
 			of, ok := d.cheapest(k.batches.sample, math.MaxInt, func(string) bool { return true })
 			if !ok {
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -58,8 +58,10 @@
 	return cost + c.startCost(j, m), victims != nil
 }
 
-// preyOfPlan looks at every machine: what a plan has taken already makes some
-// cheaper, and others dearer.
+// preyOfPlan looks at every machine. It can't choose: that keeps what it saw for a
+// pass and looks again only at machines that changed, while what a plan has taken
+// already makes all machines with tasks of the same teams cheaper or dearer, and
+// the plan may be dropped.
 func (c *Core) preyOfPlan(j *job, guaranteed bool, now Micros, only string, plan *reclaimPlan) (best *machine) {
 	c.looked += len(c.order)
 	var bestCost int64
--- a/internal/core/spare.go
+++ b/internal/core/spare.go
@@ -76,7 +76,7 @@
 		if len(k.within) > 0 {
 			c.spareRate = max(c.spareRate, a.mb/(float64(k.within[0])/float64(Second)))
 		}
-		want += spareShare*a.rateAt(now)*float64(c.lead(a.need)) + a.size
+		want += spareShare*a.rateAt(now)*float64(c.lead(&JobSpec{Need: a.need})) + a.size
 	}
 	need, tasks := c.movingOut(now)
 	c.spareNeed = c.spareNeed.most(need)
@@ -104,17 +104,6 @@
 	}
 }
 
-// lead is about how long a machine takes to come on which such a task fits.
-func (c *Core) lead(need Res) Micros {
-	var lead Micros
-	for _, t := range c.typeOrder {
-		if need.Fits(t.Cap) && (lead == 0 || t.Boot < lead) {
-			lead = t.Boot
-		}
-	}
-	return lead
-}
-
 // takesSpare reports whether a batch task on the ordinary machine would take
 // room that is kept for services. Every machine keeps room for one, as each has
 // other images in its cache, if there is little room, or if a service's start is
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -19,7 +19,7 @@
 	c.refused = map[offer]Micros{}
 	c.backlog, c.returnOut, c.returnFrom = nil, false, 0
 	c.vacating = nil
-	c.begun, c.holdFleet, c.lookedBack, c.held = now, true, now, nil
+	c.begun, c.holdFleet, c.lookedBack, c.held, c.holds = now, true, now, nil, nil
 	for _, k := range c.classes {
 		k.services, k.batches = arrivals{}, holding{}
 	}
