Late jobs: the least work first; what was served is told by team and class

A job that is late for every aim was given room by its deadline, so in overload the largest took the room of many. Counts by team and class once a minute and at an orderly end, from the records: the same whoever leads.

--- a/cmd/aspenstall/main.go
+++ b/cmd/aspenstall/main.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -133,7 +135,8 @@
 		debug.SetGCPercent(400)
 	}
 	log := logger(p.Member)
-	ctx := context.Background()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	n := node.New(p, s, log, netdial.TCP(time.Second))
 	l, err := net.Listen("tcp", p.Listen)
 	if err != nil {
@@ -172,7 +175,17 @@
 			return err
 		}
 	}
-	go n.Run(ctx)
+	ended := make(chan struct{})
+	go func() {
+		n.Run(ctx)
+		_ = srv.Close()
+		close(ended)
+	}()
 	log.Info("listening", "address", p.Listen, "version", version)
-	return srv.Serve(l)
+	err = srv.Serve(l)
+	if ctx.Err() != nil {
+		<-ended // told to end: what was served is in the log
+		return nil
+	}
+	return err
 }
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -88,8 +88,11 @@
 		sort.SliceStable(late, func(a, b int) bool { return late[a].due < late[b].due })
 		jobs = late
 	}
-	for _, j := range jobs {
-		set(j, 2)
+	// What is late for every aim is still wanted: the least work first gets most of
+	// them done, and a job that has begun goes before one that has not.
+	sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].work() < jobs[b].work() })
+	for i, j := range jobs {
+		set(j, 2+i)
 	}
 	if changed {
 		sort.SliceStable(c.queue, func(a, b int) bool { return c.queue[a].before(c.queue[b]) })
--- a/internal/core/rank_test.go
+++ b/internal/core/rank_test.go
@@ -15,13 +15,14 @@
 	job("job-2", 4, 60*Second) // 80 s of work: cannot be done by then
 	job("job-3", 1, 70*Second)
 	job("job-4", 1, 10*Second) // too late already
+	job("job-5", 3, 5*Second)  // the same, and more work, though due first
 	w.pass(Second)
-	for id, rank := range map[string]int{"job-1": 0, "job-2": 2, "job-3": 0, "job-4": 2} {
+	for id, rank := range map[string]int{"job-1": 0, "job-2": 4, "job-3": 0, "job-4": 2, "job-5": 3} {
 		w.want(id, w.c.jobs[id].rank, rank)
 	}
 	order := ""
 	for _, j := range w.c.queue {
 		order += j.spec.ID + " "
 	}
-	w.want("queue", order, "job-1 job-3 job-4 job-2 ")
+	w.want("queue", order, "job-1 job-3 job-4 job-5 job-2 ")
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,9 +174,11 @@
 	defer timer.Stop()
 	tick := n.now() + core.Micros(step/time.Microsecond)
 	wake := tick // what the timer is set to
+	served := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
+			n.logServed()
 			return
 		case f := <-n.events:
 			f()
@@ -194,6 +196,10 @@
 			n.commit.pump()
 			n.judgeHealth()
 			n.resignBlind()
+			if time.Since(served) >= tellServed {
+				served = time.Now()
+				n.logServed()
+			}
 		}
 		n.act()
 		// The core may want to go on before the next tick.
--- /dev/null
+++ b/internal/node/served.go
@@ -0,0 +1,23 @@
+package node
+
+import (
+	"maps"
+	"time"
+
+	"aspenstall/internal/core"
+)
+
+// tellServed is how often the leader says in its log what became of the jobs, by
+// team and class.
+const tellServed = time.Minute
+
+// logServed does so. It is also asked for when the process is told to end.
+func (n *Node) logServed() {
+	if n.term == nil {
+		return
+	}
+	for _, t := range core.TallyJobs(maps.Values(n.view.jobs), wall(), n.core.Begun) {
+		n.log.Info("served", "team", t.Team, "class", t.Class, "accepted", t.Accepted, "done", t.Done, "cancelled", t.Cancelled,
+			"running", t.Running, "waiting", t.Waiting, "longest_wait_s", t.LongestWait/core.Second)
+	}
+}
