--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -90,9 +90,13 @@
 	}
 	// What is late for every aim is still wanted: the least work first gets most of
 	// them done, and a job that has begun goes before one that has not.
-	sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].work() < jobs[b].work() })
+	left := make([]sized, len(jobs))
 	for i, j := range jobs {
-		set(j, 2+i)
+		left[i] = sized{j, j.work()}
+	}
+	sort.SliceStable(left, func(a, b int) bool { return left[a].work < left[b].work })
+	for i, o := range left {
+		set(o.job, 2+i)
 	}
 	if changed {
 		sort.SliceStable(c.queue, func(a, b int) bool { return c.queue[a].before(c.queue[b]) })
