--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -192,7 +192,7 @@
 	switch {
 	case j.cancelled, j.status[t.Index] == taskDone:
 		p.unwanted = true
-	case t.State != Exited && j.live[t.Index] != nil && !j.live[t.Index].listed:
+	case t.State != Exited && j.live[t.Index] != nil && !(j.live[t.Index].listed && t.Attempt > j.live[t.Index].attempt):
 		// Two starts of one task can only come from a fault; the one that this
 		// leader knows of stays.
 		p.unwanted = true
