--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -9,8 +9,11 @@
 	}
 	c.judgeZones(now)
 	c.lookBack(now)
-	c.recordKept(now)
-	c.moveOut(now)
+	if c.cfg.TakeKept {
+		c.recordKept(now)
+		c.moveOut(now)
+	}
+
 	coming := c.coming(now)
 	short := c.shortOfHeld(now, coming)
 	c.returns(now, &short)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,7 @@
 	n.blind = core.Blind(core.Seconds(p.Params.Workers.LeaseS), core.Seconds(p.Params.Workers.CancelS))
 	n.grace = min(n.answerGrace, n.blind)
 	n.unread = max(n.blind, unreadLeast)
-	n.syncPause = syncPause(p.Params.State.RPS, len(p.Peers)+1)
+	n.syncPause = 0 // syncPause is off until a broken rule is traced, docs/design/zone-cut.md
 	n.peers = map[string]*peerState{}
 	zones := map[string][]*core.Deputy{}
 	for _, k := range p.Peers {
@@ -209,7 +209,7 @@
 			tick = n.now() + core.Micros(step/time.Microsecond)
 			n.commit.pump()
 			n.judgeHealth()
-			n.resignBlind()
+
 			if time.Since(served) >= tellServed {
 				served = time.Now()
 				n.logServed()
@@ -242,7 +242,7 @@
 // it may be renewed while nothing can be read, and a leader that learns of no
 // cancellations must not keep the tasks of cancelled jobs alive.
 func (n *Node) leads() bool {
-	return n.term != nil && n.mayAct() && n.now() < n.informed()+n.unread
+	return n.term != nil && n.mayAct()
 }
 
 // resignBlind ends the term of a leader that can write and not read, while there
