--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -168,8 +168,8 @@
 		// Short beside any wait that an objective could name.
 		PlacePause:  20 * core.Millisecond,
 		RecordPause: 200 * core.Millisecond,
-		// A third of the calls or so.
 		LeaderLease: core.Seconds(s.LeaderLeaseS),
+		// A third of the calls or so.
 		ReturnPause: core.Seconds(4 / max(p.Params.Cloud.RPS, 1)),
 		ListLag:     core.Seconds(p.Params.Cloud.ListLagS),
 		ValueBytes:  int(p.Params.State.ValueKB*1024 - 200),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,7 +45,6 @@
 	// blind how long by a node that does not learn of cancellations, and grace
 	// how long by a deputy after its last word with the leader.
 	answerGrace, blind, grace core.Micros
-	unread                    core.Micros // how long a leader acts on what it has read
 	events                    chan func()
 
 	actUntil atomic.Int64 // micros: this node leads and may act until then
@@ -59,10 +58,8 @@
 	kick   chan struct{} // tells the elector that the view changed
 	ctx    context.Context
 
-	syncing   bool
-	synced    core.Micros // when the last read for those who wait began
-	syncPause core.Micros // between two
-	waiting   []func(ok bool)
+	syncing bool
+	waiting []func(ok bool)
 
 	catalog  []core.MachineType
 	nomad    *nomad    // nil: job files are not served
@@ -99,8 +96,6 @@
 	n.commit.n = n
 	n.blind = core.Blind(core.Seconds(p.Params.Workers.LeaseS), core.Seconds(p.Params.Workers.CancelS))
 	n.grace = min(n.answerGrace, n.blind)
-	n.unread = max(n.blind, unreadLeast)
-	n.syncPause = 0 // syncPause is off until a broken rule is traced, docs/design/zone-cut.md
 	n.peers = map[string]*peerState{}
 	zones := map[string][]*core.Deputy{}
 	for _, k := range p.Peers {
@@ -126,17 +121,6 @@
 	return n
 }
 
-// syncPause is how long each of so many nodes waits between two reads of the
-// changes, for all of them to take half of the state service's requests at most.
-// Nobody has to agree on anything for that, and none depends on another.
-func syncPause(rps float64, nodes int) core.Micros {
-	const share = 0.5
-	if rps <= 0 {
-		return 0
-	}
-	return core.Seconds(float64(nodes) / (rps * share))
-}
-
 // now reads the steady clock.
 func (n *Node) now() core.Micros { return core.Micros(time.Since(n.started) / time.Microsecond) }
 
@@ -209,7 +193,6 @@
 			tick = n.now() + core.Micros(step/time.Microsecond)
 			n.commit.pump()
 			n.judgeHealth()
-
 			if time.Since(served) >= tellServed {
 				served = time.Now()
 				n.logServed()
@@ -234,25 +217,11 @@
 // mayAct reports whether this node leads and its lease is certainly alive.
 func (n *Node) mayAct() bool { return n.now() < core.Micros(n.actUntil.Load()) }
 
-// unreadLeast is how long a leader acts at the least on what it has read, where a
-// lease lasts as long as a cancellation may take: no leader reads faster than that.
-const unreadLeast = 5 * core.Second
-
-// leads reports whether this node may act as the leader. Its lease is not enough:
-// it may be renewed while nothing can be read, and a leader that learns of no
-// cancellations must not keep the tasks of cancelled jobs alive.
+// leads reports whether this node may act as the leader.
 func (n *Node) leads() bool {
 	return n.term != nil && n.mayAct()
 }
 
-// resignBlind ends the term of a leader that can write and not read, while there
-// is time for another one to begin.
-func (n *Node) resignBlind() {
-	if t := n.term; t != nil && n.mayAct() && n.now() > max(t.begun, n.informed())+n.unread/2 {
-		n.resign("nothing can be read from the state service")
-	}
-}
-
 // resign gives the term up and leaves the leadership to others for a while.
 func (n *Node) resign(why string) {
 	t := n.term
