Finished tasks never shrink: late writes of ranges, and drops before a job is over

A write of ranges without an answer may be carried out after the next one of the same leader, and put back what that had added: tasks whose workers had forgotten them ran again after a change of leader. A job with more chunks than a transaction holds had the rest of its records dropped before it was stored that it is done; a leader that ended in between lost them. Ruled out: reading the record before each write (a request more for all), raising the token (voids late writes of every kind, and has each worker report).

--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -140,8 +140,9 @@
 	for _, k := range chunks {
 		delete(j.dirty, k)
 		covered[k] = true
-		j.stored[k] = true
-		w.Puts = append(w.Puts, Put{RangeKey(j.spec.ID, k), RangeRecord{j.spec.ID, k, j.ranges(k, c.cfg.ChunkSize)}})
+		key := RangeKey(j.spec.ID, k, j.unsure[k])
+		j.stored[key] = true
+		w.Puts = append(w.Puts, Put{key, RangeRecord{key, j.spec.ID, k, j.ranges(k, c.cfg.ChunkSize)}})
 	}
 	var ends, rest []*placement
 	for _, p := range j.ends {
@@ -154,6 +155,13 @@
 	j.ends = rest
 	c.write(w, func(now Micros, o WriteOutcome) {
 		j.ranging = false
+		if o == WriteUnknown {
+			// It may be executed after a later one, and would take from the record
+			// what that one added: the next has a key of its own.
+			for k := range covered {
+				j.unsure[k]++
+			}
+		}
 		over := c.jobs[j.spec.ID] != j || j.cancelled
 		if o == Stored || over {
 			c.recordedEnds(ends)
--- a/internal/core/ends_test.go
+++ b/internal/core/ends_test.go
@@ -26,7 +26,7 @@
 	w.failWrites = false
 	w.pass(12 * Second)
 	f.beat()
-	rec, _ := w.puts[RangeKey("job-1", 0)].(RangeRecord)
+	rec, _ := w.puts[RangeKey("job-1", 0, 0)].(RangeRecord)
 	want := map[int]string{0: "[1 3]", 1: "[0 0 2 3]", 2: "[0 1 3 3]", 3: "[0 2]"}[left]
 	w.want("ranges", fmt.Sprint(rec.Ranges), want)
 	w.want("forgotten", len(f.r.Tasks), 1)
@@ -37,7 +37,7 @@
 	f.beat()
 	d, ok := w.puts[""].(JobDone)
 	w.want("final record", ok && d.Record.Phase == Done, true)
-	w.want("bookkeeping dropped", w.drops[RangeKey("job-1", 0)] && w.drops[OpenPrefix+"job-1"], true)
+	w.want("bookkeeping dropped", w.drops[RangeKey("job-1", 0, 0)] && w.drops[OpenPrefix+"job-1"], true)
 
 	// A write of ranges that gets no answer does not hold up the final record.
 	w.submit(JobSpec{ID: "job-2", Tasks: 2})
@@ -62,11 +62,11 @@
 	// A new leader takes the ranges over and runs only the rest.
 	spec := JobSpec{ID: "job-9", Team: "blue", Tasks: 20, Need: Res{1000, 0, 1000}, Image: "im"}
 	w2 := newWorld(t, Team{Name: "blue"})
-	w2.begin(200, []JobRecord{{Spec: spec, Stamp: 3}}, Snapshot{Ranges: []RangeRecord{{"job-9", 0, []int{0, 14}}, {"job-9", 1, []int{1, 2}}}, Open: []string{"job-9"}})
+	w2.begin(200, []JobRecord{{Spec: spec, Stamp: 3}}, Snapshot{Ranges: []RangeRecord{{RangeKey("job-9", 0, 0), "job-9", 0, []int{0, 14}}, {RangeKey("job-9", 1, 0), "job-9", 1, []int{1, 2}}}, Open: []string{"job-9"}})
 	w2.want("left", w2.c.jobs["job-9"].pending, 3)
 	// What is left of jobs that are over is dropped.
-	w2.begin(300, nil, Snapshot{Ranges: []RangeRecord{{"job-9", 0, nil}}, Open: []string{"job-9"}})
-	w2.want("dropped", w2.drops[RangeKey("job-9", 0)] && w2.drops[OpenPrefix+"job-9"], true)
+	w2.begin(300, nil, Snapshot{Ranges: []RangeRecord{{RangeKey("job-9", 0, 0), "job-9", 0, nil}}, Open: []string{"job-9"}})
+	w2.want("dropped", w2.drops[RangeKey("job-9", 0, 0)] && w2.drops[OpenPrefix+"job-9"], true)
 }
 
 // TestFaults: machines that fail several jobs are emptied and returned; a job
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -38,14 +38,16 @@
 	opening  bool   // the record is being written
 	held     bool   // opened by a former leader: unseen tasks may be anywhere
 
-	dirty     map[int]bool // chunks whose ranges changed since they were written
-	stored    map[int]bool // chunks that may have a record
-	ended     bool         // in Core.ended
-	ranging   bool         // a write of ranges is out
-	finishing bool         // the final record is
-	writeFrom Micros       // not before this
+	dirty     map[int]bool    // chunks whose ranges changed since they were written
+	stored    map[string]bool // keys that may have a record of ranges
+	unsure    map[int]int     // by chunk, how many writes of its ranges got no answer
+	ended     bool            // in Core.ended
+	ranging   bool            // a write of ranges is out
+	finishing bool            // the final record is
+	writeFrom Micros          // not before this
 	cancelled bool
-	started   bool // all its tasks have been seen running or done
+	cancelAt  Micros // about when
+	started   bool   // all its tasks have been seen running or done
 
 	attempt               uint64 // of the gang's current start
 	ran                   uint64 // the attempt whose tasks were last seen running
@@ -68,7 +70,8 @@
 		live:    map[int]*placement{},
 		zones:   map[string]int{},
 		dirty:   map[int]bool{},
-		stored:  map[int]bool{},
+		stored:  map[string]bool{},
+		unsure:  map[int]int{},
 		pending: rec.Spec.Tasks,
 	}
 	if rec.Spec.Due > 0 {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 )
 
 // Keys of the leader's bookkeeping.
@@ -14,15 +15,19 @@
 	KeptPrefix    = "b/kept/"
 )
 
-// RangeKey is where a chunk of a job's finished tasks is kept.
-func RangeKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", RangesPrefix, id, chunk) }
+// RangeKey is where a chunk of a job's finished tasks is kept; after so many writes
+// without an answer in another place. What is kept of a chunk is all of them together.
+func RangeKey(id string, chunk, unsure int) string {
+	if unsure == 0 {
+		return fmt.Sprintf("%s%s/%d", RangesPrefix, id, chunk)
+	}
+	return fmt.Sprintf("%s%s/%d-%d", RangesPrefix, id, chunk, unsure)
+}
 
 func (c *Core) jobKeys(j *job) []string {
 	keys := []string{OpenPrefix + j.spec.ID}
-	for k := range j.stored {
-		keys = append(keys, RangeKey(j.spec.ID, k))
-	}
-	sort.Strings(keys[1:])
+	keys = slices.AppendSeq(keys, maps.Keys(j.stored))
+	slices.Sort(keys[1:])
 	return keys
 }
 
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -77,10 +77,10 @@
 	for _, r := range snap.Ranges {
 		j := c.jobs[r.Job]
 		if j == nil {
-			stray.Drops = append(stray.Drops, RangeKey(r.Job, r.Chunk))
+			stray.Drops = append(stray.Drops, r.Key)
 			continue
 		}
-		j.stored[r.Chunk] = true
+		j.stored[r.Key] = true
 		for i := 0; i+1 < len(r.Ranges); i += 2 {
 			for n := r.Ranges[i]; n <= r.Ranges[i+1]; n++ {
 				if k := r.Chunk*c.cfg.ChunkSize + n; k < len(j.status) {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -266,6 +266,9 @@
 	// they outlast a cut or an outage of the state service. It counts from when
 	// no other leader can have begun, and from a deputy's last word with its own.
 	AnswerGrace Micros
+	// Blind is for how long after a cancellation a machine's lease may be renewed on
+	// which the job's tasks may still be, or be started by a command under way.
+	Blind       Micros
 	ReturnPause Micros // between two returns of machines
 	ListLag     Micros // the cloud's list is late by this, or by twice as much
 	ChunkSize   int    // tasks in one record of finished ranges
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -212,19 +212,12 @@
 	for _, k := range w.Drops {
 		it.ops = append(it.ops, wire.Write{Delete: k})
 	}
-	// A job with many chunks has more keys to drop than fit: what is left over
-	// is dropped by a write of its own.
-	if limit := n.cfg.Params.State.TxnOps; len(it.ops) > limit {
-		rest := it.ops[limit:]
-		it.ops = it.ops[:limit:limit]
-		defer func() {
-			for len(rest) > 0 {
-				k := min(limit, len(rest))
-				c.add(&item{term: t, ops: rest[:k], done: func(uint64, error) {}}, false)
-				rest = rest[k:]
-			}
-		}()
-	}
+	// A job with many chunks has more keys to drop than fit: what is left over is
+	// dropped by writes of its own, once it is stored that the job is over. Dropped
+	// before, what its finished tasks are would be lost with a leader that ends then.
+	limit := n.cfg.Params.State.TxnOps
+	rest := it.ops[min(len(it.ops), limit):]
+	it.ops = it.ops[:len(it.ops)-len(rest)]
 	if w.IfJob != "" {
 		it.conds = append(it.conds, wire.Cond{Key: jobPrefix + w.IfJob, Version: w.IfStamp})
 	}
@@ -239,6 +232,11 @@
 		if err == nil && w.IfJob != "" {
 			n.wroteFinal(w, rev)
 		}
+		for err == nil && n.term == t && len(rest) > 0 {
+			k := min(limit, len(rest))
+			c.add(&item{term: t, ops: rest[:k], done: func(uint64, error) {}}, false)
+			rest = rest[k:]
+		}
 	}
 	var ok bool
 	if w.Urgent {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -238,7 +238,7 @@
 			s.Rents = append(s.Rents, r)
 		case strings.HasPrefix(e.Key, core.RangesPrefix):
 			var r core.RangeRecord
-			r, err = wire.DecodeRanges(e.Value)
+			r, err = wire.DecodeRanges(e.Key, e.Value)
 			s.Ranges = append(s.Ranges, r)
 		case strings.HasPrefix(e.Key, core.KeptPrefix):
 			var r core.KeptRecord
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -139,7 +139,7 @@
 	case core.RentRecord:
 		return Marshal(&rentRecord{r.Request, r.Type, r.Zone, r.Spot, r.Count, r.Machines, int64(r.At)})
 	case core.RangeRecord:
-		return Marshal((*rangeRecord)(&r))
+		return Marshal(&rangeRecord{r.Job, r.Chunk, r.Ranges})
 	case core.OpenRecord:
 		return Marshal((*openRecord)(&r))
 	case core.KeptRecord:
@@ -193,11 +193,11 @@
 	}, err
 }
 
-// DecodeRanges decodes a record of finished tasks.
-func DecodeRanges(b []byte) (core.RangeRecord, error) {
+// DecodeRanges decodes the record of finished tasks at the key.
+func DecodeRanges(key string, b []byte) (core.RangeRecord, error) {
 	var w rangeRecord
 	err := Unmarshal(b, &w)
-	return core.RangeRecord(w), err
+	return core.RangeRecord{Key: key, Job: w.Job, Chunk: w.Chunk, Ranges: w.Ranges}, err
 }
 
 // CatalogRecord is the catalog as kept for nodes that cannot ask the cloud: it
