Where troubles meet: cancellations by peers' word, deaf machines, old reports, late starts

What each could break, and its test, seen failing without the guard: - A leader that the state service refuses learned of no cancellation in an outage that followed, and let all leases lapse, since peers agreed only where no job had changed. What a peer says of the latest leader's key ends a former leader's answers also while the new one's lease is not certain (TestPeersWord); the proof that a new leader counts leases long enough rests on it. - A direct start under way when its job was cancelled, the token not raised because the state service refuses: the machine is not answered beyond the bound (TestLateStartOfCancelled). - A new leader counted a machine's lease from its own answer although the machine had not taken it, and a former leader might answer later (TestDeafTakeover). A deaf machine held a takeover up for as long as it reported; in a term it got tasks again and again (TestDeafMachine). - Copies of old reports lengthened leases (TestOldReport). - A node cut off from state service and peers stayed healthy and had its users wait for each request's time (TestUnreached). The stand-ins learn late writes, copies of reports, deaf machines and watches that wait while one node is refused.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -160,11 +160,13 @@
 
 // Core is the core's configuration.
 func Core(p *Platform, s Settings) core.Config {
+	blind := core.Blind(core.Seconds(p.Params.Workers.LeaseS), core.Seconds(p.Params.Workers.CancelS))
 	c := core.Config{
 		Lease:     core.Seconds(p.Params.Workers.LeaseS),
 		ReportGap: core.Seconds(p.Params.Workers.ReportS),
 		// The other node's clock may be slower by the drift.
-		AnswerGrace: min(core.Seconds(s.AnswerGraceS), core.Blind(core.Seconds(p.Params.Workers.LeaseS), core.Seconds(p.Params.Workers.CancelS))) * 1001 / 1000,
+		AnswerGrace: min(core.Seconds(s.AnswerGraceS), blind) * 1001 / 1000,
+		Blind:       blind,
 		// Short beside any wait that an objective could name.
 		PlacePause:  20 * core.Millisecond,
 		RecordPause: 200 * core.Millisecond,
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -112,6 +112,7 @@
 // RangeRecord holds finished tasks of one chunk of a job, as pairs of first
 // and last, relative to the chunk's first task.
 type RangeRecord struct {
+	Key    string
 	Job    string
 	Chunk  int
 	Ranges []int
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -123,7 +123,7 @@
 	for ; n < len(c.probes) && c.probing < probesMost; n++ {
 		m := c.probes[n]
 		m.probe = false
-		if !c.reachable(m) || m.settled && now-m.heard < c.cfg.ReportGap && !m.hasLate() {
+		if !c.reachable(m) || m.settled && now-m.heard < c.cfg.ReportGap && !m.hasLate() && !m.deaf {
 			continue // or it has reported meanwhile
 		}
 		m.probed = now
@@ -173,6 +173,7 @@
 	}
 	c.dropUnwantedUnsent(m, now)
 	if r != nil {
+		c.heardUs(m)
 		if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
 			c.absorb(m, r, false, now)
 		}
--- /dev/null
+++ b/internal/core/deaf.go
@@ -0,0 +1,61 @@
+package core
+
+import "slices"
+
+// A deaf machine's reports arrive, and what it is answered or sent does not. Its lease
+// runs out whatever it is answered, and what it is given never starts. What tells: it
+// goes on under a lower token than it was answered with, does not do what it was told,
+// or lets its lease run out although it was answered. A direct command that it answers
+// tells that it hears again.
+
+// deafAfter is how many answers in a row a machine does not take before it is taken as
+// deaf: single ones are lost or late.
+const deafAfter = 2
+
+// hears reports whether a beat that is newer than all before it is to be answered. A
+// machine that a new leader knows nothing certain of, and that goes on under a former
+// leader's token, is not: only the end of its lease tells what is on it, and that is
+// known once it is not answered any more. Until then a probe may get through.
+func (c *Core) hears(m *machine, r *Report) bool {
+	switch {
+	case r.Session != m.session || r.Token >= m.told:
+		m.unheard = 0
+	default:
+		if m.unheard++; m.unheard >= deafAfter {
+			c.becomesDeaf(m, "it goes on under a lower token")
+		}
+	}
+	m.told = c.token
+	return m.settled || m.unheard < deafAfter
+}
+
+// missed notes that a machine did not do what it was told in the answer to a beat.
+func (c *Core) missed(m *machine) {
+	if m.missed++; m.missed >= deafAfter {
+		c.becomesDeaf(m, "it does not do what it is told")
+	}
+}
+
+// becomesDeaf gives the machine nothing more, and what never reached it to others.
+func (c *Core) becomesDeaf(m *machine, why string) {
+	if !m.deaf {
+		m.deaf = true
+		c.dirty = true
+		c.note("machine does not hear", "machine", m.name, "reason", why, "tasks", len(m.tasks))
+	}
+	for _, p := range slices.Clone(m.tasks) {
+		if !p.sent && !p.shown && !p.inDo && !p.late {
+			c.remove(p, m.heard)
+		}
+	}
+}
+
+// heardUs notes that the machine answered a direct command.
+func (c *Core) heardUs(m *machine) {
+	m.unheard, m.missed = 0, 0
+	if m.deaf {
+		m.deaf = false
+		c.dirty = true
+		c.note("machine hears again", "machine", m.name)
+	}
+}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -15,7 +15,11 @@
 	case rec.Phase == Done:
 		c.finish(j, now)
 	case rec.Phase == Cancelled && !j.cancelled:
-		c.cancel(j, now)
+		at := now
+		if rec.Ended > 0 {
+			at -= max(wall-rec.Ended, 0)
+		}
+		c.cancel(j, now, at)
 	}
 }
 
@@ -38,9 +42,10 @@
 	}
 }
 
-func (c *Core) cancel(j *job, now Micros) {
+// cancel ends a job that was cancelled at a time.
+func (c *Core) cancel(j *job, now, at Micros) {
 	c.note("job cancelled", "job", j.spec.ID, "tasks_on_machines", j.on)
-	j.cancelled = true
+	j.cancelled, j.cancelAt = true, at
 	c.dequeue(j)
 	for _, p := range j.placements() {
 		c.unwant(p, now, 0)
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -33,8 +33,14 @@
 	probed Micros // since when a probe is under way; 0: none is
 	misses int    // direct commands in a row that did not get through
 	silent bool   // a probe of a suspect went unanswered
-	dirty  bool   // in Core.touched
-	later  bool   // in Core.retouch
+
+	deaf    bool   // see deaf.go
+	told    uint64 // the token that its last beat was answered with
+	unheard int    // answers in a row that it did not take
+	missed  int    // answers in a row that it did nothing of
+
+	dirty bool // in Core.touched
+	later bool // in Core.retouch
 
 	draining   bool
 	vacating   bool // being emptied to be returned: gets no more tasks
@@ -128,7 +134,7 @@
 
 // usable reports whether tasks may be given to the machine now.
 func (c *Core) usable(m *machine, now Micros) bool {
-	return m.typ != nil && m.settled && m.kept == nil && !m.lost && !m.booting && !m.draining && !m.returning &&
+	return m.typ != nil && m.settled && m.kept == nil && !m.lost && !m.deaf && !m.booting && !m.draining && !m.returning &&
 		now >= m.quarantine && now >= m.blocked && m.heardWithin(now, c.silence()) &&
 		// It answers direct commands, but its reports do not get through: its
 		// lease runs out soon, with what it is given.
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		// A worker that is up reports within the gap and its spread.
-		if now-m.heard >= c.cfg.ReportGap*5/4+Second/10 || !m.settled {
+		if now-m.heard >= c.cfg.ReportGap*5/4+Second/10 || !m.settled || m.deaf {
 			c.probe(m)
 		}
 	}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -17,21 +17,48 @@
 		c.addMachine(m)
 		c.note("unexpected machine reports", "machine", m.name, "type", m.typeName, "zone", m.zone)
 	}
+	if c.startsCancelled(m, r, now) {
+		return nil, 0, false
+	}
 	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
-		// Older than what is known: it changes nothing, and a worker that is
-		// still waiting for this answer has nothing to lose by it.
-		m.answered = now
+		// Older than what is known: it changes nothing. A worker that still waits for
+		// this answer counts its lease from before it made the newer one; a copy, or
+		// one of an earlier session, renews nothing.
+		if r.Session == m.session {
+			m.answered = max(m.answered, m.heard)
+		}
 		return nil, c.token, true
 	}
 	if m.typeName == "" {
 		m.typeName, m.zone, m.spot = r.Type, r.Zone, r.Spot
 		m.typ = c.types[m.typeName]
 	}
+	if !c.hears(m, r) {
+		// It has nothing to lose: what it does not get renews nothing. Once a probe
+		// gets through it is answered again.
+		c.absorb(m, r, true, now)
+		return nil, 0, false
+	}
 	c.absorb(m, r, true, now)
-	m.answered = now
+	// A former leader may answer it until it has seen this token.
+	m.answered = max(m.answered, now)
 	return c.commands(m, now, true), c.token, true
 }
 
+// startsCancelled reports whether a direct start of a job's task may still be under way
+// to the machine although the job was cancelled so long ago that it must not begin any
+// more. Only a raised token or a new session makes it void: where the token can't be
+// raised, since the state service refuses, the machine's lease has to end.
+func (c *Core) startsCancelled(m *machine, r *Report, now Micros) bool {
+	for _, p := range m.tasks {
+		if p.late && p.j != nil && p.j.cancelled && now-p.j.cancelAt >= c.cfg.Blind &&
+			r.Session == m.session && max(r.Token, c.token) <= p.lateToken {
+			return true
+		}
+	}
+	return false
+}
+
 // BeatInGrace takes a report while the leader's lease is not certain to be
 // alive: the worker's lease is renewed and it is told nothing. ok is false if
 // the worker has seen a higher token, so that there is another leader.
@@ -40,10 +67,15 @@
 	if !c.leading || m == nil || r.Token > c.token {
 		return 0, false
 	}
+	if c.startsCancelled(m, r, now) {
+		return 0, false
+	}
 	if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
 		c.absorb(m, r, true, now)
+		m.answered = max(m.answered, now)
+	} else if r.Session == m.session {
+		m.answered = max(m.answered, m.heard)
 	}
-	m.answered = now
 	return c.token, true
 }
 
@@ -53,6 +85,9 @@
 		// Its lease ran out: the worker has killed and forgotten its tasks, and
 		// direct commands that are still under way name a session that is over.
 		c.clear(m, now)
+		if ago := now - m.answered; ago >= 0 && ago < c.cfg.Lease/2 {
+			c.becomesDeaf(m, "its lease ran out although it was answered")
+		}
 	}
 	newSession := r.Session != m.session
 	m.session, m.seq = r.Session, r.Seq
@@ -103,6 +138,7 @@
 		m.idle = now // taken over empty from a former leader
 	}
 	if r.Token >= c.settleToken && r.Token > 0 {
+		m.answered = min(m.answered, now) // a former leader's answers it drops
 		c.settle(m)
 	}
 }
@@ -219,6 +255,7 @@
 
 // absorbMissing looks at placements that a newer report does not show.
 func (c *Core) absorbMissing(m *machine, r *Report, beat bool, now Micros) {
+	missed := false
 	for i := len(m.tasks) - 1; i >= 0; i-- {
 		if i >= len(m.tasks) {
 			continue
@@ -239,6 +276,7 @@
 				c.wantRaise = true
 			} else {
 				p.resend = beat
+				missed = missed || beat && p.beatSeq > 0 && r.Seq > p.beatSeq
 			}
 		case beat && r.Seq > p.beatSeq:
 			// The answer that carried the start was lost or dropped: a worker
@@ -247,9 +285,14 @@
 			if p.unwanted {
 				c.remove(p, now)
 			} else {
-				p.sent = false
+				p.sent, missed = false, true
 				c.touch(m)
 			}
 		}
 	}
+	if missed {
+		c.missed(m)
+	} else if beat {
+		m.missed = 0
+	}
 }
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -35,7 +35,7 @@
 
 func newWorld(t *testing.T, teams ...Team) *world {
 	c := New(Config{
-		Teams: teams, Lease: 16 * Second, ReportGap: 3 * Second, ListLag: 4 * Second, ChunkSize: 16, MachinesPerRecord: 4,
+		Teams: teams, Lease: 16 * Second, Blind: 25 * Second, ReportGap: 3 * Second, ListLag: 4 * Second, ChunkSize: 16, MachinesPerRecord: 4,
 		Tuning: Tuning{Idle: 10 * Second, RefusalPause: 15 * Second, Quarantine: 60 * Second, Suspect: 7 * Second, SpareTasks: 0},
 	})
 	w := &world{t: t, c: c, now: Second, puts: map[string]any{}, drops: map[string]bool{}, failAs: WriteRefused}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,7 @@
 	peers      map[string]*peerState  // those of the settings
 	permit     core.Permission        // to answer in the leader's place
 	deputized  core.Micros            // last time it did; 0: never
-	seen       uint64                 // the highest revision of a job that it knows
+	cancelled  cancelled              // what it knows of, for peers that do not
 	knownAt    core.Micros            // the view holds every change made before
 	counts     map[string]peer.Counts // what the leader said of jobs
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -19,7 +18,8 @@
 	stateGrace = 2 * time.Second
 	// aloneAfter is how long this node must have been without the state service
 	// before a peer that reaches it counts: in an outage of all, the nodes
-	// notice one after the other.
+	// notice one after the other. No answer of a service that is only slow takes as
+	// long, so from then on users are refused at once.
 	aloneAfter = 4 * time.Second
 )
 
@@ -29,7 +29,7 @@
 	stateOK bool
 	nonce   uint64 // of its last reply to this node as the leader
 	replied core.Micros
-	// agreed: asked then, it knew of no change of a job that this node does not.
+	// agreed: asked then, it told every cancellation that users can have from it.
 	agreed core.Micros
 	deputy core.Deputy // what it may have answered in this node's place
 }
@@ -87,7 +87,10 @@
 		k.nonce, k.replied = answer.Nonce, n.now()
 		k.deputy.Heard(asked, n.now(), answer.Life, core.Micros(answer.AnsweredAgo))
 	}
-	if answer.Seen <= n.view.revision {
+	for _, c := range answer.Cancelled {
+		n.learnCancelled(c)
+	}
+	if answer.Vouches && told.Have > 0 {
 		k.agreed = asked
 	}
 	n.heardPeer(answer)
@@ -117,10 +120,13 @@
 func (n *Node) status() *peer.Status {
 	s := &peer.Status{
 		Node: n.cfg.Member, StateOK: n.stateOK(), Workers: n.beatHeard > 0 && n.now()-n.beatHeard < 3*core.Second,
-		Seen: n.seen, Life: n.life, AnsweredAgo: -1,
+		Life: n.life, AnsweredAgo: -1, Leader: n.view.lastLeader, LeaderToken: n.view.lastToken,
+	}
+	if n.view.ready {
+		s.Have = n.view.revision
 	}
-	if !n.view.ready {
-		s.Seen = math.MaxUint64 // what its former process knew is not known
+	if t := n.term; t != nil && t.stamp > s.LeaderToken {
+		s.Leader, s.LeaderToken = n.cfg.Member, t.stamp
 	}
 	if n.deputized > 0 {
 		s.AnsweredAgo = int64(n.now() - n.deputized)
@@ -138,6 +144,9 @@
 	out, ok := call(ctx, n, func(reply func(*peer.Status)) {
 		n.heardPeer(s)
 		out := n.status()
+		if s.Have > 0 && n.view.ready { // else what its former process told is not known
+			out.Cancelled, out.Vouches = n.cancelled.since(s.Have)
+		}
 		if s.Token != 0 {
 			// The leader: it names the last reply that it has, and has this one.
 			n.permit.Permitted(s.Token, s.Echo, n.grace)
@@ -167,9 +176,7 @@
 			}
 		}
 	}
-	if t := n.term; t != nil && s.Token > t.stamp {
-		t.deposed = true
-	}
+	n.heardLeader(s.Leader, s.LeaderToken)
 	if t := n.term; t != nil && core.ShouldResign(n.now(), t.begun, n.beatHeard, core.Seconds(n.cfg.Params.Workers.ReportS), s.Workers) {
 		n.resign("workers reach a peer and not this node: " + s.Node)
 	}
@@ -183,21 +190,30 @@
 // judgeHealth decides whether users should come here. During an outage of the
 // state service no node is better than another, and sending users away would
 // only make them wait longer afterwards; but if a peer is served and this node
-// is not, they are better off there.
+// is not, they are better off there. So they are if this node hears no peer
+// either: it is cut off, and who stays with it is refused all the time.
 func (n *Node) judgeHealth() {
 	ok := n.view.ready
-	if ok && time.Since(n.stateHeard) > aloneAfter {
+	if ok && n.unreached() {
+		alone := len(n.peers) > 0 && time.Since(n.stateHeard) > 2*aloneAfter
 		for _, p := range n.peers {
 			if p.stateOK && p.at.After(n.stateHeard.Add(aloneAfter)) {
 				ok = false
 			}
+			alone = alone && p.at.Before(n.stateHeard)
 		}
+		ok = ok && !alone
 	}
 	if n.serving.Swap(ok) != ok {
 		n.log.Info("health", "serving", ok)
 	}
 }
 
+// unreached reports whether the state service has not been heard for so long that
+// nothing that needs it is worth beginning: whoever asks is refused at once, and the
+// watch tells when that changes.
+func (n *Node) unreached() bool { return n.view.ready && time.Since(n.stateHeard) > aloneAfter }
+
 // served reports whether a peer says that it reaches the state service.
 func (n *Node) served() bool {
 	for _, p := range n.peers {
@@ -210,7 +226,7 @@
 
 // informed is up to when this node knows of every cancellation that a user can
 // have been told of: it has read the state service since, or every peer, asked
-// then, knew of no change that this node does not.
+// then, told it all that it knew of.
 func (n *Node) informed() core.Micros {
 	agreed := core.MaxMicros
 	for _, p := range n.peers {
@@ -239,5 +255,5 @@
 // stops lists what a worker that is answered in the leader's place, or after its
 // lease, is told all the same.
 func (n *Node) stops(r *core.Report) []core.Command {
-	return core.StopCancelled(r.Tasks, func(job string) bool { return n.view.jobs[job].Phase == core.Cancelled })
+	return core.StopCancelled(r.Tasks, n.isCancelled)
 }
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -96,6 +96,10 @@
 }
 
 func (n *Node) create(spec *core.JobSpec, reply func(httpapi.Answer)) {
+	if n.unreached() {
+		reply(httpapi.Unavailable())
+		return
+	}
 	rec := core.JobRecord{Spec: *spec, Submitted: wall()}
 	b, err := wire.EncodeJob(&rec)
 	if err != nil {
@@ -196,6 +200,10 @@
 		reply(n.state(rec))
 		return
 	}
+	if n.unreached() {
+		reply(httpapi.Unavailable())
+		return
+	}
 	stamp := rec.Stamp
 	rec = rec.Final(core.Cancelled, wall())
 	b, err := wire.EncodeJob(&rec)
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -8,6 +8,7 @@
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/nomad/registry"
+	"aspenstall/internal/peer"
 	"aspenstall/internal/statestore"
 	"aspenstall/internal/wire"
 )
@@ -19,7 +20,9 @@
 	jobs     map[string]core.JobRecord
 
 	leader      string // member name; "" for none
-	leaderStamp uint64
+	leaderStamp uint64 // of its key, or of when that went
+	lastLeader  string // who wrote the latest key
+	lastToken   uint64 // its version
 	catalogSeen uint64
 }
 
@@ -55,7 +58,7 @@
 		}
 		n.log.Debug("watch", "err", err)
 		sleep(ctx, pause)
-		pause = min(2*pause, time.Second)
+		pause = min(2*pause, 500*time.Millisecond)
 	}
 }
 
@@ -175,10 +178,12 @@
 	}
 	n.core.Job(n.now(), wall(), rec)
 	n.view.jobs[id] = rec
-	n.seen = max(n.seen, rec.Stamp)
 	if rec.Phase != core.Pending {
 		delete(n.counts, id)
 	}
+	if rec.Phase == core.Cancelled {
+		n.cancelled.add(peer.Cancelled{Job: id, Stamp: rec.Stamp, At: int64(rec.Ended)})
+	}
 	n.nomad.native(n, &rec)
 }
 
@@ -187,13 +192,25 @@
 		n.log.Info("leader", "leader", name, "revision", stamp)
 	}
 	n.view.leader, n.view.leaderStamp = name, stamp
-	if t := n.term; t != nil && name == n.cfg.Member && stamp > t.stamp {
-		// A rewrite of our own whose answer was lost.
-		t.raised(stamp)
+	if name != "" {
+		n.view.lastLeader, n.view.lastToken = name, stamp
+		n.heardLeader(name, stamp)
 	}
 	n.wakeElector()
 }
 
+// heardLeader takes word of a leader's key, read or told by a peer.
+func (n *Node) heardLeader(name string, token uint64) {
+	switch t := n.term; {
+	case t == nil || token <= t.stamp:
+	case name != n.cfg.Member:
+		t.deposed = true // also where its own lease can neither be renewed nor be seen to end
+	case token == n.view.lastToken:
+		// A rewrite of our own whose answer was lost.
+		t.raised(token)
+	}
+}
+
 func (n *Node) wakeElector() {
 	select {
 	case n.kick <- struct{}{}:
@@ -208,7 +225,7 @@
 // reads there is a pause, so that all nodes together leave half of the service's
 // requests to what is written, however many users ask.
 func (n *Node) whenFresh(f func(ok bool)) {
-	if len(n.waiting) >= 2000 {
+	if len(n.waiting) >= 2000 || n.unreached() {
 		f(false)
 		return
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,8 +28,18 @@
 	Workers bool     `msgpack:"w"` // workers have reached it in the last seconds
 	Token   uint64   `msgpack:"t"` // of its term; 0: it does not lead
 	Counts  []Counts `msgpack:"c"` // from the leader: what changed
+	// Leader wrote the latest leader's key that the node knows of, under LeaderToken;
+	// that of its own term counts also when its lease is not certain to be alive.
+	Leader      string `msgpack:"ln,omitempty"`
+	LeaderToken uint64 `msgpack:"lt,omitempty"`
+
+	// Have is the revision up to which the node that asks knows every change, 0 for
+	// none. The reply lists the cancellations after it that the peer knows of, and
+	// Vouches if these are all that it can have told users of.
+	Have      uint64      `msgpack:"h,omitempty"`
+	Cancelled []Cancelled `msgpack:"x,omitempty"`
+	Vouches   bool        `msgpack:"k,omitempty"`
 
-	Seen  uint64 `msgpack:"v"`           // the highest revision of a job that it knows
 	Life  uint64 `msgpack:"l"`           // of its process
 	Nonce uint64 `msgpack:"o,omitempty"` // of this reply
 	Echo  uint64 `msgpack:"e,omitempty"` // from the leader: the peer's last reply that it has; it may answer workers a while from that
@@ -38,6 +48,14 @@
 	AnsweredAgo int64 `msgpack:"a"`
 }
 
+// Cancelled is a job that was cancelled: the revision of its record, and when that
+// was written, by the wall clock in microseconds.
+type Cancelled struct {
+	Job   string `msgpack:"j"`
+	Stamp uint64 `msgpack:"s"`
+	At    int64  `msgpack:"a"`
+}
+
 // Counts is how far a job has come.
 type Counts struct {
 	Job     string `msgpack:"j"`
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -21,6 +21,8 @@
 	last   map[string]string // the last final state a user was told
 	cancel map[string]time.Time
 	broken []string
+	gone   time.Duration   // the longest from a cancellation told until a task was gone
+	goneOf map[string]bool // jobs with tasks then
 	starts int
 	lapsed int // leases that ran out on machines with tasks
 }
@@ -29,7 +31,7 @@
 	return &checker{
 		w: w, on: map[string]*Worker{}, at: map[string]*Spec{}, use: map[string][2]float64{},
 		doneT: map[string]map[int]bool{}, known: map[string]bool{}, last: map[string]string{},
-		cancel: map[string]time.Time{},
+		cancel: map[string]time.Time{}, goneOf: map[string]bool{},
 	}
 }
 
@@ -102,6 +104,11 @@
 	defer c.mu.Unlock()
 	if c.on[t.Task] == k {
 		delete(c.on, t.Task)
+		job, _, _ := strings.Cut(t.Task, "/")
+		if at, ok := c.cancel[job]; ok {
+			c.gone = max(c.gone, time.Since(at))
+			c.goneOf[job] = true
+		}
 	}
 	u := c.use[t.spec.Team]
 	u[0], u[1] = u[0]-t.spec.CPUs, u[1]-t.spec.GPUs
@@ -197,6 +204,14 @@
 	return w.check.lapsed
 }
 
+// Gone says of how many jobs tasks were on machines when their cancellation was told,
+// and the longest that it took until the last of them was gone.
+func (w *World) Gone() (jobs int, longest time.Duration) {
+	w.check.mu.Lock()
+	defer w.check.mu.Unlock()
+	return len(w.check.goneOf), w.check.gone
+}
+
 // watch looks for tasks of cancelled jobs that are still on machines.
 func (c *checker) watch() {
 	for c.w.ctx.Err() == nil {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -9,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"aspenstall/internal/wire"
 )
 
 // Faults makes a stand-in's answers go wrong, by chance from a fixed seed.
@@ -18,14 +21,21 @@
 
 	LoseRequest float64 // closed without having been executed
 	LoseAnswer  float64 // executed, and closed without an answer
-	Late        float64 // given up, and executed LateBy later
+	Late        float64 // given up, and executed LateBy later, or up to LateMore after that
 	LateBy      time.Duration
+	LateMore    time.Duration
+	LateOnly    string        // requests to this path, if any is given
+	Again       float64       // requests to a node of which a copy arrives again, LateBy later or more
 	Delay       time.Duration // up to this much before it is executed
 	Down        bool          // 503 to everybody
 	Refuse      map[string]bool
 	RefuseReads map[string]bool // of these clients
 	RefuseText  string          // requests whose body holds it
 
+	// Repeated is told of each request that was carried out late or again, and how that
+	// was answered; the lock is held.
+	Repeated func(path string, status int)
+
 	// End says how a node's process ends with a request of its own, or with one that
 	// it serves; ends then ends it.
 	End  func(r *http.Request, body []byte) Ending
@@ -59,15 +69,20 @@
 func (f *Faults) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
-		down := f.Down || f.Refuse[r.RemoteAddr] || r.Method == http.MethodGet && f.RefuseReads[r.RemoteAddr]
 		dice := f.rand.Float64()
 		text := f.RefuseText
 		delay := time.Duration(f.rand.Float64() * float64(f.Delay))
 		loseReq, loseAns, late, lateBy := f.LoseRequest, f.LoseAnswer, f.Late, f.LateBy
+		lateBy += time.Duration(f.rand.Float64() * float64(f.LateMore))
+		if f.LateOnly != "" && r.URL.Path != f.LateOnly {
+			late = 0
+		}
+		again := f.Again > 0 && f.rand.Float64() < f.Again
 		f.mu.Unlock()
 		if delay > 0 {
 			time.Sleep(delay)
 		}
+		down := f.refuses(r)
 		if text != "" {
 			b := readBody(r)
 			body, _ := io.ReadAll(b())
@@ -107,16 +122,52 @@
 			h.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		case dice < loseReq+loseAns+late:
-			b := readBody(r)
-			go func() {
-				time.Sleep(lateBy)
-				again := r.Clone(r.Context())
-				again.Body = b()
-				defer func() { _ = recover() }() // whoever it was for may be gone
-				h.ServeHTTP(httptest.NewRecorder(), again)
-			}()
+			f.repeat(h, r, lateBy)
 			panic(http.ErrAbortHandler)
+		case again:
+			f.repeat(h, r, lateBy)
+		}
+		if r.URL.Path == wire.ChangesPath {
+			f.watch(w, r, h)
+			return
 		}
 		h.ServeHTTP(w, r)
 	})
 }
+
+// repeat has a copy of the request executed so much later, whose answer goes nowhere.
+func (f *Faults) repeat(h http.Handler, r *http.Request, after time.Duration) {
+	b := readBody(r)
+	r.Body = b()
+	go func() {
+		time.Sleep(after)
+		again := r.Clone(context.WithoutCancel(r.Context()))
+		again.Body = b()
+		defer func() { _ = recover() }() // whoever it was for may be gone
+		rec := httptest.NewRecorder()
+		h.ServeHTTP(rec, again)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.Repeated != nil {
+			f.Repeated(again.URL.Path, rec.Code)
+		}
+	}()
+}
+
+// watch serves a read of the changes. While the client is refused an open one waits,
+// as in an outage.
+func (f *Faults) watch(w http.ResponseWriter, r *http.Request, h http.Handler) {
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, r)
+	for f.refuses(r) && r.Context().Err() == nil {
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.WriteHeader(rec.Code)
+	_, _ = w.Write(rec.Body.Bytes())
+}
+
+func (f *Faults) refuses(r *http.Request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Down || f.Refuse[r.RemoteAddr] || r.Method == http.MethodGet && f.RefuseReads[r.RemoteAddr]
+}
--- /dev/null
+++ b/internal/standin/meetings_test.go
@@ -0,0 +1,292 @@
+package standin_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"aspenstall/internal/standin"
+	"aspenstall/internal/wire"
+)
+
+var drawnMeetings = flag.Int("meetings", 8, "how many drawn days TestDrawnMeetings plays")
+
+// refused is a day on which the state service refuses the leader alone, another
+// controller confirms cancellations to users, and then nobody has the state service for
+// longer than a cancellation may take, while workers stay with the old leader.
+type refused struct {
+	first    time.Duration // from the refusal to the first cancellations
+	out      time.Duration // from the refusal to the outage
+	lasts    time.Duration // the outage; 0: longer than a cancellation may take
+	moved    bool          // another leads by then, and workers hear it
+	setup    func(w *standin.World)
+	with     []act // times count from the refusal
+	told     int   // cancellations that were told before the outage began
+	toldOut  int   // and by the time it had lasted a second
+	stayed   int   // workers with tasks that the old leader answered in the outage
+	leader   int
+	lastTask time.Duration
+}
+
+// refuseOne refuses one node the state service, or serves it again.
+func refuseOne(w *standin.World, i int, on bool) {
+	w.StateFaults.Set(func(f *standin.Faults) { f.Refuse[w.NodeAddr(i)] = on })
+}
+
+// play plays the day: long tasks of every kind run by the minute, some jobs are
+// cancelled in the refusal.
+func (d *refused) play(t *testing.T, seed uint64) {
+	const s = time.Second
+	const at = 60 * s
+	lasts := d.lasts
+	if lasts == 0 {
+		lasts = 75 * s
+	}
+	var outage time.Time
+	acts := []act{
+		{at, func(w *standin.World) {
+			d.leader = max(w.Leader(), 0)
+			refuseOne(w, d.leader, true)
+		}},
+		{at + d.out, stateDown(true)},
+		{at + d.out, func(*standin.World) { outage = time.Now() }},
+		{at + d.out + 14*s, func(w *standin.World) {
+			for _, k := range w.Cloud.Workers() {
+				if len(k.Running()) > 0 && k.Answered().After(outage.Add(s)) {
+					d.stayed++
+				}
+			}
+		}},
+		{at + d.out + lasts, stateDown(false)},
+		{at + d.out + lasts + 10*s, func(w *standin.World) { refuseOne(w, d.leader, false) }},
+	}
+	for _, a := range d.with {
+		acts = append(acts, act{at + a.at, a.do})
+	}
+	p := platform()
+	p.Params.Teams = p.Params.Teams[:0]
+	addTeam(&p, "blue", 40, 200, 0, 0)
+	addTeam(&p, "green", 40, 200, 0, 0)
+	var world *standin.World
+	play(t, day{seed: seed, setup: d.setup, acts: acts}, p, machineTypes[:1], func(t *testing.T, u *users) {
+		w := u.w
+		world = w
+		for i := range 24 {
+			var job standin.Spec
+			switch i % 3 {
+			case 0:
+				job = service(300+i, 4)
+			case 1:
+				job = array(100+i, 4, 120)
+				job.DueS = nil
+			case 2:
+				job = gang(200+i, 2, 120)
+				job.OneZone, job.CheckpointS = false, 0
+			}
+			u.after(0, func() {
+				if !w.Submit(job) {
+					t.Errorf("%s was not accepted", job.ID)
+					return
+				}
+				switch {
+				case i < 12: // cancelled while the leader is refused
+					time.Sleep(time.Until(u.begun.Add(at + d.first + time.Duration(i)*20*time.Millisecond)))
+					if w.Cancel(job.ID) == "aborted" && (outage.IsZero() || time.Since(outage) < s) {
+						d.toldOut++
+						if outage.IsZero() {
+							d.told++
+						}
+					}
+				case i%3 == 0: // a service that goes on
+					time.Sleep(at + d.out + lasts + 60*s)
+					u.must(job.ID, "running")
+				default:
+					u.must(job.ID, "done")
+				}
+			})
+		}
+	})
+	jobs, longest := world.Gone()
+	t.Logf("%d cancellations told before the outage, %d within a second of it; %d jobs had tasks then, the last was gone after %v; the old leader answered %d workers with tasks in the outage",
+		d.told, d.toldOut, jobs, longest.Round(100*time.Millisecond), d.stayed)
+	if d.toldOut < 4 || jobs < 4 {
+		t.Error("hardly anything was cancelled in time: the day shows nothing")
+	}
+	if !d.moved && d.stayed == 0 {
+		t.Error("no worker stayed with the old leader: the day shows nothing")
+	}
+	if d.moved && world.Leader() == d.leader {
+		t.Error("nobody else led")
+	}
+}
+
+// TestRefusedThenOut: the tasks of jobs whose cancellation another controller has
+// confirmed are gone in time, although the workers stay with a leader that the state
+// service refused before it failed for all. The outage begins right after the
+// confirmations, before and after the leader's lease is over, before and after another
+// has the term. Without the bound on what is answered unread, ran_cancelled is broken.
+func TestRefusedThenOut(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	peers := func(on bool) func(*standin.World) { return func(w *standin.World) { w.CutPeers(on) } }
+	for _, c := range []struct {
+		name string
+		day  refused
+	}{
+		{"right after a confirmation", refused{first: 0, out: 200 * ms}},
+		{"before its lease is over", refused{first: 500 * ms, out: 2 * s}},
+		{"its lease is over, nobody else leads", refused{first: s, out: 2900 * ms}},
+		{"another has the term", refused{first: s, out: 4 * s, moved: true}},
+		{"another leads, and some workers heard it", refused{first: 2 * s, out: 7 * s, moved: true}},
+		{"peers are refused too", refused{first: 500 * ms, out: 2 * s, with: []act{{0, peers(true)}}}},
+		{"peers are refused in the outage", refused{first: 500 * ms, out: 2 * s, with: []act{{4 * s, peers(true)}, {30 * s, peers(false)}}}},
+		{"who confirmed ends in the outage and is back", refused{first: 500 * ms, out: 2 * s}},
+		{"the leader stands still for seconds", refused{first: 500 * ms, out: 2 * s}},
+		{"machines hang and go on", refused{first: 500 * ms, out: 2 * s}},
+		{"starts are under way", refused{first: 500 * ms, out: 2 * s, setup: func(w *standin.World) {
+			w.WorkerFaults.Late, w.WorkerFaults.LateBy, w.WorkerFaults.LateMore, w.WorkerFaults.LateOnly = 0.5, 20*s, 50*s, wire.CommandsPath
+		}}},
+	} {
+		d := &c.day
+		h := &cuts{}
+		switch {
+		case strings.HasPrefix(c.name, "who confirmed"):
+			for i := range 2 {
+				other := func(w *standin.World) int { return (d.leader + 1 + i) % 3 }
+				d.with = append(d.with, act{5 * s, func(w *standin.World) { w.Kill(other(w)) }}, act{5*s + 300*ms, func(w *standin.World) { w.StartNode(other(w)) }})
+			}
+		case strings.HasPrefix(c.name, "the leader stands"):
+			d.with = []act{{1500 * ms, func(w *standin.World) { w.Freeze(d.leader, true) }}, {9 * s, func(w *standin.World) { w.Freeze(d.leader, false) }}}
+		case strings.HasPrefix(c.name, "machines hang"):
+			d.with = []act{{s, h.hang}, {12 * s, h.goOn}, {30 * s, h.hang}, {40 * s, h.goOn}}
+		}
+		t.Run(c.name, func(t *testing.T) { d.play(t, 80) })
+	}
+}
+
+// meeting is a kind of trouble of LATER meetings that TestDrawnMeetings combines.
+var meetingKinds = []struct {
+	name string
+	acts func(r *rand.Rand, at time.Duration) []act
+}{
+	{"late writes", func(r *rand.Rand, at time.Duration) []act {
+		share := 0.1 + 0.4*r.Float64()
+		return []act{{at, lateWrites(share)}, {at + between(r, 10, 40), lateWrites(0)}}
+	}},
+	{"late reports", func(r *rand.Rand, at time.Duration) []act {
+		share := 0.1 + 0.5*r.Float64()
+		return []act{{at, lateReports(share)}, {at + between(r, 10, 60), lateReports(0)}}
+	}},
+	{"late commands", func(r *rand.Rand, at time.Duration) []act {
+		late := func(share float64) func(*standin.World) {
+			return func(w *standin.World) {
+				w.WorkerFaults.Set(func(f *standin.Faults) { f.Late, f.LateBy, f.LateMore = share, time.Second, 29*time.Second })
+			}
+		}
+		return []act{{at, late(0.1 + 0.3*r.Float64())}, {at + between(r, 10, 40), late(0)}}
+	}},
+	{"machines deaf", func(r *rand.Rand, at time.Duration) []act {
+		one, in := r.IntN(2) == 0, 2+r.IntN(4)
+		zone := []string{"a", "b", "c"}[r.IntN(3)]
+		deaf := map[string]bool{}
+		return []act{{at, func(w *standin.World) {
+			for i, k := range w.Cloud.Workers() {
+				if one && k.Zone() == zone || !one && i%in == 0 {
+					k.Deaf(true)
+					deaf[k.Name()] = true
+				}
+			}
+		}}, {at + between(r, 5, 60), func(w *standin.World) {
+			for _, k := range w.Cloud.Workers() {
+				if deaf[k.Name()] {
+					k.Deaf(false)
+				}
+			}
+		}}}
+	}},
+	{"leader cut from state and peers", func(r *rand.Rand, at time.Duration) []act {
+		cut := &apart{}
+		return []act{{at, cut.begin}, {at + between(r, 5, 60), cut.end}}
+	}},
+	{"leader refused, then all", func(r *rand.Rand, at time.Duration) []act {
+		lead, out := 0, at+time.Duration(r.IntN(8000))*time.Millisecond
+		over := out + between(r, 5, 60)
+		return []act{{at, func(w *standin.World) { lead = max(w.Leader(), 0); refuseOne(w, lead, true) }}, {out, stateDown(true)}, {over, stateDown(false)},
+			{over + between(r, 0, 20), func(w *standin.World) { refuseOne(w, lead, false) }}}
+	}},
+	{"all end, one is back at once", func(r *rand.Rand, at time.Duration) []act {
+		return []act{{at, killAll}, {at + time.Duration(1+r.IntN(900))*time.Millisecond, start(r.IntN(3))}, {at + between(r, 3, 12), startAll}}
+	}},
+	{"slow state", func(r *rand.Rand, at time.Duration) []act {
+		slow := func(d time.Duration) func(*standin.World) {
+			return func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Delay = d }) }
+		}
+		return []act{{at, slow(between(r, 0, 2) + 200*time.Millisecond)}, {at + between(r, 5, 30), slow(0)}}
+	}},
+}
+
+// lateWrites has a share of the transactions get no answer and be carried out 2 to 12 s
+// later, after newer ones.
+func lateWrites(share float64) func(*standin.World) {
+	return func(w *standin.World) {
+		w.StateFaults.Set(func(f *standin.Faults) {
+			f.Late, f.LateBy, f.LateMore, f.LateOnly = share, 2*time.Second, 10*time.Second, wire.CommitPath
+		})
+	}
+}
+
+// lateReports has a copy of a share of the workers' reports arrive again, from 2 s to
+// well over a lease later.
+func lateReports(share float64) func(*standin.World) {
+	return func(w *standin.World) {
+		for _, n := range w.NodeFaults {
+			n.Set(func(f *standin.Faults) { f.Again, f.LateBy, f.LateMore = share, 2*time.Second, 28*time.Second })
+		}
+	}
+}
+
+// apart cuts the leader off from the state service and the other controllers, not from
+// workers and users.
+type apart struct{ node int }
+
+func (a *apart) begin(w *standin.World) {
+	a.node = max(w.Leader(), 0)
+	cutNode(w, a.node, w.StateAddr(), true)
+	w.CutPeersOf(a.node, true)
+}
+
+func (a *apart) end(w *standin.World) {
+	cutNode(w, a.node, w.StateAddr(), false)
+	w.CutPeersOf(a.node, false)
+}
+
+// TestDrawnMeetings plays days on which two or three troubles meet in the same half
+// minute, those of meetings among those of cuts, drawn by seed: no rule is broken, and
+// every job that was not cancelled runs or is done once they are over. The long form,
+// outside CI:
+//
+//	go test ./internal/standin -run TestDrawnMeetings -meetings 500
+func TestDrawnMeetings(t *testing.T) {
+	kinds := slices.Concat(meetingKinds, troubleKinds)
+	for seed := range *drawnMeetings {
+		r := rand.New(rand.NewPCG(uint64(seed), 33))
+		d := day{seed: uint64(7000 + seed)}
+		chosen := []int{r.IntN(len(meetingKinds))}
+		for len(chosen) < 2+r.IntN(2) {
+			if k := r.IntN(len(kinds)); !slices.Contains(chosen, k) {
+				chosen = append(chosen, k)
+			}
+		}
+		var names []string
+		for _, k := range chosen {
+			names = append(names, kinds[k].name)
+			d.acts = append(d.acts, kinds[k].acts(r, between(r, 40, 70))...)
+		}
+		slices.Sort(names)
+		d.name = fmt.Sprintf("%d %s", seed, strings.Join(names, ", "))
+		t.Run(d.name, func(t *testing.T) { playCut(t, d) })
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -74,6 +74,7 @@
 	images   map[string]bool
 	answered time.Time
 	dead     bool
+	deaf     bool // its reports arrive, answers and direct commands to it are lost
 	Sick     bool // every task it starts fails
 	wake     chan struct{}
 	stop     context.CancelFunc
@@ -112,6 +113,19 @@
 // Hang has the machine answer nothing and report nothing, or go on.
 func (k *Worker) Hang(hang bool) { k.w.Net.Still(k.at, hang) }
 
+// Deaf has what is sent to the machine lost, and not what it sends, or lets it hear.
+func (k *Worker) Deaf(deaf bool) {
+	k.mu.Lock()
+	k.deaf = deaf
+	k.mu.Unlock()
+}
+
+func (k *Worker) isDeaf() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.deaf
+}
+
 // Zone is the machine's zone.
 func (k *Worker) Zone() string { return k.zone }
 
@@ -261,12 +275,20 @@
 	if err != nil {
 		return 0, nil
 	}
+	if k.isDeaf() {
+		<-ctx.Done()
+		return 0, nil
+	}
 	return resp.StatusCode, b
 }
 
 // ServeHTTP serves direct commands.
 func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b, _ := io.ReadAll(r.Body)
+	if k.isDeaf() {
+		<-r.Context().Done() // the sender gives up
+		panic(http.ErrAbortHandler)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.dead {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -292,11 +292,17 @@
 
 // CutPeers cuts or mends the ways between the nodes, and nothing else.
 func (w *World) CutPeers(cut bool) {
-	for _, a := range w.Nodes {
-		for _, b := range w.Nodes {
-			if a != b {
-				w.Net.Cut(a.addr, b.peers, cut)
-			}
+	for i := range w.Nodes {
+		w.CutPeersOf(i, cut)
+	}
+}
+
+// CutPeersOf cuts or mends the ways between a node and the others.
+func (w *World) CutPeersOf(i int, cut bool) {
+	for _, b := range w.Nodes {
+		if a := w.Nodes[i]; a != b {
+			w.Net.Cut(a.addr, b.peers, cut)
+			w.Net.Cut(b.addr, a.peers, cut)
 		}
 	}
 }
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -175,6 +175,7 @@
 // users is who submits jobs on a day.
 type users struct {
 	w      *standin.World
+	begun  time.Time // when the day began
 	r      *rand.Rand
 	group  sync.WaitGroup
 	mu     sync.Mutex
@@ -242,7 +243,7 @@
 			day.setup(w)
 		}
 		startAll(w)
-		u := &users{w: w, r: rand.New(rand.NewPCG(day.seed, 7))}
+		u := &users{w: w, begun: time.Now(), r: rand.New(rand.NewPCG(day.seed, 7))}
 		for _, a := range day.acts {
 			u.after(a.at, func() { a.do(w) })
 		}
