--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -221,3 +221,30 @@
 	f.beat()
 	w.want("dropped", w.drops[late.Key] && w.drops[RangeKey("job-1", 0, 1)], true)
 }
+
+// TestEndsKept: an idle machine stays until its finished tasks are recorded: if the leader
+// ended before that, the next one would learn of them from the machine's reports alone, and
+// run them again.
+func TestEndsKept(t *testing.T) {
+	w := newWorld(t, Team{Name: "blue"})
+	w.begin(100, nil, Snapshot{})
+	f := w.machine("n-1", "a").beat()
+	w.submit(JobSpec{ID: "job-1", Tasks: 2})
+	f.direct()
+	f.beat()
+	f.exit(0, CauseDone)
+	f.exit(1, CauseStopped)
+	w.c.jobs["job-1"].notBefore = MaxMicros // the other is not started again
+	w.failWrites = true
+	for range 90 {
+		w.pass(Second)
+		f.beat()
+	}
+	w.want("returned", len(w.backs), 0)
+	w.failWrites = false
+	for range 30 {
+		w.pass(Second)
+		f.beat()
+	}
+	w.want("returned once recorded", len(w.backs), 1)
+}
--- a/internal/core/return.go
+++ b/internal/core/return.go
@@ -36,6 +36,8 @@
 		case !m.settled:
 		case m.typ == nil && m.used == (Res{}):
 			c.giveBack(m, now, "of a type that is not in the catalog")
+		case c.ownsEnds(m):
+			// Until they are recorded, its reports are where finished tasks are known.
 		case m.draining, m.vacating:
 			if m.used == (Res{}) {
 				c.giveBack(m, now, "drained")
@@ -58,6 +60,17 @@
 	}
 }
 
+// ownsEnds reports whether the machine has tasks that are done and not recorded as done:
+// a leader that begins now learns of them from its reports alone.
+func (c *Core) ownsEnds(m *machine) bool {
+	for _, p := range m.tasks {
+		if p.shown && p.state == Exited && p.cause == CauseDone && !p.finalOK {
+			return true
+		}
+	}
+	return false
+}
+
 // giveBack has a machine returned. What was not sent to it yet goes elsewhere.
 func (c *Core) giveBack(m *machine, now Micros, why string) {
 	if m.returning {
