--- a/internal/core/tally_test.go
+++ b/internal/core/tally_test.go
@@ -21,12 +21,12 @@
 		recs = append(recs, JobRecord{Spec: s, Phase: phase, Submitted: w.now, Stamp: 5})
 	}
 	job("job-1", "blue", "runs", 1, Pending)
-	job("job-2", "blue", "runs", 1, Pending) // at its team's max
+	job("job-2", "blue", "runs", 2, Pending) // at its team's max
 	job("job-3", "blue", "maps", 1, Done)
 	job("job-4", "green", "runs", 1, Cancelled)
 	w.rounds(3, []*fake{f})
 	w.pass(7 * Second)
-	want := "[{blue maps 1 1 0 0 0 0} {blue runs 2 0 0 1 1 10000000} {green runs 1 0 1 0 0 0}]"
+	want := "[{blue maps 1 1 0 0 0 0 {1 1 1 0}} {blue runs 2 0 0 1 1 10000000 {1 0 0 10000000}} {green runs 1 0 1 0 0 0 {0 0 0 0}}]"
 	w.want("tally", fmt.Sprint(TallyJobs(slices.Values(recs), w.now, w.c.Begun)), want)
 
 	o := newWorld(t, Team{Name: "blue"}, Team{Name: "green"})
--- a/internal/node/served.go
+++ b/internal/node/served.go
@@ -18,6 +18,7 @@
 	}
 	for _, t := range core.TallyJobs(maps.Values(n.view.jobs), wall(), n.core.Begun) {
 		n.log.Info("served", "team", t.Team, "class", t.Class, "accepted", t.Accepted, "done", t.Done, "cancelled", t.Cancelled,
-			"running", t.Running, "waiting", t.Waiting, "longest_wait_s", t.LongestWait/core.Second)
+			"running", t.Running, "waiting", t.Waiting, "longest_wait_s", t.LongestWait/core.Second,
+			"largest", t.Largest.Jobs, "largest_begun", t.Largest.Begun, "largest_done", t.Largest.Done, "largest_wait_s", t.Largest.LongestWait/core.Second)
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -286,7 +286,10 @@
 func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b, _ := io.ReadAll(r.Body)
 	if k.isDeaf() {
-		<-r.Context().Done() // the sender gives up
+		select { // the sender gives up, unless this is a late copy
+		case <-r.Context().Done():
+		case <-time.After(10 * time.Second):
+		}
 		panic(http.ErrAbortHandler)
 	}
 	k.mu.Lock()
