--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -439,7 +439,12 @@
 	if t.spec.Shape == "standing" {
 		return
 	}
-	t.timer = time.AfterFunc(time.Duration(t.spec.RunS*float64(time.Second)), func() { k.end(t, "done", false) })
+	run := t.spec.RunS
+	if _, index, _ := strings.Cut(t.Task, "/"); t.spec.RunOf != nil {
+		i, _ := strconv.Atoi(index)
+		run = t.spec.RunOf[i]
+	}
+	t.timer = time.AfterFunc(time.Duration(run*float64(time.Second)), func() { k.end(t, "done", false) })
 }
 
 // Running lists the tasks on the machine.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -44,8 +44,9 @@
 	SaveS       float64 `msgpack:"pin_cost_s"`
 	DueS        any     `msgpack:"due_s"`
 
-	RunS   float64 `msgpack:"-"`
-	Broken bool    `msgpack:"-"` // fails on every machine
+	RunS   float64         `msgpack:"-"`
+	RunOf  map[int]float64 `msgpack:"-"` // of single tasks
+	Broken bool            `msgpack:"-"` // fails on every machine
 }
 
 // Node is a controller of the world.
