--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -120,7 +121,7 @@
 func (n *Node) status() *peer.Status {
 	s := &peer.Status{
 		Node: n.cfg.Member, StateOK: n.stateOK(), Workers: n.beatHeard > 0 && n.now()-n.beatHeard < 3*core.Second,
-		Life: n.life, AnsweredAgo: -1, Leader: n.view.lastLeader, LeaderToken: n.view.lastToken,
+		Seen: math.MaxUint64, Life: n.life, AnsweredAgo: -1, Leader: n.view.lastLeader, LeaderToken: n.view.lastToken,
 	}
 	if n.view.ready {
 		s.Have = n.view.revision
@@ -176,6 +177,7 @@
 			}
 		}
 	}
+	n.heardLeader(s.Node, s.Token)
 	n.heardLeader(s.Leader, s.LeaderToken)
 	if t := n.term; t != nil && core.ShouldResign(n.now(), t.begun, n.beatHeard, core.Seconds(n.cfg.Params.Workers.ReportS), s.Workers) {
 		n.resign("workers reach a peer and not this node: " + s.Node)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -36,7 +36,10 @@
 	// Have is the revision up to which the node that asks knows every change, 0 for
 	// none. The reply lists the cancellations after it that the peer knows of, and
 	// Vouches if these are all that it can have told users of.
-	Have      uint64      `msgpack:"h,omitempty"`
+	Have uint64 `msgpack:"h,omitempty"`
+	// Seen tells peers of an earlier version, which take a low one for agreement that
+	// no job has changed, that there is none.
+	Seen      uint64      `msgpack:"v"`
 	Cancelled []Cancelled `msgpack:"x,omitempty"`
 	Vouches   bool        `msgpack:"k,omitempty"`
 
