Waiting arrays are looked at by shape when they are to begin

A pass in a full fleet asked for room once for each of hundreds of waiting arrays. Behaviour as before: a shape that found no room finds none for the next job.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -14,6 +14,11 @@
 	oneZone       bool
 }
 
+func (j *job) shape() shape {
+	return shape{need: j.spec.Need, spot: j.spec.Spot, service: j.spec.Kind == Service, team: j.spec.Team,
+		priority: j.spec.Priority, types: j.types, zone: j.spec.Zone}
+}
+
 // schedule gives room to waiting tasks in the queue's order.
 func (c *Core) schedule(now Micros) {
 	clear(c.lookouts)
@@ -36,8 +41,7 @@
 			continue
 		}
 		plain := (gang || !j.spec.OneZone) && !j.spec.Spread && j.errors == nil
-		key := shape{need: j.spec.Need, spot: j.spec.Spot, service: j.spec.Kind == Service, team: j.spec.Team,
-			priority: j.spec.Priority, types: j.types, zone: j.spec.Zone}
+		key := j.shape()
 		if gang {
 			key.gang, key.oneZone = j.spec.Tasks, j.spec.OneZone
 		}
@@ -77,6 +81,7 @@
 // that has waited for long and has not begun: in overload the order of the queue would
 // leave the largest for the end. A task of each takes little from the others.
 func (c *Core) beginWaiting(queue []*job, now Micros) {
+	full := map[shape]bool{}
 	for _, j := range queue {
 		if j.spec.Priority != queue[0].spec.Priority {
 			return
@@ -86,11 +91,13 @@
 		}
 		use := c.teamUse(j.team)
 		i := j.nextPending()
-		if i < 0 || overMax(use, j.spec.Need, j.team.Max) || c.borrowsHeld(j, use) {
+		if i < 0 || full[j.shape()] || overMax(use, j.spec.Need, j.team.Max) || c.borrowsHeld(j, use) {
 			continue
 		}
 		if m := c.pick(j, now, "", false); m != nil {
 			c.put(j, i, m, c.nextAttempt(), now)
+		} else {
+			full[j.shape()] = true
 		}
 	}
 }
