--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,6 +88,10 @@
 
 	services arrivals
 	batches  holding // of a class with such an aim
+
+	sizes []int // tasks of the latest arrays, in a ring
+	size  int   // the next to be replaced
+	large int   // arrays of so many tasks are among its largest; 0: not known
 }
 
 // New returns a core that does not lead.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -78,15 +78,16 @@
 const beginWithin = 150 * Second
 
 // beginWaiting gives one task's room to each array of the first priority in the queue
-// that has waited for long and has not begun: in overload the order of the queue would
-// leave the largest for the end. A task of each takes little from the others.
+// that is among the largest of its class, has waited for long and has not begun: in
+// overload the order of the queue would leave those for the end. A task of each takes
+// little from the others.
 func (c *Core) beginWaiting(queue []*job, now Micros) {
 	full := map[shape]bool{}
 	for _, j := range queue {
 		if j.spec.Priority != queue[0].spec.Priority {
 			return
 		}
-		if j.spec.Kind != Array || j.on > 0 || j.done > 0 || now-j.submitted < beginWithin || j.held || j.stopping || now < j.notBefore {
+		if j.spec.Kind != Array || j.spec.Tasks < j.class.large || j.on > 0 || j.done > 0 || now-j.submitted < beginWithin || j.held || j.stopping || now < j.notBefore {
 			continue
 		}
 		use := c.teamUse(j.team)
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -135,6 +135,26 @@
 	return out
 }
 
+// sizesKept is by how many of its latest arrays a class's sizes are known, and largeFrom
+// the share of them that are smaller than its largest.
+const (
+	sizesKept = 256
+	largeFrom = 0.75
+)
+
+// sized notes the tasks of an array of the class.
+func (k *class) sized(tasks int) {
+	if len(k.sizes) < sizesKept {
+		k.sizes = append(k.sizes, tasks)
+	} else {
+		k.sizes[k.size] = tasks
+	}
+	if k.size = (k.size + 1) % sizesKept; k.size%16 == 0 || len(k.sizes) < 16 {
+		in := slices.Sorted(slices.Values(k.sizes))
+		k.large = in[int(float64(len(in))*largeFrom)]
+	}
+}
+
 // sized is a job with the work it still needs.
 type sized struct {
 	job  *job
