--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -308,11 +308,7 @@
 		t.raise()
 	case core.SendCommands:
 		go func() {
-			if !n.mayAct() {
-				n.post(func() { n.ifTerm(t, func() { n.core.Commanded(n.now(), a.Machine, a.Token, core.NotSent, nil) }) })
-				return
-			}
-			o, r := n.workers.Send(n.ctx, a)
+			o, r := n.workers.Send(n.ctx, a, n.mayAct)
 			n.post(func() { n.ifTerm(t, func() { n.core.Commanded(n.now(), a.Machine, a.Token, o, r) }) })
 		}()
 	case core.Rent:
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -22,19 +22,33 @@
 )
 
 // Client sends commands to workers.
-type Client struct{ http *http.Client }
+type Client struct {
+	http  *http.Client
+	slots chan struct{} // one for each command under way
+}
 
-// New returns a client that keeps at most conns connections, idle ones included.
+// New returns a client that keeps at most conns idle connections, and has two thirds as many
+// commands under way: a leader that begins has something for every machine at once, and
+// would take all sockets that it has.
 func New(conns int, dial netdial.Func) *Client {
-	return &Client{http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
+	return &Client{slots: make(chan struct{}, max(conns*2/3, 1)), http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
 		DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: conns,
 		IdleConnTimeout: 60 * time.Second, DisableCompression: true,
 	}}}
 }
 
-// Send sends commands. The report is the worker's after them, and nil without
-// an answer.
-func (c *Client) Send(ctx context.Context, s core.SendCommands) (core.Outcome, *core.Report) {
+// Send sends commands once it is their turn, if they may still be sent then. The report
+// is the worker's after them, and nil without an answer.
+func (c *Client) Send(ctx context.Context, s core.SendCommands, may func() bool) (core.Outcome, *core.Report) {
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	case <-ctx.Done():
+		return core.NotSent, nil
+	}
+	if !may() {
+		return core.NotSent, nil
+	}
 	if len(s.Commands) == 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
