--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,6 +31,7 @@
 	zoneOf    map[string]*zone
 	deaf      bool                 // hardly any machine is heard
 	deafFrom  Micros               // since when; 0: it is not, or that is not known yet
+	taken     bool                 // a machine has shown a token of this term
 	alone     bool                 // most of the fleet is silent, by zones: this leader is cut off
 	aloneFrom Micros               // since when it is silent; 0: it is not
 	deputies  map[string][]*Deputy // by zone
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -138,6 +138,7 @@
 		m.idle = now // taken over empty from a former leader
 	}
 	if r.Token >= c.settleToken && r.Token > 0 {
+		c.taken = true
 		m.answered = min(m.answered, now) // a former leader's answers it drops
 		c.settle(m)
 	}
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -30,7 +30,7 @@
 	for _, t := range c.teams {
 		t.used, t.placed = Res{}, [Production + 1]int{}
 	}
-	c.zoneOf, c.aloneFrom, c.deafFrom = map[string]*zone{}, 0, 0
+	c.zoneOf, c.aloneFrom, c.deafFrom, c.taken = map[string]*zone{}, 0, 0, false
 	for _, ds := range c.deputies {
 		for _, d := range ds {
 			d.begin()
--- a/internal/core/term.go
+++ b/internal/core/term.go
@@ -25,6 +25,11 @@
 // ShouldResign reports whether a leader should give the term up: no worker has
 // reached it for longer than all of them can have been silent by chance, while
 // a peer hears some. Its workers' leases would run out one after the other.
-func ShouldResign(now, begun, lastBeat, reportGap Micros, peerHears bool) bool {
-	return peerHears && now-max(begun, lastBeat) > resignAfter(reportGap)
+// Where workers reached it in this term and none took what it answered, they are deaf
+// and go from node to node: no other leader would be better off.
+func ShouldResign(now, begun, lastBeat, reportGap Micros, peerHears, taken bool) bool {
+	return peerHears && now-max(begun, lastBeat) > resignAfter(reportGap) && (taken || lastBeat <= begun)
 }
+
+// Taken reports whether any machine took an answer of this term.
+func (c *Core) Taken() bool { return c.taken }
--- a/internal/core/term_test.go
+++ b/internal/core/term_test.go
@@ -16,15 +16,18 @@
 	for _, c := range []struct {
 		name            string
 		begun, lastBeat Micros
-		peer, want      bool
+		peer, taken     bool
+		want            bool
 	}{
-		{"hears workers", 0, 99 * Second, true, false},
-		{"a short silence", 0, 94 * Second, true, false},
-		{"silence, a peer hears them", 0, 92 * Second, true, true},
-		{"silence for all", 0, 50 * Second, false, false},
-		{"new term", 95 * Second, 50 * Second, true, false},
+		{"hears workers", 0, 99 * Second, true, true, false},
+		{"a short silence", 0, 94 * Second, true, true, false},
+		{"silence, a peer hears them", 0, 92 * Second, true, true, true},
+		{"silence for all", 0, 50 * Second, false, true, false},
+		{"new term", 95 * Second, 50 * Second, true, true, false},
+		{"heard in this term, and none took an answer", 60 * Second, 92 * Second, true, false, false},
+		{"none heard in this term", 60 * Second, 50 * Second, true, false, true},
 	} {
-		if got := ShouldResign(100*Second, c.begun, c.lastBeat, gap, c.peer); got != c.want {
+		if got := ShouldResign(100*Second, c.begun, c.lastBeat, gap, c.peer, c.taken); got != c.want {
 			t.Errorf("%s: got %v", c.name, got)
 		}
 	}
