What comes beyond the sockets for users and workers is closed at once

Five sixths now, and who finds none goes to the next node at once. The listener that was used before, from golang.org/x/net, leaves the rest in the queue.

--- a/cmd/aspenstall/main.go
+++ b/cmd/aspenstall/main.go
@@ -143,7 +143,8 @@
 		return err
 	}
 	if m := p.Params.Limits.MaxConnections; m > 0 {
-		l = netutil.LimitListener(l, max(m*3/4, 8))
+		// The rest is for what the node dials, which takes an eighth and some.
+		l = netdial.Shed(l, max(m*5/6, 8))
 	}
 	pl, err := net.Listen("tcp", p.ClusterListen)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,7 +86,7 @@
 		cfg: p, settings: s, log: log,
 		store:   statestore.New(p.Services.State, p.Params.State.RPS, p.Params.State.WriteRPS, min(conns, 16), dial),
 		cloud:   cloud.New(p.Services.Cloud, p.Params.Cloud.RPS, dial),
-		workers: worker.New(max(p.Params.Limits.MaxConnections/8, 64), dial),
+		workers: worker.New(max(p.Params.Limits.MaxConnections/16, 64), dial),
 		dial:    dial,
 		life:    rand.Uint64(),
 		started: time.Now(),
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -27,11 +27,11 @@
 	slots chan struct{} // one for each command under way
 }
 
-// New returns a client that keeps at most conns idle connections, and has two thirds as many
-// commands under way: a leader that begins has something for every machine at once, and
-// would take all sockets that it has.
+// New returns a client that keeps at most conns idle connections, and has as many commands
+// under way: a leader that begins has something for every machine at once, and would take
+// all sockets that it has.
 func New(conns int, dial netdial.Func) *Client {
-	return &Client{slots: make(chan struct{}, max(conns*2/3, 1)), http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
+	return &Client{slots: make(chan struct{}, max(conns, 1)), http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
 		DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: conns,
 		IdleConnTimeout: 60 * time.Second, DisableCompression: true,
 	}}}
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -20,7 +20,7 @@
 func TestCommandsTakeTurns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var open, most, dials atomic.Int64
-		c := New(15, func(ctx context.Context, _, _ string) (net.Conn, error) {
+		c := New(10, func(ctx context.Context, _, _ string) (net.Conn, error) {
 			dials.Add(1)
 			if n := open.Add(1); n > most.Load() {
 				most.Store(n)
