--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -74,8 +74,12 @@
 	}
 }
 
-// beginWithin is how long an array waits in its order before it is begun with a task.
-const beginWithin = 150 * Second
+// beginWithin is how long an array waits in its order before it is begun with a task, and
+// beginLeast how many tasks it has at the least: one of fewer is a large part of it.
+const (
+	beginWithin = 150 * Second
+	beginLeast  = 8
+)
 
 // beginWaiting gives one task's room to each array of the first priority in the queue
 // that is among the largest of its class, has waited for long and has not begun: in
@@ -87,7 +91,7 @@
 		if j.spec.Priority != queue[0].spec.Priority {
 			return
 		}
-		if j.spec.Kind != Array || j.spec.Tasks < j.class.large || j.on > 0 || j.done > 0 || now-j.submitted < beginWithin || j.held || j.stopping || now < j.notBefore {
+		if j.spec.Kind != Array || j.spec.Tasks < max(j.class.large, beginLeast) || j.on > 0 || j.done > 0 || now-j.submitted < beginWithin || j.held || j.stopping || now < j.notBefore {
 			continue
 		}
 		use := c.teamUse(j.team)
