--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -174,7 +174,7 @@
 	c.dropUnwantedUnsent(m, now)
 	if r != nil {
 		c.heardUs(m)
-		if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
+		if m.newer(r) {
 			c.absorb(m, r, false, now)
 		}
 		if !m.settled && (r.Session != m.session || o == Refused) {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -39,7 +39,7 @@
 		j.class.services.seen(j)
 	} else {
 		j.class.batches.seen(j)
-		j.class.sized(j.spec.Tasks)
+		j.class.seenSize(j.spec.Tasks)
 	}
 }
 
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -142,8 +142,8 @@
 	largeFrom = 0.75
 )
 
-// sized notes the tasks of an array of the class.
-func (k *class) sized(tasks int) {
+// seenSize notes the tasks of an array of the class.
+func (k *class) seenSize(tasks int) {
 	if len(k.sizes) < sizesKept {
 		k.sizes = append(k.sizes, tasks)
 	} else {
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -20,13 +20,8 @@
 	if c.startsCancelled(m, r, now) {
 		return nil, 0, false
 	}
-	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
-		// Older than what is known: it changes nothing. A worker that still waits for
-		// this answer counts its lease from before it made the newer one; a copy, or
-		// one of an earlier session, renews nothing.
-		if r.Session == m.session {
-			m.answered = max(m.answered, m.heard)
-		}
+	if !m.newer(r) {
+		m.answerOld(r)
 		return nil, c.token, true
 	}
 	if m.typeName == "" {
@@ -70,15 +65,29 @@
 	if c.startsCancelled(m, r, now) {
 		return 0, false
 	}
-	if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
+	if m.newer(r) {
 		c.absorb(m, r, true, now)
 		m.answered = max(m.answered, now)
-	} else if r.Session == m.session {
-		m.answered = max(m.answered, m.heard)
+	} else {
+		m.answerOld(r)
 	}
 	return c.token, true
 }
 
+// newer reports whether a report is newer than all before it.
+func (m *machine) newer(r *Report) bool {
+	return r.Session > m.session || r.Session == m.session && r.Seq > m.seq
+}
+
+// answerOld notes that a report is answered that is older than what is known: it changes
+// nothing. A worker that still waits for the answer counts its lease from before it made
+// the newer one; a copy, or one of an earlier session, renews nothing.
+func (m *machine) answerOld(r *Report) {
+	if r.Session == m.session {
+		m.answered = max(m.answered, m.heard)
+	}
+}
+
 // absorb takes over a report that is newer than all before it.
 func (c *Core) absorb(m *machine, r *Report, beat bool, now Micros) {
 	if r.Session > m.session && m.session > 0 {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -177,7 +177,7 @@
 			}
 		}
 	}
-	n.heardLeader(s.Node, s.Token)
+	n.heardLeader(s.Node, s.Token) // all that a peer of an earlier version says
 	n.heardLeader(s.Leader, s.LeaderToken)
 	if t := n.term; t != nil && core.ShouldResign(n.now(), t.begun, n.beatHeard, core.Seconds(n.cfg.Params.Workers.ReportS), s.Workers, n.core.Taken()) {
 		n.resign("workers reach a peer and not this node: " + s.Node)
--- a/internal/standin/cut_test.go
+++ b/internal/standin/cut_test.go
@@ -196,12 +196,28 @@
 	})
 }
 
-// troubleKinds are the kinds that TestDrawnCuts combines; each gives the acts of one
-// that begins at a time.
-var troubleKinds = []struct {
+// trouble is a kind of trouble; it gives the acts of one that begins at a time.
+type trouble struct {
 	name string
 	acts func(r *rand.Rand, at time.Duration) []act
-}{
+}
+
+// drawn is the day of a seed on which troubles begin, each at a time that is drawn from
+// so many seconds on.
+func drawn(r *rand.Rand, number int, seed uint64, troubles []trouble, from, to int) day {
+	d := day{seed: seed}
+	var names []string
+	for _, k := range troubles {
+		names = append(names, k.name)
+		d.acts = append(d.acts, k.acts(r, between(r, from, to))...)
+	}
+	slices.Sort(names)
+	d.name = fmt.Sprintf("%d %s", number, strings.Join(names, ", "))
+	return d
+}
+
+// troubleKinds are the kinds that TestDrawnCuts combines.
+var troubleKinds = []trouble{
 	{"zone cut", func(r *rand.Rand, at time.Duration) []act {
 		c := &cuts{}
 		return []act{{at, c.cutOff(r.IntN(3))}, {at + between(r, 12, 60), c.mend}}
@@ -249,18 +265,11 @@
 func TestDrawnCuts(t *testing.T) {
 	for seed := range *drawnDays {
 		r := rand.New(rand.NewPCG(uint64(seed), 22))
-		d := day{seed: uint64(1000 + seed)}
-		kinds := []int{0}
+		kinds := troubleKinds[:1:1]
 		for _, k := range r.Perm(len(troubleKinds) - 1)[:1+r.IntN(3)] {
-			kinds = append(kinds, k+1)
-		}
-		var names []string
-		for _, k := range kinds {
-			names = append(names, troubleKinds[k].name)
-			d.acts = append(d.acts, troubleKinds[k].acts(r, between(r, 45, 75))...)
+			kinds = append(kinds, troubleKinds[k+1])
 		}
-		slices.Sort(names)
-		d.name = fmt.Sprintf("%d %s", seed, strings.Join(names, ", "))
+		d := drawn(r, seed, uint64(1000+seed), kinds, 45, 75)
 		t.Run(d.name, func(t *testing.T) { playCut(t, d) })
 	}
 }
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -167,11 +166,8 @@
 	}
 }
 
-// meeting is a kind of trouble of LATER meetings that TestDrawnMeetings combines.
-var meetingKinds = []struct {
-	name string
-	acts func(r *rand.Rand, at time.Duration) []act
-}{
+// meetingKinds are the kinds that TestDrawnMeetings combines with those of cuts.
+var meetingKinds = []trouble{
 	{"late writes", func(r *rand.Rand, at time.Duration) []act {
 		share := 0.1 + 0.4*r.Float64()
 		return []act{{at, lateWrites(share)}, {at + between(r, 10, 40), lateWrites(0)}}
@@ -273,20 +269,17 @@
 	kinds := slices.Concat(meetingKinds, troubleKinds)
 	for seed := range *drawnMeetings {
 		r := rand.New(rand.NewPCG(uint64(seed), 33))
-		d := day{seed: uint64(7000 + seed)}
 		chosen := []int{r.IntN(len(meetingKinds))}
 		for len(chosen) < 2+r.IntN(2) {
 			if k := r.IntN(len(kinds)); !slices.Contains(chosen, k) {
 				chosen = append(chosen, k)
 			}
 		}
-		var names []string
+		var troubles []trouble
 		for _, k := range chosen {
-			names = append(names, kinds[k].name)
-			d.acts = append(d.acts, kinds[k].acts(r, between(r, 40, 70))...)
+			troubles = append(troubles, kinds[k])
 		}
-		slices.Sort(names)
-		d.name = fmt.Sprintf("%d %s", seed, strings.Join(names, ", "))
+		d := drawn(r, seed, uint64(7000+seed), troubles, 40, 70)
 		t.Run(d.name, func(t *testing.T) { playCut(t, d) })
 	}
 }
