The seven meetings by name, each shown to have happened; liveness in the checker

Stand-ins: answers that are lost for good after the write, one-way partitions (mute machines), copies of reports for every node, users that look at all nodes at once and repeat what they said, also with other bodies.

--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -25,6 +25,14 @@
 	goneOf map[string]bool // jobs with tasks then
 	starts int
 	lapsed int // leases that ran out on machines with tasks
+	// Commands to start a task of a job whose user had been told that it is cancelled:
+	// how many were executed, and the longest after that.
+	startsAfter  int
+	startedAfter time.Duration
+
+	quietFrom time.Time            // no trouble after this; zero: not known
+	waits     map[string]time.Time // since when a job waits beside room for it
+	unheard   map[string]time.Time // since when no question about a job was answered
 }
 
 func newChecker(w *World) *checker {
@@ -32,6 +40,7 @@
 		w: w, on: map[string]*Worker{}, at: map[string]*Spec{}, use: map[string][2]float64{},
 		doneT: map[string]map[int]bool{}, known: map[string]bool{}, last: map[string]string{},
 		cancel: map[string]time.Time{}, goneOf: map[string]bool{},
+		waits: map[string]time.Time{}, unheard: map[string]time.Time{},
 	}
 }
 
@@ -126,12 +135,38 @@
 	c.doneT[job][i] = true
 }
 
+// ordered notes that a worker executes a command to start a task.
+func (c *checker) ordered(task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	job, _, _ := strings.Cut(task, "/")
+	if at, ok := c.cancel[job]; ok {
+		c.startsAfter++
+		c.startedAfter = max(c.startedAfter, time.Since(at))
+	}
+}
+
+// StartsAfter counts the commands to start a task that were executed after the job's user
+// had been told that it is cancelled, and says the longest that one came after that.
+func (w *World) StartsAfter() (starts int, longest time.Duration) {
+	w.check.mu.Lock()
+	defer w.check.mu.Unlock()
+	return w.check.startsAfter, w.check.startedAfter
+}
+
 func (c *checker) accepted(id string) {
 	c.mu.Lock()
 	c.known[id] = true
 	c.mu.Unlock()
 }
 
+// twice notes that a job that was accepted is accepted as new.
+func (c *checker) twice(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fail("forgotten: %s was accepted and is taken as new", id)
+}
+
 func (c *checker) refused(id string, status int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -154,9 +189,18 @@
 }
 
 func (c *checker) told(id, state string, before asks) {
+	if c.takes(id, state, before) {
+		c.w.look(id)
+	}
+}
+
+// takes takes what a user was told and reports whether it is a final state told first.
+func (c *checker) takes(id, state string, before asks) (first bool) {
 	spec := c.w.spec(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	delete(c.unheard, id)
+	first = c.last[id] == "" && (state == "done" || state == "aborted")
 	switch {
 	case state == "unknown" && before.known:
 		c.fail("forgotten: %s", id)
@@ -182,6 +226,7 @@
 		}
 		c.last[id] = state
 	}
+	return first
 }
 
 // expired notes that a worker's lease runs out; its lock is held.
@@ -224,6 +269,7 @@
 			}
 		}
 		c.mu.Unlock()
+		c.neglected()
 	}
 }
 
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -21,10 +21,11 @@
 
 	LoseRequest float64 // closed without having been executed
 	LoseAnswer  float64 // executed, and closed without an answer
+	NoAnswer    float64 // executed at once, and never answered: the client gives up
 	Late        float64 // given up, and executed LateBy later, or up to LateMore after that
 	LateBy      time.Duration
 	LateMore    time.Duration
-	LateOnly    string        // requests to this path, if any is given
+	LateOnly    string        // late, or without an answer, are requests to this path, if any is given
 	Again       float64       // requests to a node of which a copy arrives again, LateBy later or more
 	Delay       time.Duration // up to this much before it is executed
 	Down        bool          // 503 to everybody
@@ -36,6 +37,13 @@
 	// was answered; the lock is held.
 	Repeated func(path string, status int)
 
+	// Unanswered is told of each request that was executed without an answer, how it would
+	// have been answered and what it held; the lock is held.
+	Unanswered func(path string, status int, body []byte)
+
+	// Kept is given each request that comes, for copies of it; the lock is held.
+	Kept func(path string, body []byte)
+
 	// End says how a node's process ends with a request of its own, or with one that
 	// it serves; ends then ends it.
 	End  func(r *http.Request, body []byte) Ending
@@ -72,12 +80,18 @@
 		dice := f.rand.Float64()
 		text := f.RefuseText
 		delay := time.Duration(f.rand.Float64() * float64(f.Delay))
-		loseReq, loseAns, late, lateBy := f.LoseRequest, f.LoseAnswer, f.Late, f.LateBy
+		loseReq, loseAns, noAns, late, lateBy := f.LoseRequest, f.LoseAnswer, f.NoAnswer, f.Late, f.LateBy
 		lateBy += time.Duration(f.rand.Float64() * float64(f.LateMore))
 		if f.LateOnly != "" && r.URL.Path != f.LateOnly {
-			late = 0
+			late, noAns = 0, 0
 		}
 		again := f.Again > 0 && f.rand.Float64() < f.Again
+		if f.Kept != nil {
+			b := readBody(r)
+			body, _ := io.ReadAll(b())
+			f.Kept(r.URL.Path, body)
+			r.Body = b()
+		}
 		f.mu.Unlock()
 		if delay > 0 {
 			time.Sleep(delay)
@@ -109,7 +123,7 @@
 			case EndsLate:
 				f.ends(r)
 				late, lateBy = 1, max(lateBy, time.Second)
-				dice, loseReq, loseAns = 0, 0, 0
+				dice, loseReq, loseAns, noAns = 0, 0, 0, 0
 			}
 		}
 		switch {
@@ -121,7 +135,10 @@
 		case dice < loseReq+loseAns:
 			h.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
-		case dice < loseReq+loseAns+late:
+		case dice < loseReq+loseAns+noAns:
+			f.unanswered(h, r)
+			panic(http.ErrAbortHandler)
+		case dice < loseReq+loseAns+noAns+late:
 			f.repeat(h, r, lateBy)
 			panic(http.ErrAbortHandler)
 		case again:
@@ -135,6 +152,24 @@
 	})
 }
 
+// unanswered executes the request, and leaves its client waiting until it gives up.
+func (f *Faults) unanswered(h http.Handler, r *http.Request) {
+	b := readBody(r)
+	r.Body = b()
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, r)
+	f.mu.Lock()
+	if f.Unanswered != nil {
+		body, _ := io.ReadAll(b())
+		f.Unanswered(r.URL.Path, rec.Code, body)
+	}
+	f.mu.Unlock()
+	select {
+	case <-r.Context().Done():
+	case <-time.After(10 * time.Second):
+	}
+}
+
 // repeat has a copy of the request executed so much later, whose answer goes nowhere.
 func (f *Faults) repeat(h http.Handler, r *http.Request, after time.Duration) {
 	b := readBody(r)
--- /dev/null
+++ b/internal/standin/seven_test.go
@@ -0,0 +1,669 @@
+package standin_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"aspenstall/internal/config"
+	"aspenstall/internal/standin"
+	"aspenstall/internal/wire"
+)
+
+// sizes are the two sizes of settings that the named meetings are played with; the tight
+// one has 25 changes a second.
+var sizes = []struct {
+	name string
+	of   func() config.Platform
+}{
+	{"roomy", twoTeams},
+	{"tight", func() config.Platform {
+		p := twoTeams()
+		p.Params.State.RPS, p.Params.State.WriteRPS = 150, 25
+		return p
+	}},
+}
+
+// twoTeams is a platform on which two teams share machines of one type.
+func twoTeams() config.Platform {
+	p := platform()
+	p.Params.Teams = p.Params.Teams[:0]
+	addTeam(&p, "blue", 40, 60, 0, 0)
+	addTeam(&p, "green", 40, 60, 0, 0)
+	return p
+}
+
+// seeds are the luck that each named meeting is played with.
+var seeds = []uint64{401, 402}
+
+// met plays a named meeting at both sizes with each seed. make gives the day, who submits,
+// and what says afterwards what did not happen: "" where it did.
+func met(t *testing.T, build func(seed uint64) (day, func(*testing.T, *users), func() string)) {
+	for _, size := range sizes {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprint(size.name, "-", seed), func(t *testing.T) {
+				d, jobs, lacks := build(seed)
+				d.seed = seed
+				play(t, d, size.of(), machineTypes[:1], jobs)
+				if what := lacks(); what != "" {
+					t.Errorf("the day lacks %s", what)
+				}
+			})
+		}
+	}
+}
+
+// looks asks all nodes again and again within milliseconds after a user was told something,
+// and repeats the submission, also with other bodies; some users cancel at once.
+type looks struct {
+	w       *standin.World
+	mu      sync.Mutex
+	r       *rand.Rand
+	cancels bool // some jobs of short are cancelled at once
+	told    int  // what was looked at
+	answers [3]int
+	refused [3]int // questions without an answer, by node
+	repeats int    // repeated submissions that were answered 200
+	odd     int    // those of them with a body that would be refused for a new job
+	wrong   []string
+}
+
+func (l *looks) at(w *standin.World) {
+	l.w = w
+	w.Looks = l.look
+}
+
+func (l *looks) asked(i int, state string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if state == "" {
+		l.refused[i]++
+	} else {
+		l.answers[i]++
+	}
+}
+
+func (l *looks) repeat(i int, id string, body any) {
+	status, state := l.w.Repeat(i, id, body)
+	l.asked(i, state)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if status != http.StatusOK {
+		return
+	}
+	l.repeats++
+	if body != nil {
+		l.odd++
+	}
+}
+
+// look has users look at a job everywhere, and repeat what they said.
+func (l *looks) look(id string) {
+	l.mu.Lock()
+	l.told++
+	cancel := l.cancels && id >= "job-001000" && l.r.IntN(6) == 0
+	first, pause := l.r.IntN(3), time.Duration(l.r.IntN(8000))*time.Microsecond
+	lacking := map[string]any{"uid": id, "herd": "sweep"}
+	foreign := array(0, 1, 1)
+	foreign.ID, foreign.Team = id, "nobody"
+	large := foreign
+	large.Team, large.CPUs = "blue", 4000
+	l.mu.Unlock()
+	for i := range 3 {
+		go func() {
+			l.asked(i, l.w.PollAt(i, id))
+			time.Sleep(pause)
+			l.asked(i, l.w.PollAt(i, id))
+		}()
+		go l.repeat(i, id, nil)
+		go func() {
+			time.Sleep(pause / 2)
+			l.repeat(i, id, []any{lacking, &foreign, &large}[i])
+		}()
+	}
+	if cancel {
+		go func() {
+			time.Sleep(pause)
+			l.w.CancelAt(first, id)
+			l.w.Cancel(id)
+		}()
+	}
+}
+
+// short are jobs of a few tasks that come all the time, until so long after the day began;
+// what is said of each afterwards is for the rules.
+func short(u *users, from, until, every time.Duration) {
+	for i, at := 0, from; at < until; i, at = i+1, at+every {
+		job := array(1000+i, 1+i%3, float64(3+i%9))
+		if i%2 == 1 {
+			job.Team = "green"
+		}
+		u.after(at, func() {
+			if u.w.Submit(job) {
+				u.ended(job.ID)
+			}
+		})
+	}
+}
+
+// ended waits until a job is done or cancelled.
+func (u *users) ended(id string) {
+	for end := time.Now().Add(400 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
+		if s := u.w.Poll(id); s == "done" || s == "aborted" {
+			return
+		}
+	}
+	u.mu.Lock()
+	u.undone = append(u.undone, id+" does not end")
+	u.mu.Unlock()
+}
+
+// TestCloseLooks: users ask at all nodes within milliseconds, and repeat the submission,
+// right after a job was accepted, ended or confirmed as cancelled; some cancel at once. No
+// node answers something older, nor refuses what was accepted, also one that has just
+// started or that the state service just refused.
+func TestCloseLooks(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
+		l := &looks{r: rand.New(rand.NewPCG(seed, 36)), cancels: true}
+		one := int(seed) % 3
+		other := (one + 1) % 3
+		at := func(d time.Duration) time.Duration { return d + time.Duration(seed%7)*150*ms }
+		d := day{setup: l.at, ends: true, acts: []act{
+			{at(30 * s), kill(one)}, {at(30*s + 300*ms), start(one)},
+			{at(45 * s), func(w *standin.World) { refuseOne(w, other, true) }}, {at(62 * s), func(w *standin.World) { refuseOne(w, other, false) }},
+			{at(70 * s), killAll}, {at(70*s + 200*ms), start(other)}, {at(72 * s), startAll},
+		}}
+		return d, func(_ *testing.T, u *users) { short(u, 20*s, 90*s, 400*ms) }, func() string {
+			t.Logf("%d things told, answers %v, without one %v, repeats %d, odd ones of them %d", l.told, l.answers, l.refused, l.repeats, l.odd)
+			switch {
+			case l.told < 200 || slices.Min(l.answers[:]) < 200:
+				return "looks at every node"
+			case l.refused[one] == 0 || l.refused[other] == 0:
+				return "looks at a node that can't tell"
+			case l.repeats < 200 || l.odd < 60:
+				return "repeated submissions"
+			}
+			return ""
+		}
+	})
+}
+
+// kindsOf names the kinds of writes in a transaction.
+func kindsOf(body []byte) (kinds []string) {
+	var txn wire.Txn
+	if wire.Unmarshal(body, &txn) != nil {
+		return nil
+	}
+	name := func(key, how string) {
+		for _, p := range []string{"c/job/", "c/leader", "c/catalog", "b/open/", "b/done/", "b/machine/", "b/rent/", "b/kept/"} {
+			if strings.HasPrefix(key, p) {
+				kinds = append(kinds, how+p)
+			}
+		}
+	}
+	for _, op := range txn.Then {
+		switch {
+		case op.Put == "":
+			name(op.Delete, "drop ")
+		case op.Put == "c/leader" && txn.If[0].Version > 0:
+			kinds = append(kinds, "raised c/leader")
+		default:
+			name(op.Put, "")
+		}
+	}
+	if len(txn.Then) > 1 {
+		kinds = append(kinds, "batch")
+	}
+	return kinds
+}
+
+// TestAnswersLost: a transaction is carried out at once and only its answer is lost, while
+// other nodes read what it wrote. Whoever wrote takes the outcome for unknown: it neither
+// tells nor acts as if it had failed, and a repeat finds its own write by reading it.
+func TestAnswersLost(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	hit := map[string]int{}
+	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
+		l := &looks{r: rand.New(rand.NewPCG(seed, 37)), cancels: true}
+		lost := 0
+		lose := func(share float64) func(*standin.World) {
+			return func(w *standin.World) {
+				w.StateFaults.Set(func(f *standin.Faults) { f.NoAnswer, f.LateOnly = share, wire.CommitPath })
+			}
+		}
+		h := &cuts{}
+		d := day{ends: true, setup: func(w *standin.World) {
+			l.at(w)
+			w.StateFaults.Unanswered = func(_ string, status int, body []byte) {
+				if status == http.StatusOK {
+					lost++
+					for _, k := range kindsOf(body) {
+						hit[k]++
+					}
+				}
+			}
+			lose(0.4)(w)
+			w.WorkerFaults.Late, w.WorkerFaults.LateBy, w.WorkerFaults.LateMore, w.WorkerFaults.LateOnly = 0.2, s, 20*s, wire.CommandsPath
+		}, acts: []act{{45 * s, killAll}, {45*s + 300*ms, startAll}, {60 * s, h.hang}, {70 * s, h.goOn}, {75 * s, killAll}, {75*s + 300*ms, startAll}, {100 * s, lose(0)}, {100 * s, func(w *standin.World) {
+			w.WorkerFaults.Set(func(f *standin.Faults) { f.Late = 0 })
+		}}}}
+		jobs := func(t *testing.T, u *users) {
+			short(u, 5*s, 90*s, 700*ms)
+			fewTasks(t, u)
+		}
+		return d, jobs, func() string {
+			if lost < 30 {
+				return "answers that were lost"
+			}
+			return ""
+		}
+	})
+	for _, k := range []string{"c/job/", "b/open/", "b/done/", "b/machine/", "b/rent/", "c/leader", "raised c/leader", "drop b/open/", "drop b/rent/", "batch"} {
+		if hit[k] == 0 {
+			t.Errorf("no answer to a write of %s was lost", k)
+		}
+	}
+	t.Logf("answers lost, by kind: %v", hit)
+}
+
+// TestLimitsAtATakeover: every team is at its limit while jobs are cancelled whose machines
+// are cut off or hang, and the leader changes. A task that may still be on a machine counts
+// against its team's limit until it is surely gone, in the new leader's count too.
+func TestLimitsAtATakeover(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
+		h := &cuts{}
+		var cut []*standin.Worker
+		var lead int
+		var cancelled []string
+		left := 0 // tasks of cancelled jobs on machines out of reach as the leader ends
+		out := func(w *standin.World) {
+			for i, k := range w.Cloud.Workers() {
+				switch {
+				case len(k.Running()) == 0:
+				case i%3 == 0:
+					isolate(w, k, true)
+					cut = append(cut, k)
+				case i%3 == 1:
+					k.Hang(true)
+					h.hung = append(h.hung, k)
+				}
+			}
+		}
+		at := 50*s + time.Duration(seed%5)*700*ms
+		long := 8*s + time.Duration(seed%3)*8*s // shorter and longer than a lease
+		d := day{acts: []act{
+			{at, out},
+			{at + s, func(w *standin.World) {
+				for i := range 6 {
+					id := fmt.Sprintf("job-%06d", 100+i)
+					if w.Cancel(id) == "aborted" {
+						cancelled = append(cancelled, id)
+					}
+				}
+			}},
+			{at + 1500*ms, func(w *standin.World) {
+				for _, k := range append(slices.Clone(cut), h.hung...) {
+					for _, task := range k.Running() {
+						if job, _, _ := strings.Cut(task, "/"); slices.Contains(cancelled, job) {
+							left++
+						}
+					}
+				}
+				lead = max(w.Leader(), 0)
+				w.Kill(lead)
+			}},
+			{at + 1800*ms, func(w *standin.World) { w.StartNode(lead) }},
+			{at + long, h.goOn},
+			{at + long, func(w *standin.World) {
+				for _, k := range cut {
+					isolate(w, k, false)
+				}
+			}},
+		}}
+		jobs := func(_ *testing.T, u *users) {
+			for i := range 40 { // far more than the teams may use
+				job := array(100+i, 5, float64(40+i%30))
+				if i%2 == 1 {
+					job.Team = "green"
+				}
+				job.DueS = nil
+				u.after(time.Duration(i)*200*ms, func() {
+					if u.w.Submit(job) {
+						u.ended(job.ID)
+					}
+				})
+			}
+		}
+		return d, jobs, func() string {
+			if left < 4 {
+				return fmt.Sprintf("tasks of cancelled jobs on machines out of reach (%d)", left)
+			}
+			return ""
+		}
+	})
+}
+
+// TestCancelledAsWorkChangesHands: jobs are cancelled in the seconds in which one
+// controller's work changes hands, running ones and waiting ones. No leader starts anything
+// of them after the confirmation: what is under way to the leader by then is all there is.
+func TestCancelledAsWorkChangesHands(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	// A confirmation reaches the leader by its watch, within this time.
+	const known = 250 * ms
+	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
+		var w *standin.World
+		lead, next := 0, 0
+		var ended, begun time.Time
+		before, between, after := 0, 0, 0
+		at := 45 * s
+		d := day{acts: []act{{at, func(w *standin.World) {
+			lead = max(w.Leader(), 0)
+			switch seed % 2 {
+			case 0:
+				refuseOne(w, lead, true)
+			default:
+				w.Kill(lead)
+			}
+			ended = time.Now()
+			for {
+				time.Sleep(5 * ms)
+				if next = w.Leader(); next >= 0 && next != lead {
+					begun = time.Now()
+					return
+				}
+			}
+		}}, {at + 12*s, func(w *standin.World) {
+			refuseOne(w, lead, false)
+			w.StartNode(lead)
+		}}}}
+		jobs := func(_ *testing.T, u *users) {
+			w = u.w
+			for i := range 60 {
+				job := array(100+i, 2, 60)
+				if i%2 == 1 {
+					job.Team = "green"
+				}
+				job.DueS = nil
+				u.after(time.Duration(i)*150*ms, func() {
+					if !u.w.Submit(job) {
+						return
+					}
+					if i%3 == 0 {
+						u.ended(job.ID)
+						return
+					}
+					time.Sleep(time.Until(u.begun.Add(at - s + time.Duration(i)*100*ms)))
+					if u.w.Cancel(job.ID) != "aborted" {
+						return
+					}
+					u.mu.Lock()
+					defer u.mu.Unlock()
+					switch {
+					case ended.IsZero():
+						before++
+					case begun.IsZero():
+						between++
+					default:
+						after++
+					}
+				})
+			}
+		}
+		return d, jobs, func() string {
+			n, longest := w.StartsAfter()
+			t.Logf("cancelled %d before, %d between two leaders, %d after; %d starts after a confirmation, %v at the latest", before, between, after, n, longest)
+			if longest > known {
+				t.Errorf("a task was started %v after the confirmation", longest)
+			}
+			if before == 0 || between < 4 || after < 4 {
+				return "cancellations before, between and after the two leaders"
+			}
+			return ""
+		}
+	})
+}
+
+// TestUpAtOnceAndTheLeaderEnds: new machines are up within two seconds and get work at
+// once, writes lag, the leader ends. No machine has a task that the next leader could not
+// learn of before it could start it elsewhere or pass a limit.
+func TestUpAtOnceAndTheLeaderEnds(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
+		var writes late
+		young := 0 // machines with tasks that were up for less than three seconds as a leader ended
+		lead := 0
+		end := func(w *standin.World) {
+			for _, k := range w.Cloud.Workers() {
+				if k.Up() < 3*s && k.Tasks() > 0 {
+					young++
+				}
+			}
+			lead = max(w.Leader(), 0)
+			w.Kill(lead)
+		}
+		d := day{ends: true, setup: func(w *standin.World) {
+			writes.of(w.StateFaults, wire.CommitPath)
+			w.Cloud.Boots(func(n int) float64 { return 0.02 + 0.1*float64(n%2) }) // 0.3 s and 1.8 s
+			lateWrites(0.2)(w)
+		}}
+		for i := range 5 {
+			at := 30*s + time.Duration(i)*20*s
+			submit := func(w *standin.World) {
+				for k := range 8 {
+					job := array(100+10*i+k, 4, 30)
+					if k%2 == 1 {
+						job.Team = "green"
+					}
+					job.DueS = nil
+					w.Submit(job)
+				}
+			}
+			d.acts = append(d.acts, act{at, submit}, act{at + 2*s + time.Duration(seed%4)*300*ms + time.Duration(i)*400*ms, end},
+				act{at + 7*s, func(w *standin.World) { w.StartNode(lead) }})
+		}
+		d.acts = append(d.acts, act{135 * s, lateWrites(0)})
+		jobs := func(_ *testing.T, u *users) {
+			u.after(140*s, func() {
+				for i := range 5 {
+					for k := range 8 {
+						u.ended(fmt.Sprintf("job-%06d", 100+10*i+k))
+					}
+				}
+			})
+		}
+		return d, jobs, func() string {
+			t.Logf("%d machines with tasks were up for less than three seconds as a leader ended; late writes %+v", young, writes)
+			if young < 3 {
+				return fmt.Sprintf("young machines with tasks as a leader ends (%d)", young)
+			}
+			if writes.carried+writes.refused == 0 {
+				return "late writes"
+			}
+			return ""
+		}
+	})
+}
+
+// oldReports keeps copies of workers' reports, and has them arrive at every node.
+type oldReports struct {
+	mu     sync.Mutex
+	r      *rand.Rand
+	kept   []keptReport
+	taken  int // copies that a new leader took, by its answer
+	copies int
+}
+
+type keptReport struct {
+	at   time.Time
+	body []byte
+}
+
+func (o *oldReports) keep(path string, body []byte) {
+	if path != wire.ReportPath {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.kept = append(o.kept, keptReport{time.Now(), bytes.Clone(body)})
+}
+
+// arrive has copies of reports of up to half a minute ago arrive everywhere.
+func (o *oldReports) arrive(w *standin.World, many int) {
+	o.mu.Lock()
+	var some []keptReport
+	for len(some) < many && len(o.kept) > 0 {
+		k := o.kept[o.r.IntN(len(o.kept))]
+		if time.Since(k.at) < 30*time.Second {
+			some = append(some, k)
+		} else {
+			many--
+		}
+	}
+	o.mu.Unlock()
+	slices.SortFunc(some, func(a, b keptReport) int { return a.at.Compare(b.at) })
+	for i := range 3 {
+		go func() {
+			for _, k := range some {
+				status := w.ReportCopy(i, k.body)
+				o.mu.Lock()
+				o.copies++
+				if status == http.StatusOK && w.Leader() == i {
+					o.taken++
+				}
+				o.mu.Unlock()
+			}
+		}()
+	}
+}
+
+// TestOldReportsAsALeaderBegins: an old report reaches every controller just as a new leader
+// begins. It proves what is on a machine only if it can't have been sent before the new
+// token was seen, and frees, finishes, places and renews nothing otherwise.
+func TestOldReportsAsALeaderBegins(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
+		o := &oldReports{r: rand.New(rand.NewPCG(seed, 38))}
+		var out []*standin.Worker
+		lead := 0
+		d := day{ends: true, setup: func(w *standin.World) {
+			for _, f := range w.NodeFaults {
+				f.Kept = o.keep
+			}
+		}}
+		for i := range 4 {
+			at := 35*s + time.Duration(i)*25*s
+			d.acts = append(d.acts, act{at - 3*s, func(w *standin.World) {
+				for n, k := range w.Cloud.Workers() {
+					if (n+i)%4 == 0 {
+						isolate(w, k, true) // its old reports are all that comes
+						out = append(out, k)
+					}
+				}
+			}}, act{at, func(w *standin.World) {
+				lead = max(w.Leader(), 0)
+				w.Kill(lead)
+				for range 40 { // the next one begins some three seconds later
+					time.Sleep(150 * ms)
+					o.arrive(w, 12)
+				}
+			}}, act{at + 300*ms, func(w *standin.World) { w.StartNode(lead) }},
+				act{at + 9*s + time.Duration(i%2)*10*s, func(w *standin.World) {
+					for _, k := range out {
+						isolate(w, k, false)
+					}
+					out = nil
+				}})
+		}
+		jobs := func(t *testing.T, u *users) {
+			short(u, 10*s, 130*s, 900*ms)
+			fewTasks(t, u)
+		}
+		return d, jobs, func() string {
+			t.Logf("%d copies of reports, %d taken by a leader", o.copies, o.taken)
+			if o.taken < 20 {
+				return "copies that a new leader took"
+			}
+			return ""
+		}
+	})
+}
+
+// TestSingleTasks: one-task jobs come four a second for minutes, a quarter of them
+// cancelled. Acceptances stay within the aim, cancellations are confirmed and carried out,
+// done is told on time, and everything else goes on: no backlog grows.
+func TestSingleTasks(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
+		const minutes, rate = 2, 4
+		var mu sync.Mutex
+		var accepted, confirmed, ended []time.Duration
+		before, after := 0, 0
+		var w *standin.World
+		r := rand.New(rand.NewPCG(seed, 39))
+		jobs := func(_ *testing.T, u *users) {
+			w = u.w
+			u.after(15*s, func() { _, before = w.State.Cost() })
+			u.after(15*s+minutes*time.Minute, func() { _, after = w.State.Cost() })
+			for i := range minutes * 60 * rate {
+				job := array(2000+i, 1, 4+4*r.Float64())
+				job.CPUs, job.ImageGB, job.DueS = 1, 0.1, nil
+				cancel, wait := r.IntN(4) == 0, time.Duration(r.IntN(8000))*ms
+				u.after(15*s+time.Duration(i)*s/rate, func() {
+					from := time.Now()
+					if !w.Submit(job) {
+						t.Errorf("%s was not accepted", job.ID)
+						return
+					}
+					took := time.Since(from)
+					mu.Lock()
+					accepted = append(accepted, took)
+					mu.Unlock()
+					if cancel {
+						time.Sleep(wait)
+						from = time.Now()
+						w.Cancel(job.ID)
+						mu.Lock()
+						confirmed = append(confirmed, time.Since(from))
+						mu.Unlock()
+						return
+					}
+					u.ended(job.ID)
+					mu.Lock()
+					ended = append(ended, time.Since(from))
+					mu.Unlock()
+				})
+			}
+			other := service(300, 4)
+			u.after(30*s, func() {
+				if w.Submit(other) {
+					u.must(other.ID, "running")
+				}
+			})
+		}
+		return day{}, jobs, func() string {
+			p95 := func(of []time.Duration) time.Duration {
+				slices.Sort(of)
+				return of[len(of)*95/100]
+			}
+			a, c, e := p95(accepted), p95(confirmed), p95(ended)
+			late := p95(ended[len(ended)*3/4:])
+			t.Logf("of %d jobs: accepted within %v, confirmed within %v, done within %v (95 of a hundred); %.2f changes a job",
+				len(accepted), a, c, e, float64(after-before)/(minutes*60*rate))
+			if a > 500*ms || c > 500*ms || e > 40*s || late > 60*s {
+				t.Errorf("accepted within %v, confirmed within %v, done within %v, the last of them %v", a, c, e, late)
+			}
+			if len(confirmed) < minutes*60*rate/5 {
+				return "cancellations"
+			}
+			return ""
+		}
+	})
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -73,8 +73,11 @@
 	tasks    []*lot
 	images   map[string]bool
 	answered time.Time
+	up       time.Time // when it was
 	dead     bool
 	deaf     bool // its reports arrive, answers and direct commands to it are lost
+	mute     bool // direct commands arrive and are answered, its reports reach nobody
+	hung     bool // it executes nothing; its tasks make no progress
 	Sick     bool // every task it starts fails
 	wake     chan struct{}
 	stop     context.CancelFunc
@@ -86,7 +89,7 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	k := &Worker{
 		w: w, name: m.ID, at: m.Address, typ: t, zone: m.Zone, spot: m.Spot, session: 1,
-		images: map[string]bool{}, answered: time.Now(), wake: make(chan struct{}, 1), stop: cancel,
+		images: map[string]bool{}, answered: time.Now(), up: time.Now(), wake: make(chan struct{}, 1), stop: cancel,
 	}
 	w.Net.Place(k.at, k.zone)
 	l := w.Net.Serve(k.at, w.WorkerFaults.Wrap(k))
@@ -111,7 +114,26 @@
 }
 
 // Hang has the machine answer nothing and report nothing, or go on.
-func (k *Worker) Hang(hang bool) { k.w.Net.Still(k.at, hang) }
+func (k *Worker) Hang(hang bool) {
+	k.mu.Lock()
+	k.hung = hang
+	k.mu.Unlock()
+	k.w.Net.Still(k.at, hang)
+}
+
+// Mute cuts the way from the machine to the controllers, and not the way back, or mends
+// it: a one-way partition.
+func (k *Worker) Mute(mute bool) {
+	k.mu.Lock()
+	k.mute = mute
+	k.mu.Unlock()
+}
+
+func (k *Worker) isMute() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mute
+}
 
 // Deaf has what is sent to the machine lost, and not what it sends, or lets it hear.
 func (k *Worker) Deaf(deaf bool) {
@@ -126,6 +148,9 @@
 	return k.deaf
 }
 
+// Up is for how long the machine has been up.
+func (k *Worker) Up() time.Duration { return time.Since(k.up) }
+
 // Zone is the machine's zone.
 func (k *Worker) Zone() string { return k.zone }
 
@@ -262,6 +287,10 @@
 func (k *Worker) post(ctx context.Context, c *http.Client, at string, body []byte) (int, []byte) {
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
+	if k.isMute() {
+		<-ctx.Done()
+		return 0, nil
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+wire.ReportPath, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
@@ -334,6 +363,7 @@
 		t := k.find(o.Task, o.Attempt)
 		switch {
 		case o.Op == "start" && t == nil:
+			k.w.check.ordered(o.Task)
 			k.begin(o.Task, o.Attempt)
 		case o.Op == "halt" && t != nil && t.State != "exited":
 			if t.timer != nil {
@@ -461,6 +491,19 @@
 	return out
 }
 
+// Tasks counts the tasks that the machine has been given and has not ended.
+func (k *Worker) Tasks() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 0
+	for _, t := range k.tasks {
+		if t.State != "exited" {
+			n++
+		}
+	}
+	return n
+}
+
 // Addr is the worker's address.
 func (k *Worker) Addr() string { return k.at }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -86,6 +86,10 @@
 	nodesMu sync.Mutex // nodes start and end
 	closed  bool       // none starts any more
 
+	// Looks is called, if set, right after a user was told that a job is accepted, done or
+	// cancelled.
+	Looks func(id string)
+
 	mu    sync.Mutex
 	specs map[string]*Spec
 	files map[string][]string // native jobs of job files that a machine has run, by team/name
@@ -325,6 +329,12 @@
 	return w.specs[id]
 }
 
+func (w *World) allSpecs() map[string]*Spec {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.specs)
+}
+
 // gangJoin lets a gang run once all its tasks wait; the worker's lock is held.
 func (w *World) gangJoin(t *lot, k *Worker) {
 	job, _, _ := strings.Cut(t.Task, "/")
@@ -442,6 +452,7 @@
 		switch status {
 		case http.StatusOK, http.StatusCreated:
 			w.check.accepted(s.ID)
+			w.look(s.ID)
 			return true
 		case http.StatusBadRequest, http.StatusUnprocessableEntity:
 			w.check.refused(s.ID, status)
@@ -453,21 +464,64 @@
 }
 
 // Poll asks once and returns what the user is told; "" for no answer.
-func (w *World) Poll(id string) string {
+func (w *World) Poll(id string) string { return w.ask(w.next(), id) }
+
+// PollAt asks one node.
+func (w *World) PollAt(i int, id string) string { return w.ask(w.Nodes[i].addr, id) }
+
+func (w *World) ask(at, id string) string {
 	before := w.check.asks(id)
-	status, b := w.request(http.MethodGet, w.next(), wire.JobsPath+"/"+id, nil, 2*time.Second)
+	status, b := w.request(http.MethodGet, at, wire.JobsPath+"/"+id, nil, 2*time.Second)
+	return w.answered(id, status, b, before)
+}
+
+// answered is what a user is told of a job by an answer; "" for nothing.
+func (w *World) answered(id string, status int, body []byte, before asks) string {
 	var s wire.JobState
-	if status == http.StatusOK && wire.Unmarshal(b, &s) == nil {
+	switch {
+	case (status == http.StatusOK || status == http.StatusCreated) && wire.Unmarshal(body, &s) == nil:
 		w.check.told(id, s.State, before)
 		return s.State
-	}
-	if status == http.StatusNotFound {
+	case status == http.StatusNotFound:
 		w.check.told(id, "unknown", before)
 		return "unknown"
 	}
+	w.check.unanswered(id)
 	return ""
 }
 
+// Repeat submits a job once more at one node, with another body if one is given, and
+// returns the status and what the user is told.
+func (w *World) Repeat(i int, id string, body any) (int, string) {
+	if body == nil {
+		body = w.spec(id)
+	}
+	before := w.check.asks(id)
+	b, _ := wire.Marshal(body)
+	status, answer := w.request(http.MethodPost, w.Nodes[i].addr, wire.JobsPath, b, 5*time.Second)
+	if before.known && (status == http.StatusBadRequest || status == http.StatusUnprocessableEntity) {
+		w.check.refused(id, status)
+	}
+	if status == http.StatusCreated && before.known {
+		w.check.twice(id)
+	}
+	return status, w.answered(id, status, answer, before)
+}
+
+// CancelAt asks one node once to cancel a job and returns what the user is told.
+func (w *World) CancelAt(i int, id string) string {
+	before := w.check.asks(id)
+	status, b := w.request(http.MethodPost, w.Nodes[i].addr, wire.JobsPath+"/"+id+"/"+wire.CancelEnd, nil, 5*time.Second)
+	return w.answered(id, status, b, before)
+}
+
+// ReportCopy has a copy of a worker's report arrive at a node and returns how that is
+// answered: the worker does not learn of it.
+func (w *World) ReportCopy(i int, body []byte) int {
+	status, _ := w.request(http.MethodPost, w.Nodes[i].addr, wire.ReportPath, body, 4*time.Second)
+	return status
+}
+
 // Await polls until the job is in the state, and reports whether it came there.
 func (w *World) Await(id, state string, within time.Duration) bool {
 	for end := time.Now().Add(within); time.Now().Before(end); {
@@ -485,15 +539,19 @@
 	before := w.check.asks(id)
 	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); {
 		status, b := w.request(http.MethodPost, w.next(), wire.JobsPath+"/"+id+"/"+wire.CancelEnd, nil, 5*time.Second)
-		var s wire.JobState
-		if status == http.StatusOK && wire.Unmarshal(b, &s) == nil {
-			w.check.told(id, s.State, before)
-			return s.State
+		if told := w.answered(id, status, b, before); told != "" && told != "unknown" {
+			return told
 		}
 		time.Sleep(time.Second)
 	}
 	return ""
 }
 
+func (w *World) look(id string) {
+	if w.Looks != nil {
+		w.Looks(id)
+	}
+}
+
 // Broken lists the rules that were broken.
 func (w *World) Broken() []string { return w.check.list() }
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -170,6 +170,19 @@
 	setup func(w *standin.World)
 	acts  []act
 	kept  bool // no worker's lease may run out
+	ends  bool // with its last act, what setup began is over too
+}
+
+// settles is for what a trouble leaves behind: copies and late writes that are under way.
+const settles = 15 * time.Second
+
+// over is when the last trouble of the day is.
+func (d *day) over() time.Duration {
+	var last time.Duration
+	for _, a := range d.acts {
+		last = max(last, a.at)
+	}
+	return last + settles
 }
 
 // users is who submits jobs on a day.
@@ -247,6 +260,9 @@
 		for _, a := range day.acts {
 			u.after(a.at, func() { a.do(w) })
 		}
+		if day.setup == nil || day.ends {
+			u.after(day.over(), w.Quiet)
+		}
 		jobs(t, u)
 		u.group.Wait()
 		time.Sleep(60 * time.Second) // what is late arrives, what is cancelled must be gone
