Mute machines draw no work, and copies of gone or kept machines prove nothing

A copy of a kept machine's old report ended the record of the cut. Change: usable machines have reported by themselves lately; machines known from before the term without a record are unproven until they show its token; a kept record ends by a report under it.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -75,7 +75,7 @@
 		if m == nil {
 			m = &machine{
 				name: l.Name, address: l.Address, typeName: l.Type, zone: l.Zone, spot: l.Spot,
-				booting: true, settled: true, seen: now - min(l.Age, now),
+				booting: true, settled: true, unproven: true, seen: now - min(l.Age, now),
 			}
 			c.addMachine(m)
 			c.note("machine found in the cloud's list", "machine", m.name, "type", m.typeName, "zone", m.zone)
--- a/internal/core/kept.go
+++ b/internal/core/kept.go
@@ -39,7 +39,8 @@
 func (c *Core) recordKept(now Micros) {
 	for _, k := range slices.Clone(c.kept) {
 		over := len(k.machines) == 0 && now >= c.zoneOf[k.zone].cutUntil ||
-			slices.ContainsFunc(k.machines, func(m *machine) bool { return m.heard > k.at })
+			// Heard now: under a former leader's token it may be a copy of an old report.
+			slices.ContainsFunc(k.machines, func(m *machine) bool { return m.heard > k.at && m.token >= c.settleToken })
 		if over && !k.writing && now >= k.from {
 			c.endKept(k)
 		}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -23,6 +23,8 @@
 	rented   Micros // when it was rented, by our clock
 	heard    Micros // last report
 	answered Micros // last time a report of it was answered with 200
+	reported Micros // last report that it sent by itself; what it answers to a command does not count
+	unproven bool   // known from before this term, without a record: see report.go
 	idle     Micros // since when it is without tasks
 
 	tasks  []*placement
@@ -134,11 +136,12 @@
 
 // usable reports whether tasks may be given to the machine now.
 func (c *Core) usable(m *machine, now Micros) bool {
-	return m.typ != nil && m.settled && m.kept == nil && !m.lost && !m.deaf && !m.booting && !m.draining && !m.returning &&
+	return m.typ != nil && m.settled && !m.unproven && m.kept == nil && !m.lost && !m.deaf && !m.booting && !m.draining && !m.returning &&
 		now >= m.quarantine && now >= m.blocked && m.heardWithin(now, c.silence()) &&
-		// It answers direct commands, but its reports do not get through: its
-		// lease runs out soon, with what it is given.
-		now-m.answered < c.cfg.Lease/2
+		// It answers direct commands, but its reports do not get through (a one-way
+		// partition): its lease runs out soon, with what it is given, and again in
+		// each session after that.
+		now-m.reported < c.cfg.Lease/2
 }
 
 // silence is how long a machine may go unheard before it is given no more
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -13,10 +13,13 @@
 		}
 		// Rented late, or by a leader that died before it could say so: it was
 		// never recorded, so it was never given a task.
-		m = &machine{name: r.Machine, typeName: r.Type, zone: r.Zone, spot: r.Spot, seen: now, booting: true, settled: true}
+		m = &machine{name: r.Machine, typeName: r.Type, zone: r.Zone, spot: r.Spot, seen: now, booting: true, settled: true, unproven: true}
 		c.addMachine(m)
 		c.note("unexpected machine reports", "machine", m.name, "type", m.typeName, "zone", m.zone)
 	}
+	if m.unproven && len(r.Tasks) > 0 && r.Token < c.settleToken {
+		return nil, 0, false // a copy: see absorb
+	}
 	if c.startsCancelled(m, r, now) {
 		return nil, 0, false
 	}
@@ -89,6 +92,13 @@
 }
 
 // absorb takes over a report that is newer than all before it.
+//
+// A machine that a former leader recorded is settled by a report that shows this term's
+// token: older ones, copies among them, say what was on it once. One without a record was
+// never given a task, so there is nothing to settle; but a former leader may have returned
+// it, and dropped its record, and then a copy of what it once said is all that comes of it.
+// It is unproven: it is given nothing before it shows the token, which takes one more
+// report, and a report of tasks without it is such a copy.
 func (c *Core) absorb(m *machine, r *Report, beat bool, now Micros) {
 	if r.Session > m.session && m.session > 0 {
 		// Its lease ran out: the worker has killed and forgotten its tasks, and
@@ -125,6 +135,7 @@
 	}
 	if beat {
 		m.noDo = false
+		m.reported = now
 	}
 	if newSession {
 		// Its lease runs from when it began, whatever was answered before.
@@ -148,6 +159,10 @@
 	}
 	if r.Token >= c.settleToken && r.Token > 0 {
 		c.taken = true
+		if m.unproven {
+			m.unproven = false
+			c.dirty = true
+		}
 		m.answered = min(m.answered, now) // a former leader's answers it drops
 		c.settle(m)
 	}
