Refusals of unknown jobs are written in time or not at all; followers take newer catalogs

400 and 422 for a submission, 404 for a cancellation, and 201 "pending" could be written by a process that had stood still, after another node had accepted or cancelled the job: like a 404 to a question they are now written within 1.5 s of what they rest on (TestRefusedUnknown). A node that did not lead kept the first catalog that it read, and would have refused for good what a leader with a newer one accepts (TestCatalogOfOthers).

--- /dev/null
+++ b/internal/node/answers_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"log/slog"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"aspenstall/internal/config"
+	"aspenstall/internal/core"
+	"aspenstall/internal/httpapi"
+	"aspenstall/internal/wire"
+)
+
+// TestRefusedUnknown: a submission that can't be accepted, and the cancellation of a job that
+// is not known, are refused by what was read when they came. A process that stood still
+// since must not say so: another node may have accepted the job meanwhile.
+func TestRefusedUnknown(t *testing.T) {
+	lame := &core.JobSpec{ID: "job-1", Team: "nobody", Tasks: 1}
+	for _, c := range []struct {
+		name   string
+		ask    func(n *Node, reply func(httpapi.Answer))
+		status int
+	}{
+		{"a malformed submission", func(n *Node, reply func(httpapi.Answer)) { n.submit("job-1", nil, reply) }, http.StatusBadRequest},
+		{"one that can never run", func(n *Node, reply func(httpapi.Answer)) { n.submit("job-1", lame, reply) }, http.StatusUnprocessableEntity},
+		{"a cancellation", func(n *Node, reply func(httpapi.Answer)) { n.cancel("job-1", 3, reply) }, http.StatusNotFound},
+		{"a question", func(n *Node, reply func(httpapi.Answer)) { n.poll("job-1", reply) }, http.StatusNotFound},
+	} {
+		for _, k := range []struct {
+			after time.Duration
+			fresh bool
+		}{{time.Second, true}, {2 * time.Second, false}} {
+			synctest.Test(t, func(t *testing.T) {
+				n := New(&config.Platform{}, config.DefaultSettings(), slog.New(slog.DiscardHandler), nil)
+				n.view.ready, n.stateHeard = true, time.Now()
+				n.catalog = []core.MachineType{{Name: "m", Cap: core.Res{CPU: 8000}}}
+				n.syncing = true // the read is under way
+				var got *httpapi.Answer
+				c.ask(n, func(a httpapi.Answer) { got = &a })
+				for _, f := range n.waiting {
+					f(true)
+				}
+				if got == nil || got.Status != c.status {
+					t.Fatalf("%s: answered %+v", c.name, got)
+				}
+				time.Sleep(k.after)
+				if fresh := got.Fresh == nil || got.Fresh(); fresh != k.fresh {
+					t.Errorf("%s, %v later: may be written: %v", c.name, k.after, fresh)
+				}
+			})
+		}
+	}
+}
+
+// TestCatalogOfOthers: a node that does not lead takes a newer catalog that the leader
+// recorded: with the one that it had first it would refuse for good what the leader accepts.
+func TestCatalogOfOthers(t *testing.T) {
+	catalog := func(cores float64) []byte {
+		raw, err := wire.Marshal(map[string]any{"breeds": []any{map[string]any{"label": "m", "cores": cores, "gpus": 0.0, "ram_gb": 64.0, "local_gb": 10.0,
+			"fetch_gb_per_s": 1.0, "rate": 1.0, "low_price": 0.5, "ready_s": 20.0, "paddocks": []any{"a"}}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := wire.Marshal(&wire.CatalogRecord{Raw: raw})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	n := quietNode()
+	n.cfg.Params.Teams = append(n.cfg.Params.Teams, struct {
+		Name    string  `json:"name"`
+		CPUs    float64 `json:"cpus"`
+		CPUsMax float64 `json:"cpus_max"`
+		GPUs    float64 `json:"gpus"`
+		GPUsMax float64 `json:"gpus_max"`
+	}{Name: "blue"})
+	spec := &core.JobSpec{ID: "job-1", Team: "blue", Tasks: 1, Need: core.Res{CPU: 16000}}
+	n.applyPut(catalogKey, catalog(8), 3)
+	if n.cannotRun(spec) == "" {
+		t.Fatal("16 CPUs fit a machine of 8")
+	}
+	n.applyPut(catalogKey, catalog(32), 9)
+	if why := n.cannotRun(spec); why != "" {
+		t.Errorf("under the newer catalog: %s", why)
+	}
+	n.applyPut(catalogKey, catalog(8), 5) // a read that overlapped
+	if why := n.cannotRun(spec); why != "" {
+		t.Errorf("after an older read: %s", why)
+	}
+}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -76,23 +76,26 @@
 
 // Submit takes a submission.
 func (n *Node) Submit(ctx context.Context, id string, spec *core.JobSpec) httpapi.Answer {
-	return n.answer(ctx, func(reply func(httpapi.Answer)) {
-		refuse := func(status int) func() {
-			return func() { reply(httpapi.Answer{Status: status}) }
-		}
-		switch _, known := n.view.jobs[id]; {
-		case known:
-			n.lookup(id, reply, refuse(http.StatusServiceUnavailable))
-		case spec == nil:
-			n.lookup(id, reply, refuse(http.StatusBadRequest))
-		case !n.view.ready || len(n.catalog) == 0:
-			reply(httpapi.Unavailable())
-		case n.cannotRun(spec) != "":
-			n.lookup(id, reply, refuse(http.StatusUnprocessableEntity))
-		default:
-			n.create(spec, reply)
-		}
-	})
+	return n.answer(ctx, func(reply func(httpapi.Answer)) { n.submit(id, spec, reply) })
+}
+
+func (n *Node) submit(id string, spec *core.JobSpec, reply func(httpapi.Answer)) {
+	asked := n.now()
+	refuse := func(status int) func() {
+		return func() { reply(n.unknownAs(status, asked)) }
+	}
+	switch _, known := n.view.jobs[id]; {
+	case known:
+		n.lookup(id, reply, refuse(http.StatusServiceUnavailable))
+	case spec == nil:
+		n.lookup(id, reply, refuse(http.StatusBadRequest))
+	case !n.view.ready || len(n.catalog) == 0:
+		reply(httpapi.Unavailable())
+	case n.cannotRun(spec) != "":
+		n.lookup(id, reply, refuse(http.StatusUnprocessableEntity))
+	default:
+		n.create(spec, reply)
+	}
 }
 
 func (n *Node) create(spec *core.JobSpec, reply func(httpapi.Answer)) {
@@ -116,7 +119,8 @@
 			case err == nil:
 				rec.Stamp = rev
 				n.learnJob(rec)
-				reply(httpapi.Answer{Status: http.StatusCreated, Body: &wire.Accepted{ID: spec.ID, State: wire.StatePending}})
+				reply(httpapi.Answer{Status: http.StatusCreated, Body: &wire.Accepted{ID: spec.ID, State: wire.StatePending},
+					Fresh: n.toldFrom(n.now())}) // it may be cancelled by then, through another node
 			case errors.Is(err, statestore.ErrConflict):
 				n.lookup(spec.ID, reply, func() { reply(httpapi.Unavailable()) })
 			case errors.Is(err, statestore.ErrInvalid):
@@ -170,9 +174,13 @@
 
 func (n *Node) poll(id string, reply func(httpapi.Answer)) {
 	asked := n.now()
-	n.lookup(id, reply, func() {
-		reply(httpapi.Answer{Status: http.StatusNotFound, Fresh: n.toldFrom(asked)})
-	})
+	n.lookup(id, reply, func() { reply(n.unknownAs(http.StatusNotFound, asked)) })
+}
+
+// unknownAs is the answer for a job that was not known when it was asked for: by the time
+// it is written, another node may have accepted the job.
+func (n *Node) unknownAs(status int, asked core.Micros) httpapi.Answer {
+	return httpapi.Answer{Status: status, Fresh: n.toldFrom(asked)}
 }
 
 // Cancel cancels a job unless it is done.
@@ -185,8 +193,9 @@
 		n.cancelKnown(id, tries, reply)
 		return
 	}
+	asked := n.now()
 	n.lookup(id, func(httpapi.Answer) { n.cancelKnown(id, tries, reply) }, func() {
-		reply(httpapi.Answer{Status: http.StatusNotFound})
+		reply(n.unknownAs(http.StatusNotFound, asked))
 	})
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -146,7 +146,9 @@
 		if stamp > n.view.catalogSeen {
 			n.view.catalogSeen = stamp
 			var rec wire.CatalogRecord
-			if err := wire.Unmarshal(value, &rec); err == nil && n.catalog == nil {
+			// A leader has its own, with today's prices. The others need it to tell what can
+			// run: what the leader accepts must not be refused elsewhere.
+			if err := wire.Unmarshal(value, &rec); err == nil && (n.term == nil || n.catalog == nil) {
 				n.setCatalog(rec.Raw)
 			}
 		}
