--- a/internal/standin/seven_test.go
+++ b/internal/standin/seven_test.go
@@ -357,14 +357,23 @@
 func TestCancelledAsWorkChangesHands(t *testing.T) {
 	const s, ms = time.Second, time.Millisecond
 	// A confirmation reaches the leader by its watch, within this time.
-	const known = 250 * ms
+	const slow, known = 200 * ms, 400 * ms
 	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
 		var w *standin.World
 		lead, next := 0, 0
 		var ended, begun time.Time
 		before, between, after := 0, 0, 0
 		at := 45 * s
-		d := day{acts: []act{{at, func(w *standin.World) {
+		var out *standin.Worker // the takeover does not settle before it is heard
+		d := day{ends: true, setup: func(w *standin.World) {
+			w.StateFaults.Set(func(f *standin.Faults) { f.Delay = slow })
+		}, acts: []act{{at, func(w *standin.World) {
+			for _, k := range w.Cloud.Workers() {
+				if len(k.Running()) > 0 {
+					out = k
+				}
+			}
+			isolate(w, out, true)
 			lead = max(w.Leader(), 0)
 			switch seed % 2 {
 			case 0:
@@ -383,6 +392,8 @@
 		}}, {at + 12*s, func(w *standin.World) {
 			refuseOne(w, lead, false)
 			w.StartNode(lead)
+			isolate(w, out, false)
+			w.StateFaults.Set(func(f *standin.Faults) { f.Delay = 0 })
 		}}}}
 		jobs := func(_ *testing.T, u *users) {
 			w = u.w
