--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -46,7 +46,10 @@
 			}
 			m := &machine{
 				name: rec.Name, address: rec.Address, typeName: rec.Type, zone: rec.Zone, spot: rec.Spot,
-				chunk: ch, recorded: true, seen: now, heard: now, reported: now,
+				chunk: ch, recorded: true, seen: now, heard: now,
+				// As if it had reported so lately that it is due again: what a probe finds is
+				// of use until then.
+				reported: now + c.silence() - c.cfg.Lease/2,
 				// The former leader may have answered it for as long as it might.
 				answered: now + c.cfg.AnswerGrace,
 			}
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -132,6 +132,9 @@
 	if c.doneT[job] == nil {
 		c.doneT[job] = map[int]bool{}
 	}
+	if last := t.spec != nil && !c.doneT[job][i] && len(c.doneT[job])+1 == t.spec.Tasks; last && c.w.Last != nil {
+		go c.w.Last(job)
+	}
 	c.doneT[job][i] = true
 }
 
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -137,6 +137,7 @@
 	}{
 		{"right after a confirmation", refused{first: 0, out: 200 * ms}},
 		{"before its lease is over", refused{first: 500 * ms, out: 2 * s}},
+		{"cancelled as it is refused, out a second later", refused{first: 0, out: s}},
 		{"its lease is over, nobody else leads", refused{first: s, out: 2900 * ms}},
 		{"another has the term", refused{first: s, out: 4 * s, moved: true}},
 		{"another leads, and some workers heard it", refused{first: 2 * s, out: 7 * s, moved: true}},
--- a/internal/standin/seven_test.go
+++ b/internal/standin/seven_test.go
@@ -586,6 +586,7 @@
 					o.arrive(w, 12)
 				}
 			}}, act{at + 300*ms, func(w *standin.World) { w.StartNode(lead) }},
+				act{at + 8500*ms, func(w *standin.World) { o.arrive(w, 40) }}, // it has started, stopped and reaped by then
 				act{at + 9*s + time.Duration(i%2)*10*s, func(w *standin.World) {
 					for _, k := range out {
 						isolate(w, k, false)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -491,6 +491,16 @@
 	return out
 }
 
+// Session is the number of its session, and the tasks that it has been given in it.
+func (k *Worker) Session() (number uint64, tasks []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, t := range k.tasks {
+		tasks = append(tasks, t.Task)
+	}
+	return k.session, tasks
+}
+
 // Tasks counts the tasks that the machine has been given and has not ended.
 func (k *Worker) Tasks() int {
 	k.mu.Lock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -89,6 +89,8 @@
 	// Looks is called, if set, right after a user was told that a job is accepted, done or
 	// cancelled.
 	Looks func(id string)
+	// Last is called, if set, as the last task of a job is done.
+	Last func(id string)
 
 	mu    sync.Mutex
 	specs map[string]*Spec
