--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -30,6 +30,7 @@
 	startsAfter  int
 	startedAfter time.Duration
 
+	off       map[string]bool      // jobs whose users asked to cancel them
 	quietFrom time.Time            // no trouble after this; zero: not known
 	waits     map[string]time.Time // since when a job waits beside room for it
 	unheard   map[string]time.Time // since when no question about a job was answered
@@ -40,6 +41,7 @@
 		w: w, on: map[string]*Worker{}, at: map[string]*Spec{}, use: map[string][2]float64{},
 		doneT: map[string]map[int]bool{}, known: map[string]bool{}, last: map[string]string{},
 		cancel: map[string]time.Time{}, goneOf: map[string]bool{},
+		off:   map[string]bool{},
 		waits: map[string]time.Time{}, unheard: map[string]time.Time{},
 	}
 }
@@ -132,8 +134,8 @@
 	if c.doneT[job] == nil {
 		c.doneT[job] = map[int]bool{}
 	}
-	if last := t.spec != nil && !c.doneT[job][i] && len(c.doneT[job])+1 == t.spec.Tasks; last && c.w.Last != nil {
-		go c.w.Last(job)
+	if t.spec != nil && !c.doneT[job][i] && len(c.doneT[job])+1 == t.spec.Tasks {
+		go c.w.lastDone(job)
 	}
 	c.doneT[job][i] = true
 }
@@ -163,6 +165,13 @@
 	c.mu.Unlock()
 }
 
+// callsOff notes that a job's user asks to cancel it.
+func (c *checker) callsOff(id string) {
+	c.mu.Lock()
+	c.off[id] = true
+	c.mu.Unlock()
+}
+
 // twice notes that a job that was accepted is accepted as new.
 func (c *checker) twice(id string) {
 	c.mu.Lock()
@@ -224,6 +233,9 @@
 		}
 		c.last[id] = state
 	case "aborted":
+		if !c.off[id] {
+			c.fail("went_back: %s is called cancelled, and its user did not ask for that", id)
+		}
 		if c.last[id] == "" {
 			c.cancel[id] = time.Now()
 		}
--- a/internal/standin/further_test.go
+++ b/internal/standin/further_test.go
@@ -23,7 +23,7 @@
 
 func (e *atTheEnd) at(w *standin.World) {
 	e.w, e.final = w, map[string]string{}
-	w.Last = e.last
+	w.Last(e.last)
 }
 
 func (e *atTheEnd) last(id string) {
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"flag"
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -225,6 +228,139 @@
 	}},
 }
 
+// newKinds are the kinds of trouble that the operators named last.
+var newKinds = []trouble{
+	{"answers lost", func(r *rand.Rand, at time.Duration) []act {
+		lose := func(share float64) func(*standin.World) {
+			return func(w *standin.World) {
+				w.StateFaults.Set(func(f *standin.Faults) { f.NoAnswer, f.LateOnly = share, wire.CommitPath })
+			}
+		}
+		return []act{{at, lose(0.1 + 0.5*r.Float64())}, {at + between(r, 10, 40), lose(0)}}
+	}},
+	{"machines mute", func(r *rand.Rand, at time.Duration) []act {
+		in := 2 + r.IntN(4)
+		mute := map[*standin.Worker]bool{}
+		return []act{{at, func(w *standin.World) {
+			for i, k := range w.Cloud.Workers() {
+				if i%in == 0 {
+					k.Mute(true)
+					mute[k] = true
+				}
+			}
+		}}, {at + between(r, 5, 60), func(*standin.World) {
+			for k := range mute {
+				k.Mute(false)
+			}
+		}}}
+	}},
+	{"old reports for the next leader", func(r *rand.Rand, at time.Duration) []act {
+		o := &oldReports{r: rand.New(rand.NewPCG(r.Uint64(), 1))}
+		keep := func(f func(string, []byte)) func(*standin.World) {
+			return func(w *standin.World) {
+				for _, n := range w.NodeFaults {
+					n.Set(func(n *standin.Faults) { n.Kept = f })
+				}
+			}
+		}
+		ended, end := 0, at+between(r, 5, 15)
+		return []act{{at, keep(o.keep)}, {end, func(w *standin.World) {
+			ended = max(w.Leader(), 0)
+			w.Kill(ended)
+			for range 30 {
+				time.Sleep(200 * time.Millisecond)
+				o.arrive(w, 8)
+			}
+		}}, {end + time.Duration(1+r.IntN(900))*time.Millisecond, func(w *standin.World) { w.StartNode(ended) }}, {end + 7*time.Second, keep(nil)}}
+	}},
+	{"cancelled now, machines hang", func(r *rand.Rand, at time.Duration) []act {
+		many, h := 1+r.IntN(5), &cuts{}
+		return []act{{at, func(w *standin.World) {
+			jobs := map[string]bool{}
+			for _, k := range w.Cloud.Workers() {
+				for _, task := range k.Running() {
+					job, _, _ := strings.Cut(task, "/")
+					if len(jobs) < many && !jobs[job] {
+						jobs[job] = true
+						go w.Cancel(job)
+					}
+					if jobs[job] && len(h.hung) < 8 && !slices.Contains(h.hung, k) {
+						h.hung = append(h.hung, k)
+					}
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+			for _, k := range h.hung {
+				k.Hang(true)
+			}
+		}}, {at + between(r, 3, 50), h.goOn}}
+	}},
+	{"cancelled at the end", func(r *rand.Rand, at time.Duration) []act {
+		e := &atTheEnd{r: rand.New(rand.NewPCG(r.Uint64(), 1))}
+		return []act{{at, e.at}, {at + between(r, 10, 40), func(w *standin.World) { w.Last(nil) }}}
+	}},
+	{"close looks", func(r *rand.Rand, at time.Duration) []act {
+		l := &looks{r: rand.New(rand.NewPCG(r.Uint64(), 1))}
+		return []act{{at, l.at}, {at + between(r, 10, 40), func(w *standin.World) { w.Looks(nil) }}}
+	}},
+	{"odd requests", func(r *rand.Rand, at time.Duration) []act {
+		o := rand.New(rand.NewPCG(r.Uint64(), 1))
+		lasts := between(r, 10, 40)
+		return []act{{at, func(w *standin.World) { oddRequests(w, o, lasts) }}, {at + lasts, func(*standin.World) {}}}
+	}},
+	{"leaders change", func(r *rand.Rand, at time.Duration) []act {
+		var out []act
+		for range 2 + r.IntN(4) {
+			ended := 0
+			out = append(out, act{at, func(w *standin.World) { ended = max(w.Leader(), 0); w.Kill(ended) }},
+				act{at + time.Duration(1+r.IntN(900))*time.Millisecond, func(w *standin.World) { w.StartNode(ended) }})
+			at += between(r, 4, 12)
+		}
+		return out
+	}},
+	{"all away", func(r *rand.Rand, at time.Duration) []act {
+		return []act{{at, killAll}, {at + between(r, 12, 30), startAll}}
+	}},
+}
+
+// oddRequests are users who submit again what is not over, cancel what is done, and send jobs
+// that fit no machine or lack a field: none of those is ever accepted, by any node.
+func oddRequests(w *standin.World, r *rand.Rand, lasts time.Duration) {
+	n := 0
+	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+		known := w.Known()
+		for _, id := range slices.Sorted(maps.Keys(known)) {
+			if r.IntN(8) > 0 {
+				continue
+			}
+			foreign := array(0, 1, 1)
+			foreign.ID, foreign.Team = id, "nobody"
+			node, body := r.IntN(3), []any{nil, map[string]any{"uid": id}, &foreign}[r.IntN(3)]
+			go w.Repeat(node, id, body)
+			if known[id] == "done" {
+				go w.CancelAt(node, id)
+			}
+		}
+		n++
+		large, lacking := array(990000+n, 1, 1), map[string]any{"uid": fmt.Sprintf("job-%06d", 980000+n), "herd": "sweep", "crew": "blue"}
+		large.CPUs = 500
+		for i := range 3 {
+			go func() {
+				for what, body := range map[string]any{"fits no machine": &large, "lacks a field": lacking} {
+					switch status := w.Post(i, body); status {
+					case 0, http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusServiceUnavailable:
+					default:
+						w.Fail("a job that %s is answered %d", what, status)
+					}
+				}
+				if state := w.PollAt(i, large.ID); state != "" && state != "unknown" {
+					w.Fail("a job that fits no machine is %s", state)
+				}
+			}()
+		}
+	}
+}
+
 // lateWrites has a share of the transactions get no answer and be carried out 2 to 12 s
 // later, after newer ones.
 func lateWrites(share float64) func(*standin.World) {
@@ -267,11 +403,12 @@
 //
 //	go test ./internal/standin -run TestDrawnMeetings -meetings 500
 func TestDrawnMeetings(t *testing.T) {
-	kinds := slices.Concat(meetingKinds, troubleKinds)
+	ours := slices.Concat(meetingKinds, newKinds)
+	kinds := slices.Concat(ours, troubleKinds)
 	for seed := range *drawnMeetings {
 		r := rand.New(rand.NewPCG(uint64(seed), 33))
-		chosen := []int{r.IntN(len(meetingKinds))}
-		for len(chosen) < 2+r.IntN(2) {
+		chosen := []int{r.IntN(len(ours))}
+		for many := 2 + r.IntN(2); len(chosen) < many; {
 			if k := r.IntN(len(kinds)); !slices.Contains(chosen, k) {
 				chosen = append(chosen, k)
 			}
--- a/internal/standin/seven_test.go
+++ b/internal/standin/seven_test.go
@@ -76,7 +76,7 @@
 
 func (l *looks) at(w *standin.World) {
 	l.w = w
-	w.Looks = l.look
+	w.Looks(l.look)
 }
 
 func (l *looks) asked(i int, state string) {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -86,13 +86,9 @@
 	nodesMu sync.Mutex // nodes start and end
 	closed  bool       // none starts any more
 
-	// Looks is called, if set, right after a user was told that a job is accepted, done or
-	// cancelled.
-	Looks func(id string)
-	// Last is called, if set, as the last task of a job is done.
-	Last func(id string)
-
 	mu    sync.Mutex
+	looks func(id string) // see Looks
+	last  func(id string) // see Last
 	specs map[string]*Spec
 	files map[string][]string // native jobs of job files that a machine has run, by team/name
 	gangs map[string]*gang
@@ -512,6 +508,7 @@
 
 // CancelAt asks one node once to cancel a job and returns what the user is told.
 func (w *World) CancelAt(i int, id string) string {
+	w.check.callsOff(id)
 	before := w.check.asks(id)
 	status, b := w.request(http.MethodPost, w.Nodes[i].addr, wire.JobsPath+"/"+id+"/"+wire.CancelEnd, nil, 5*time.Second)
 	return w.answered(id, status, b, before)
@@ -527,8 +524,11 @@
 // Await polls until the job is in the state, and reports whether it came there.
 func (w *World) Await(id, state string, within time.Duration) bool {
 	for end := time.Now().Add(within); time.Now().Before(end); {
-		if w.Poll(id) == state {
+		switch w.Poll(id) {
+		case state:
 			return true
+		case "aborted":
+			return false // for good
 		}
 		time.Sleep(time.Second)
 	}
@@ -538,6 +538,7 @@
 // Cancel cancels a job as a user does and returns its state, "" if it could
 // not be cancelled.
 func (w *World) Cancel(id string) string {
+	w.check.callsOff(id)
 	before := w.check.asks(id)
 	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); {
 		status, b := w.request(http.MethodPost, w.next(), wire.JobsPath+"/"+id+"/"+wire.CancelEnd, nil, 5*time.Second)
@@ -549,11 +550,56 @@
 	return ""
 }
 
+// Looks has f called right after a user was told that a job is accepted, done or cancelled;
+// nil: nothing.
+func (w *World) Looks(f func(id string)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.looks = f
+}
+
+// Last has f called as the last task of a job is done; nil: nothing.
+func (w *World) Last(f func(id string)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = f
+}
+
 func (w *World) look(id string) {
-	if w.Looks != nil {
-		w.Looks(id)
+	w.mu.Lock()
+	f := w.looks
+	w.mu.Unlock()
+	if f != nil {
+		f(id)
 	}
 }
 
+func (w *World) lastDone(id string) {
+	w.mu.Lock()
+	f := w.last
+	w.mu.Unlock()
+	if f != nil {
+		f(id)
+	}
+}
+
+// Fail notes a rule that a user found broken.
+func (w *World) Fail(format string, args ...any) {
+	w.check.mu.Lock()
+	defer w.check.mu.Unlock()
+	w.check.fail(format, args...)
+}
+
+// Known lists the jobs that users know to be accepted, with the last final state told.
+func (w *World) Known() map[string]string {
+	w.check.mu.Lock()
+	defer w.check.mu.Unlock()
+	out := map[string]string{}
+	for id := range w.check.known {
+		out[id] = w.check.last[id]
+	}
+	return out
+}
+
 // Broken lists the rules that were broken.
 func (w *World) Broken() []string { return w.check.list() }
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -204,8 +205,9 @@
 	u.after(time.Duration(u.r.IntN(seconds))*time.Second, f)
 }
 
+// must has the job come to a state, unless a trouble of the day calls it off.
 func (u *users) must(id, state string) {
-	if !u.w.Await(id, state, 400*time.Second) {
+	if !u.w.Await(id, state, 400*time.Second) && u.w.Known()[id] != "aborted" {
 		u.mu.Lock()
 		u.undone = append(u.undone, id+" is not "+state)
 		u.mu.Unlock()
@@ -455,3 +457,29 @@
 		w.Net.Cut(w.NodeAddr(i), k.Addr(), cut)
 	}
 }
+
+// TestLivenessIsChecked: the checker finds it where nobody answers about a job, and where a
+// job waits beside room for it, once troubles are over.
+func TestLivenessIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := standin.NewWorld(62, platform(), machineTypes[:1])
+		defer w.Close()
+		startAll(w)
+		time.Sleep(10 * time.Second)
+		w.Submit(service(1, 1))
+		time.Sleep(60 * time.Second)
+		w.Quiet()
+		waits := service(2, 1)
+		w.Submit(waits)
+		killAll(w)
+		for range 100 {
+			w.Poll(waits.ID)
+			time.Sleep(time.Second)
+		}
+		for _, rule := range []string{"forgotten: no question about job-000002", "neglected: job-000002"} {
+			if !slices.ContainsFunc(w.Broken(), func(b string) bool { return strings.HasPrefix(b, rule) }) {
+				t.Errorf("not found: %s; found %v", rule, w.Broken())
+			}
+		}
+	})
+}
