No job waits beside room that is kept for others: after 60 s it is given one task's room

Cause: spare room for expected services, and room held for a class that starts at once, was kept from arrays and gangs for as long as such jobs kept coming and the cloud had no more machines; and a job whose task had failed on the only machine with room waited without end. Users are owed that no job waits for 90 s beside a machine that fits. Change: a job with nothing on a machine and nothing placed for 60 s may take such room, for one task, or all of a gang.

--- a/internal/core/choose.go
+++ b/internal/core/choose.go
@@ -15,6 +15,7 @@
 	types         string
 	spot, service bool
 	cached        bool // only where the image is
+	starves       bool // spare room will do
 	reclaim       bool // by stopping others, which depends on the rest
 	guaranteed    bool
 	team          string
@@ -22,7 +23,7 @@
 }
 
 func kindOf(j *job) kind {
-	return kind{need: j.spec.Need, image: j.image, types: j.types, spot: j.spec.Spot, service: j.spec.Kind == Service}
+	return kind{need: j.spec.Need, image: j.image, types: j.types, spot: j.spec.Spot, service: j.spec.Kind == Service, starves: j.starves}
 }
 
 // choice is a machine and what it cost when it was looked at.
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -146,7 +146,7 @@
 // class is of another team, and one without a min. That room is there for what is to
 // start at once, and what borrows it may keep it for minutes. The team has use placed.
 func (c *Core) borrowsHeld(j *job, use Res) bool {
-	if slices.Contains(c.holds, j.class) || within(use, j.spec.Need, j.team.Min) {
+	if j.starves || slices.Contains(c.holds, j.class) || within(use, j.spec.Need, j.team.Min) {
 		return false
 	}
 	for _, k := range c.holds {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -21,6 +21,8 @@
 	due       Micros // steady clock; 0: none
 	rank      int    // 0: on time, then the later the less it is worth; see rankJobs
 	submitted Micros // steady clock
+	placedAt  Micros // when a task was last given room
+	starves   bool   // see judgeStarving
 
 	status  []taskStatus
 	live    map[int]*placement // placements that hold a task
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -12,11 +12,24 @@
 	types, zone   string
 	gang          int // its tasks
 	oneZone       bool
+	starves       bool
 }
 
 func (j *job) shape() shape {
 	return shape{need: j.spec.Need, spot: j.spec.Spot, service: j.spec.Kind == Service, team: j.spec.Team,
-		priority: j.spec.Priority, types: j.types, zone: j.spec.Zone}
+		priority: j.spec.Priority, types: j.types, zone: j.spec.Zone, starves: j.starves}
+}
+
+// starvesAfter is how long nothing of a job has started before it is given room that is kept
+// for others: users are owed that no job waits for longer than 90 s beside a machine that has
+// room for it, and its image has to be fetched within that time, too.
+const starvesAfter = 60 * Second
+
+// judgeStarving notes whether nothing of the job is on a machine, nor was put on one for long.
+// It may then take room that is spare or held, for one task, or for all of a gang: what is kept
+// there is for jobs that may come, and this one is there.
+func (c *Core) judgeStarving(j *job, now Micros) {
+	j.starves = j.on == 0 && now-max(j.submitted, j.placedAt, c.begun) >= starvesAfter
 }
 
 // schedule gives room to waiting tasks in the queue's order.
@@ -40,6 +53,7 @@
 			c.completeGang(j, now)
 			continue
 		}
+		c.judgeStarving(j, now)
 		plain := (gang || !j.spec.OneZone) && !j.spec.Spread && j.errors == nil
 		key := j.shape()
 		if gang {
@@ -110,6 +124,7 @@
 func (c *Core) put(j *job, i int, m *machine, attempt uint64, now Micros) *placement {
 	p := &placement{j: j, job: j.spec.ID, index: i, attempt: attempt, m: m, need: j.spec.Need, at: now}
 	c.recount(m, func() { c.add(p) })
+	j.placedAt, j.starves = now, false
 	if !slices.Contains(c.holds, j.class) {
 		c.lendable = c.lendable.Sub(j.spec.Need)
 	}
@@ -164,7 +179,7 @@
 		if !j.spec.Need.Fits(free) || !c.kindAllowed(j, m) || cached && !m.hasImage(j.image) || m.vacating || !c.usable(m, now) {
 			return 0, false
 		}
-		if j.spec.Kind != Service && c.takesSpare(j.spec.Need, m) {
+		if j.spec.Kind != Service && !j.starves && c.takesSpare(j.spec.Need, m) {
 			return 0, false
 		}
 		cost := c.startCost(j, m)
@@ -175,7 +190,7 @@
 		return cost + left.CPU*int64(20*Millisecond)/1000, true
 	}
 	best := c.choose(key, c.roomy, j, only, cost, func(m *machine) bool { return j.errors[m.name] })
-	if best == nil && len(j.errors) >= suspectFrom {
+	if best == nil && (len(j.errors) >= suspectFrom || j.starves && j.errors != nil) {
 		best = c.choose(key, c.roomy, j, only, cost, func(*machine) bool { return false })
 	}
 	return best
