--- a/internal/node/cancelled_test.go
+++ b/internal/node/cancelled_test.go
@@ -131,3 +131,27 @@
 		}
 	}
 }
+
+// TestVoid: what waits until a write without an answer is void is done once the token is
+// raised, whoever tells of it, and not before.
+func TestVoid(t *testing.T) {
+	n := quietNode()
+	n.ctx = t.Context()
+	n.term = &term{n: n, stamp: 5}
+	n.core.Begin(0, 0, 5, nil, core.Snapshot{})
+	done := 0
+	n.term.void(func() { done++ })
+	n.heardLeader("n-0", 5)
+	if done != 0 {
+		t.Error("done before the token was raised")
+	}
+	n.view.lastToken = 9
+	n.heardLeader("n-0", 9) // the watch shows it, the answer to the write was lost
+	if done != 1 || n.term.stamp != 9 {
+		t.Errorf("done %d times under token %d", done, n.term.stamp)
+	}
+	n.term.raised(12)
+	if done != 1 {
+		t.Error("done again")
+	}
+}
--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -331,7 +331,15 @@
 			box.Saved(n.now(), a.ID, ok)
 		}
 	}
-	it.done = func(_ uint64, err error) { saved(err == nil) }
+	it.done = func(_ uint64, err error) {
+		if writeOutcome(err) == core.WriteUnknown {
+			// It may be carried out after the next one, whose marks and bitmaps it would
+			// replace: what was told would be told again.
+			n.ifTerm(t, func() { t.void(func() { saved(false) }) })
+			return
+		}
+		saved(err == nil)
+	}
 	if !n.commit.add(it, false) {
 		n.post(func() { saved(false) })
 	}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -19,6 +19,7 @@
 	stamp   uint64 // version of the leader's key, which is the token
 	nth     uint64
 	raising bool
+	voided  []func() // to be called once the token is raised
 
 	begun    core.Micros
 	cancel   context.CancelFunc
@@ -278,6 +279,9 @@
 			t.raising = false
 			if err != nil {
 				n.log.Info("token not raised", "err", err)
+				if len(t.voided) > 0 {
+					time.AfterFunc(raisePause, func() { n.post(func() { n.ifTerm(t, t.raise) }) })
+				}
 				return
 			}
 			n.ifTerm(t, func() { t.raised(stamp) })
@@ -285,10 +289,24 @@
 	}()
 }
 
+// raisePause is between two tries to raise a token that something waits for.
+const raisePause = 200 * time.Millisecond
+
+// void raises the token, and calls then once no write that was sent under it can be carried
+// out any more.
+func (t *term) void(then func()) {
+	t.voided = append(t.voided, then)
+	t.raise()
+}
+
 func (t *term) raised(stamp uint64) {
 	if stamp > t.stamp {
 		t.stamp = stamp
 		t.n.core.Raised(t.n.now(), stamp)
+		for _, f := range t.voided {
+			f()
+		}
+		t.voided = nil
 	}
 }
 
