--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -70,13 +70,7 @@
 		return b
 	}
 	n := quietNode()
-	n.cfg.Params.Teams = append(n.cfg.Params.Teams, struct {
-		Name    string  `json:"name"`
-		CPUs    float64 `json:"cpus"`
-		CPUsMax float64 `json:"cpus_max"`
-		GPUs    float64 `json:"gpus"`
-		GPUsMax float64 `json:"gpus_max"`
-	}{Name: "blue"})
+	addTeam(n, "blue", 0)
 	spec := &core.JobSpec{ID: "job-1", Team: "blue", Tasks: 1, Need: core.Res{CPU: 16000}}
 	n.applyPut(catalogKey, catalog(8), 3)
 	if n.cannotRun(spec) == "" {
@@ -91,3 +85,46 @@
 		t.Errorf("after an older read: %s", why)
 	}
 }
+
+func addTeam(n *Node, name string, most float64) {
+	n.cfg.Params.Teams = append(n.cfg.Params.Teams, struct {
+		Name    string  `json:"name"`
+		CPUs    float64 `json:"cpus"`
+		CPUsMax float64 `json:"cpus_max"`
+		GPUs    float64 `json:"gpus"`
+		GPUsMax float64 `json:"gpus_max"`
+	}{Name: name, CPUsMax: most})
+}
+
+// TestCannotRun: a job that can never run is not accepted. One bound to a zone that there is
+// not was: it waited without end.
+func TestCannotRun(t *testing.T) {
+	n := quietNode()
+	addTeam(n, "blue", 16)
+	n.cfg.Params.Zones = []string{"a", "b"}
+	n.catalog = []core.MachineType{{Name: "m", Cap: core.Res{CPU: 8000}}, {Name: "l", Cap: core.Res{CPU: 12000}}}
+	good := core.JobSpec{ID: "job-1", Team: "blue", Tasks: 2, Need: core.Res{CPU: 8000}}
+	for _, c := range []struct {
+		what   string
+		change func(s *core.JobSpec)
+		runs   bool
+	}{
+		{"it can", func(*core.JobSpec) {}, true},
+		{"no such team", func(s *core.JobSpec) { s.Team = "red" }, false},
+		{"no machine is as large", func(s *core.JobSpec) { s.Need.CPU = 13000 }, false},
+		{"none of its types is", func(s *core.JobSpec) { s.Need.CPU, s.Types = 12000, []string{"m"} }, false},
+		{"one of its types is", func(s *core.JobSpec) { s.Need.CPU, s.Types, s.Tasks = 12000, []string{"m", "l"}, 1 }, true},
+		{"no type", func(s *core.JobSpec) { s.Types = []string{} }, false},
+		{"a zone", func(s *core.JobSpec) { s.Zone = "b" }, true},
+		{"no such zone", func(s *core.JobSpec) { s.Zone = "c" }, false},
+		{"an array over the limit as a whole", func(s *core.JobSpec) { s.Tasks = 30 }, true},
+		{"a gang over the limit", func(s *core.JobSpec) { s.Tasks, s.Kind = 3, core.Gang }, false},
+		{"a service over the limit", func(s *core.JobSpec) { s.Tasks, s.Kind = 3, core.Service }, false},
+	} {
+		s := good
+		c.change(&s)
+		if why := n.cannotRun(&s); (why == "") != c.runs {
+			t.Errorf("%s: %q", c.what, why)
+		}
+	}
+}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -159,6 +159,9 @@
 	if t.CPUsMax > 0 && float64(all.CPU) > t.CPUsMax*1000 || t.GPUsMax > 0 && float64(all.GPU) > t.GPUsMax*1000 {
 		return fmt.Sprintf("it needs more than the limit of team %s", s.Team)
 	}
+	if zones := n.cfg.Params.Zones; s.Zone != "" && len(zones) > 0 && !slices.Contains(zones, s.Zone) {
+		return fmt.Sprintf("there is no zone %q", s.Zone)
+	}
 	for i := range n.catalog {
 		if s.Need.Fits(n.catalog[i].Cap) && (s.Types == nil || slices.Contains(s.Types, n.catalog[i].Name)) {
 			return ""
