A start under way of a cancelled job has the token raised also where no report is taken

Where a machine hung until that start may not begin any more, its beats are refused, and only a taken report asked for a new token: its other tasks ended with its lease.

--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -61,6 +61,32 @@
 	w.want("refused under a new token", f.refused(), false)
 }
 
+// TestLateStartOnHungMachine: a machine that hangs until a direct start of a cancelled job may
+// not begin any more is not answered, and the token is raised at once: under it the machine is
+// answered again, and its other tasks go on. They ended with its lease, since only a report
+// that was taken asked for a new token.
+func TestLateStartOnHungMachine(t *testing.T) {
+	w := newWorld(t, blue)
+	w.begin(100, nil, Snapshot{})
+	f := w.machine("n-1", "a").beat()
+	w.submit(JobSpec{ID: "job-1", Tasks: 1})
+	f.direct()
+	f.beat()
+	f.lossy = true
+	w.submit(JobSpec{ID: "job-2", Tasks: 1})
+	f.direct()
+	w.cancel("job-2")
+	m := w.c.machines["n-1"]
+	w.now += w.c.cfg.Blind
+	m.answered, m.heard = w.now, w.now // whatever else keeps its lease alive
+	raised := w.raise
+	w.want("refused", f.refused(), true)
+	w.want("a new token is asked for", w.raise, raised+1)
+	w.c.Raised(w.now, 200)
+	w.want("refused under it", f.refused(), false)
+	w.want("runs on", f.live(), "job-1/0 ")
+}
+
 // TestOldReport: a copy of an earlier report, also of an earlier session, neither frees
 // nor finishes nor starts anything, and lengthens no lease: a machine that is silent
 // would be waited for as long as copies of what it once said arrive.
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -21,6 +21,7 @@
 		return nil, 0, false // a copy: see absorb
 	}
 	if c.startsCancelled(m, r, now) {
+		c.wantRaise = true
 		return nil, 0, false
 	}
 	if !m.newer(r) {
