The largest of small arrays begin in time, too: after 200 s, where they are larger than usual

Ruled out on the way: that machines went back as idle although work could use them. TestBeginWaiting has the small one, seen failing without.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -93,6 +93,7 @@
 	sizes []int // tasks of the latest arrays, in a ring
 	size  int   // the next to be replaced
 	large int   // arrays of so many tasks are among its largest; 0: not known
+	usual int   // half of its arrays have no more tasks
 }
 
 // New returns a core that does not lead.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -88,13 +88,25 @@
 	}
 }
 
-// beginWithin is how long an array waits in its order before it is begun with a task, and
-// beginLeast how many tasks it has at the least: one of fewer is a large part of it.
+// beginWithin is how long one of the largest arrays of a class waits in its order before it is
+// begun with a task: users are owed that they begin within four minutes. One with fewer tasks
+// than beginLeast waits for longer, as a task is a large part of it, and has to be larger than
+// usual: where most have one task, a quarter of them are no largest.
 const (
-	beginWithin = 150 * Second
-	beginLeast  = 8
+	beginWithin      = 150 * Second
+	beginSmallWithin = 200 * Second
+	beginLeast       = 8
 )
 
+// beginsLate reports whether the job is among the largest of its class and has waited in its
+// order for so long that it is to begin.
+func (j *job) beginsLate(now Micros) bool {
+	if j.spec.Tasks >= beginLeast {
+		return j.spec.Tasks >= j.class.large && now-j.submitted >= beginWithin
+	}
+	return j.spec.Tasks >= j.class.large && j.spec.Tasks > j.class.usual && now-j.submitted >= beginSmallWithin
+}
+
 // beginWaiting gives one task's room to each array of the first priority in the queue
 // that is among the largest of its class, has waited for long and has not begun: in
 // overload the order of the queue would leave those for the end. A task of each takes
@@ -105,7 +117,7 @@
 		if j.spec.Priority != queue[0].spec.Priority {
 			return
 		}
-		if j.spec.Kind != Array || j.spec.Tasks < max(j.class.large, beginLeast) || j.on > 0 || j.done > 0 || now-j.submitted < beginWithin || j.held || j.stopping || now < j.notBefore {
+		if j.spec.Kind != Array || !j.beginsLate(now) || j.on > 0 || j.done > 0 || j.held || j.stopping || now < j.notBefore {
 			continue
 		}
 		use := c.teamUse(j.team)
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -151,7 +151,7 @@
 	}
 	if k.size = (k.size + 1) % sizesKept; k.size%16 == 0 || len(k.sizes) < 16 {
 		in := slices.Sorted(slices.Values(k.sizes))
-		k.large = in[int(float64(len(in))*largeFrom)]
+		k.large, k.usual = in[int(float64(len(in))*largeFrom)], in[len(in)/2]
 	}
 }
 
--- a/internal/core/rank_test.go
+++ b/internal/core/rank_test.go
@@ -64,7 +64,8 @@
 }
 
 // TestBeginWaiting: an array that the order of the queue leaves for the end begins with one
-// task once it has waited for long; one of a lower priority does not go before others.
+// task once it has waited for long, a small one, of three tasks where most have one, later; one
+// of a lower priority does not go before others.
 func TestBeginWaiting(t *testing.T) {
 	w := newWorld(t, Team{Name: "blue"})
 	w.begin(100, nil, Snapshot{})
@@ -73,11 +74,12 @@
 		w.submit(JobSpec{ID: id, Tasks: tasks, Priority: p, Estimate: 10 * Second, Due: 20 * Second, Need: Res{8000, 0, 1000}})
 	}
 	began := map[string]Micros{}
-	for s := range 200 {
+	for s := range 250 {
 		submit(fmt.Sprint("job-s", s), 1, Normal) // small ones come all the time
 		if s == 10 {
 			submit("job-0", 40, Normal)
 			submit("job-1", 40, Low)
+			submit("job-2", 3, Normal)
 		}
 		w.pass(Second)
 		f.direct()
@@ -96,5 +98,8 @@
 	if at := began["job-0"]; at == 0 || at > 170*Second {
 		t.Errorf("the large one began at %d s", at/Second)
 	}
+	if at := began["job-2"]; at < 200*Second || at > 230*Second {
+		t.Errorf("the small one began at %d s", at/Second)
+	}
 	w.want("the one of lower priority", began["job-1"], Micros(0))
 }
