--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,7 +9,7 @@
 	teams map[string]*team
 
 	leading     bool
-	token       uint64 // of commands sent now
+	token       uint64 // the fencing token of commands sent now
 	settleToken uint64 // a report with this token or a higher one is current
 	attempts    uint64
 
@@ -133,7 +133,7 @@
 // Leading reports whether a term is under way.
 func (c *Core) Leading() bool { return c.leading }
 
-// Token is the term's token.
+// Token is the term's fencing token.
 func (c *Core) Token() uint64 { return c.token }
 
 // Step places what can be placed and returns what is to be done.
--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -236,7 +236,7 @@
 	begin := func() {
 		switch {
 		case q.After == 0:
-			n.whenFresh(func(ok bool) {
+			n.readLinearizable(func(ok bool) {
 				if !ok {
 					out <- seen{err: httpapi.ErrUnavailable}
 					return
@@ -384,7 +384,7 @@
 		old *registry.Job
 	}
 	p, err := ask(ctx, n, httpapi.ErrUnavailable, func(reply func(planned, error)) {
-		n.whenFresh(func(ok bool) {
+		n.readLinearizable(func(ok bool) {
 			if !ok || len(n.catalog) == 0 {
 				reply(planned{}, httpapi.ErrUnavailable)
 				return
@@ -416,7 +416,7 @@
 
 // changeJob works out a change of what is known now and writes it.
 func (n *Node) changeJob(tries int, reply func(httpapi.Registered, error), plan func() (*registry.Change, error), name registry.Name) {
-	n.whenFresh(func(ok bool) {
+	n.readLinearizable(func(ok bool) {
 		if !ok {
 			reply(httpapi.Registered{}, httpapi.ErrUnavailable)
 			return
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -48,7 +48,7 @@
 		return
 	}
 	asked := n.now()
-	n.whenFresh(func(ok bool) {
+	n.readLinearizable(func(ok bool) {
 		rec, known := n.view.jobs[id]
 		switch {
 		case known && rec.Phase != core.Pending:
@@ -236,7 +236,7 @@
 				reply(n.state(rec))
 			case errors.Is(err, statestore.ErrConflict) && tries > 0:
 				// Done, or cancelled through another node: read what it is now.
-				n.whenFresh(func(ok bool) {
+				n.readLinearizable(func(ok bool) {
 					if !ok {
 						reply(httpapi.Unavailable())
 						return
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -103,7 +103,7 @@
 func (n *Node) refresh(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	ok, _ := call(ctx, n, func(reply func(bool)) { n.whenFresh(reply) })
+	ok, _ := call(ctx, n, func(reply func(bool)) { n.readLinearizable(reply) })
 	return ok
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -220,13 +220,13 @@
 	}
 }
 
-// whenFresh calls f once the view is known to hold every change made before
-// this call, or with false if that could not be found out. One read of the
+// readLinearizable calls f once the view is known to hold every change made before
+// this call (a linearizable read), or with false if that could not be found out. One read of the
 // changes, begun after the call, serves everybody who waits at that moment. A
 // long watch would prove nothing: it is silent while other keys change. Between two
 // reads there is a pause, so that all nodes together leave half of the service's
 // requests to what is written, however many users ask.
-func (n *Node) whenFresh(f func(ok bool)) {
+func (n *Node) readLinearizable(f func(ok bool)) {
 	if len(n.waiting) >= 2000 || n.unreached() {
 		f(false)
 		return
