Kept room that is lent to jobs that waited is not kept anew out of what falls free

TestLentRoomIsNotKeptAnew, seen failing without; measured next. TestSingleTasks bounds the changes a job.

--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -29,6 +29,7 @@
 
 	tasks  []*placement
 	used   Res // by placements that hold
+	lent   Res // of that, by those that took spare room: see spareOn
 	doing  bool
 	noDo   bool   // the last direct command could not be delivered: wait for a beat
 	probe  bool   // in Core.probes
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -135,7 +135,13 @@
 
 func (c *Core) put(j *job, i int, m *machine, attempt uint64, now Micros) *placement {
 	p := &placement{j: j, job: j.spec.ID, index: i, attempt: attempt, m: m, need: j.spec.Need, at: now}
-	c.recount(m, func() { c.add(p) })
+	lent := j.starves && j.spec.Kind != Service && c.takesSpare(j.spec.Need, m)
+	c.recount(m, func() {
+		c.add(p)
+		if lent {
+			p.lent, m.lent = true, m.lent.Add(p.need)
+		}
+	})
 	j.placedAt, j.starves = now, false
 	if !slices.Contains(c.holds, j.class) {
 		c.lendable = c.lendable.Sub(j.spec.Need)
@@ -223,7 +229,7 @@
 		change()
 		return
 	}
-	was := c.spareNeed.copies(m.free())
+	was := c.spareOn(m)
 	change()
-	c.spare[m.zone] += c.spareNeed.copies(m.free()) - was
+	c.spare[m.zone] += c.spareOn(m) - was
 }
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -32,6 +32,7 @@
 	again     bool // a gang task that gave up waiting: to be forgotten and started once more
 	waits     int  // how often it was
 	listed    bool // taken from a former leader's record of what it kept
+	lent      bool // on spare room, by a job that had waited for long
 }
 
 func (p *placement) holds() bool { return !(p.shown && p.state == Exited) }
@@ -70,6 +71,9 @@
 func (c *Core) release(p *placement, now Micros) {
 	m := p.m
 	m.used = m.used.Sub(p.need)
+	if p.lent {
+		m.lent, p.lent = m.lent.Sub(p.need), false
+	}
 	c.changed = append(c.changed, m)
 	c.dirty = true
 	if m.used == (Res{}) {
--- a/internal/core/return.go
+++ b/internal/core/return.go
@@ -54,7 +54,7 @@
 		}
 		*short = short.Add(m.typ.Cap)
 		if !m.spot && c.spareNeed != (Res{}) {
-			c.spare[m.zone] -= c.spareNeed.copies(m.free())
+			c.spare[m.zone] -= c.spareOn(m)
 		}
 		c.giveBack(m, now, "idle")
 	}
--- a/internal/core/spare.go
+++ b/internal/core/spare.go
@@ -99,11 +99,16 @@
 	c.spareWant = max(2*c.cfg.Tuning.SpareTasks, int(math.Ceil(want)))
 	for _, m := range c.order {
 		if !m.spot && c.usable(m, now) {
-			c.spare[m.zone] += c.spareNeed.copies(m.free())
+			c.spare[m.zone] += c.spareOn(m)
 		}
 	}
 }
 
+// spareOn is how many tasks of services the machine has room for. What is lent counts as if it
+// were there: kept anew out of the room that falls free, it would be taken from jobs that are
+// in time, for those that had waited for long.
+func (c *Core) spareOn(m *machine) int { return c.spareNeed.copies(m.free().Add(m.lent)) }
+
 // takesSpare reports whether a batch task on the ordinary machine would take
 // room that is kept for services. Every machine keeps room for one, as each has
 // other images in its cache, if there is little room, or if a service's start is
@@ -112,9 +117,8 @@
 	if m.spot || c.spareNeed == (Res{}) {
 		return false
 	}
-	free := m.free()
-	left := c.spareNeed.copies(free.Sub(need))
-	zone := c.spare[m.zone] - c.spareNeed.copies(free) + left
+	left := c.spareNeed.copies(m.free().Add(m.lent).Sub(need))
+	zone := c.spare[m.zone] - c.spareOn(m) + left
 	if zone < c.spareInZone || left > 0 {
 		return zone < c.spareInZone
 	}
@@ -133,7 +137,7 @@
 	for _, n := range c.spare {
 		all += n
 	}
-	n := c.spareNeed.copies(m.free())
+	n := c.spareOn(m)
 	return c.spare[m.zone]-n < c.spareInZone || all-n < c.spareWant
 }
 
--- a/internal/core/starve_test.go
+++ b/internal/core/starve_test.go
@@ -1,6 +1,9 @@
 package core
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // TestNoJobWaitsBesideRoom: room that is kept for services that are expected, or held for a
 // class that starts at once, goes to a job of which nothing has started for long: it is given
@@ -71,3 +74,38 @@
 		})
 	}
 }
+
+// TestLentRoomIsNotKeptAnew: spare room that went to a job which had waited for long is not
+// kept again out of what falls free: in a flood that took a thirtieth of all deadlines.
+func TestLentRoomIsNotKeptAnew(t *testing.T) {
+	w := newWorld(t, Team{Name: "blue"}, Team{Name: "green"})
+	w.c.cfg.Tuning.SpareTasks = 4
+	w.begin(100, nil, Snapshot{})
+	f := w.machine("n-1", "a").beat()
+	serve := func(id string) { // services are expected
+		w.submit(JobSpec{ID: id, Tasks: 1, Kind: Service, Team: "green", Class: "web", Priority: Production})
+		f.direct()
+		f.beat()
+		w.cancel(id)
+		f.direct()
+		f.beat()
+	}
+	serve("job-90")
+	w.rounds(10, []*fake{f})
+	serve("job-91")
+	w.submit(JobSpec{ID: "job-1", Tasks: 1, Need: Res{4000, 0, 2000}})
+	for i := range 7 {
+		w.rounds(9, []*fake{f})
+		serve(fmt.Sprint("job-8", i))
+	}
+	w.want("on spare room", f.live(), "job-1/0 ")
+	g := w.machine("n-2", "a").beat()
+	w.submit(JobSpec{ID: "job-2", Tasks: 9})
+	w.pass(Second)
+	g.direct()
+	w.want("room that comes is for those in time", w.c.jobs["job-2"].on, 4)
+	w.want("lent", w.c.machines["n-1"].lent, Res{4000, 0, 2000})
+	f.exit(0, CauseDone)
+	f.beat()
+	w.want("lent no more", w.c.machines["n-1"].lent, Res{})
+}
--- a/internal/standin/seven_test.go
+++ b/internal/standin/seven_test.go
@@ -667,8 +667,13 @@
 			}
 			a, c, e := p95(accepted), p95(confirmed), p95(ended)
 			late := p95(ended[len(ended)*3/4:])
-			t.Logf("of %d jobs: accepted within %v, confirmed within %v, done within %v (95 of a hundred); %.2f changes a job",
-				len(accepted), a, c, e, float64(after-before)/(minutes*60*rate))
+			changes := float64(after-before) / (minutes * 60 * rate)
+			t.Logf("of %d jobs: accepted within %v, confirmed within %v, done within %v (95 of a hundred); %.2f changes a job", len(accepted), a, c, e, changes)
+			// Its record, that it is opened, its final record with the drop of that; little
+			// for machines. At five a job a leader would be out of its share of 25 a second.
+			if changes > 4.2 {
+				t.Errorf("%.2f changes a job", changes)
+			}
 			if a > 500*ms || c > 500*ms || e > 40*s || late > 60*s {
 				t.Errorf("accepted within %v, confirmed within %v, done within %v, the last of them %v", a, c, e, late)
 			}
