--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -29,7 +29,9 @@
 // It may then take room that is spare or held, for one task, or for all of a gang: what is kept
 // there is for jobs that may come, and this one is there.
 func (c *Core) judgeStarving(j *job, now Micros) {
-	j.starves = j.on == 0 && now-max(j.submitted, j.placedAt, c.begun) >= starvesAfter
+	// A new leader does not know when something was placed; what runs it hears of soon.
+	began := c.begun - starvesAfter*2/3
+	j.starves = j.on == 0 && now-max(j.submitted, j.placedAt, began) >= starvesAfter
 }
 
 // schedule gives room to waiting tasks in the queue's order.
--- a/internal/core/starve_test.go
+++ b/internal/core/starve_test.go
@@ -109,3 +109,28 @@
 	f.beat()
 	w.want("lent no more", w.c.machines["n-1"].lent, Res{})
 }
+
+// TestWaitedBeforeATakeover: a job that waited for long under a former leader does not begin to
+// wait anew under the next: it takes kept room once what runs has been heard of.
+func TestWaitedBeforeATakeover(t *testing.T) {
+	w := newWorld(t, Team{Name: "blue"}, Team{Name: "green"})
+	w.c.cfg.Tuning.SpareTasks = 4
+	w.now = 200 * Second
+	old := JobSpec{ID: "job-1", Tasks: 1, Team: "blue", Need: Res{4000, 0, 2000}, Image: "im"}
+	w.begin(100, []JobRecord{{Spec: old, Submitted: 10 * Second, Stamp: 3}}, Snapshot{})
+	f := w.machine("n-1", "a")
+	for i := range 24 {
+		if i%8 == 0 { // services are expected
+			id := fmt.Sprint("job-9", i/8)
+			w.submit(JobSpec{ID: id, Tasks: 1, Kind: Service, Team: "green", Class: "web", Priority: Production})
+			w.cancel(id)
+		}
+		w.pass(Second)
+		f.direct()
+		f.beat()
+		if i == 17 {
+			w.want("waits", w.c.jobs["job-1"].on, 0)
+		}
+	}
+	w.want("has room", w.c.jobs["job-1"].on, 1)
+}
