--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -132,7 +132,7 @@
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	cmd := exec.Command("go", "test", "-json", "./...")
+	cmd := exec.Command("go", "test", "-json", "-timeout", "40m", "./...")
 	cmd.Stderr = os.Stderr
 	var events bytes.Buffer
 	cmd.Stdout = &events
