A task that two machines show starts nowhere until both have shown what is so

A copy of an old report showed a new leader a task on a machine that it had left; the machine that had it was told to stop it and counted for nothing, so once the other had shown that it was empty the task was started beside it. Now the later attempt is the one that is there, and any other machine that showed the task keeps it from starting elsewhere until it is gone.

--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -26,6 +26,7 @@
 
 	status  []taskStatus
 	live    map[int]*placement // placements that hold a task
+	doubles []*placement       // others of the same tasks, which machines have shown, too: see adopt
 	ends    []*placement       // completed, and not recorded yet
 	running int
 	zones   map[string]int // live placements by zone
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -1,5 +1,7 @@
 package core
 
+import "slices"
+
 // placement is one start of a task on a machine, from the decision until the
 // machine no longer knows it.
 type placement struct {
@@ -64,6 +66,8 @@
 		p.j.live[p.index] = p
 		p.j.set(p.index, taskPlaced)
 		c.moves(p.j)
+	} else if q := p.j.live[p.index]; q != nil && q != p {
+		p.j.doubles = append(p.j.doubles, p)
 	}
 }
 
@@ -91,11 +95,18 @@
 	t.placed[p.j.spec.Priority]--
 	p.j.zones[m.zone]--
 	p.j.on--
-	if p.j.live[p.index] == p {
-		delete(p.j.live, p.index)
-		if p.j.status[p.index] == taskPlaced {
-			p.j.set(p.index, taskPending)
-		}
+	j := p.j
+	j.doubles = slices.DeleteFunc(j.doubles, func(o *placement) bool { return o == p })
+	if j.live[p.index] != p {
+		return
+	}
+	delete(j.live, p.index)
+	if i := slices.IndexFunc(j.doubles, func(o *placement) bool { return o.index == p.index }); i >= 0 {
+		// It may be there: it starts nowhere before that is over.
+		j.live[p.index] = j.doubles[i]
+		j.doubles = slices.Delete(j.doubles, i, i+1)
+	} else if j.status[p.index] == taskPlaced {
+		j.set(p.index, taskPending)
 	}
 }
 
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -260,16 +260,24 @@
 	switch {
 	case j.cancelled, j.status[t.Index] == taskDone:
 		p.unwanted = true
-	case t.State != Exited && j.live[t.Index] != nil && !(j.live[t.Index].listed && t.Attempt > j.live[t.Index].attempt):
-		// Two starts of one task can only come from a fault; the one that this
-		// leader knows of stays.
-		p.unwanted = true
-		c.note("task reported on two machines", "job", t.Job, "task", t.Index, "machine", m.name)
 	case t.State != Exited:
-		if q := j.live[t.Index]; q != nil {
+		switch q := j.live[t.Index]; {
+		case q == nil:
+		case t.Attempt <= q.attempt:
+			// One of the reports is a copy of an old one, and this attempt the earlier: it
+			// was known to be gone before the other was started. Until its machine shows
+			// that, it counts, and keeps the task from starting elsewhere (release).
+			p.unwanted = true
+			c.note("task reported on two machines", "job", t.Job, "task", t.Index, "machine", m.name, "other", q.m.name)
+		case q.listed:
 			c.unlist(q, now) // it was replaced after it was recorded
+		default:
+			c.note("task reported on two machines", "job", t.Job, "task", t.Index, "machine", q.m.name, "other", m.name)
+			delete(j.live, t.Index)
+			j.doubles = append(j.doubles, q)
+			c.unwant(q, now, 0)
 		}
-		if j.spec.Kind == Gang {
+		if j.spec.Kind == Gang && !p.unwanted {
 			j.attempt = max(j.attempt, t.Attempt)
 		}
 	}
