--- a/internal/core/partition_test.go
+++ b/internal/core/partition_test.go
@@ -81,6 +81,9 @@
 				r := ghost.r
 				w.c.Beat(w.now, &r)
 				w.step()
+				r.Seq++
+				w.c.BeatInGrace(w.now, &r) // nor by a leader whose lease is not certain
+				w.step()
 				w.want("tasks taken over", w.c.jobs["job-1"].on, 0)
 				w.want("usable", w.c.usable(w.c.machines["n-1"], w.now), false)
 				other := w.machine("n-2", "a").beat()
@@ -89,7 +92,7 @@
 				w.want("run on a machine that is there", other.live(), "job-1/0 job-1/1 ")
 				// It was there after all, and shows it.
 				ghost.r.Tasks = nil
-				ghost.r.Token = 100
+				ghost.r.Token, ghost.r.Seq = 100, 60
 				ghost.beat()
 				w.want("usable once it shows the token", w.c.usable(w.c.machines["n-1"], w.now), true)
 			})
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -17,8 +17,8 @@
 		c.addMachine(m)
 		c.note("unexpected machine reports", "machine", m.name, "type", m.typeName, "zone", m.zone)
 	}
-	if m.unproven && len(r.Tasks) > 0 && r.Token < c.settleToken {
-		return nil, 0, false // a copy: see absorb
+	if c.isCopy(m, r) {
+		return nil, 0, false
 	}
 	if c.startsCancelled(m, r, now) {
 		c.wantRaise = true
@@ -63,7 +63,7 @@
 // the worker has seen a higher token, so that there is another leader.
 func (c *Core) BeatInGrace(now Micros, r *Report) (token uint64, ok bool) {
 	m := c.machines[r.Machine]
-	if !c.leading || m == nil || r.Token > c.token {
+	if !c.leading || m == nil || r.Token > c.token || c.isCopy(m, r) {
 		return 0, false
 	}
 	if c.startsCancelled(m, r, now) {
@@ -78,6 +78,11 @@
 	return c.token, true
 }
 
+// isCopy reports whether a report can only be a copy of an old one: see absorb.
+func (c *Core) isCopy(m *machine, r *Report) bool {
+	return m.unproven && len(r.Tasks) > 0 && r.Token < c.settleToken
+}
+
 // newer reports whether a report is newer than all before it.
 func (m *machine) newer(r *Report) bool {
 	return r.Session > m.session || r.Session == m.session && r.Seq > m.seq
