--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -16,8 +15,8 @@
 
 // Faults makes a stand-in's answers go wrong, by chance from a fixed seed.
 type Faults struct {
-	mu   sync.Mutex
-	rand *rand.Rand
+	mu     sync.Mutex
+	random *Streams // by client and path
 
 	LoseRequest float64 // closed without having been executed
 	LoseAnswer  float64 // executed, and closed without an answer
@@ -63,7 +62,7 @@
 
 // NewFaults returns faults with a seed.
 func NewFaults(seed uint64) *Faults {
-	return &Faults{rand: rand.New(rand.NewPCG(seed, 1)), Refuse: map[string]bool{}, RefuseReads: map[string]bool{}}
+	return &Faults{random: NewStreams(seed), Refuse: map[string]bool{}, RefuseReads: map[string]bool{}}
 }
 
 // Set changes the faults.
@@ -77,15 +76,16 @@
 func (f *Faults) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
-		dice := f.rand.Float64()
+		random := f.random.Of(r.RemoteAddr + " " + r.URL.Path)
+		dice := random.Float64()
 		text := f.RefuseText
-		delay := time.Duration(f.rand.Float64() * float64(f.Delay))
+		delay := time.Duration(random.Float64() * float64(f.Delay))
 		loseReq, loseAns, noAns, late, lateBy := f.LoseRequest, f.LoseAnswer, f.NoAnswer, f.Late, f.LateBy
-		lateBy += time.Duration(f.rand.Float64() * float64(f.LateMore))
+		lateBy += time.Duration(random.Float64() * float64(f.LateMore))
 		if f.LateOnly != "" && r.URL.Path != f.LateOnly {
 			late, noAns = 0, 0
 		}
-		again := f.Again > 0 && f.rand.Float64() < f.Again
+		again := f.Again > 0 && random.Float64() < f.Again
 		if f.Kept != nil {
 			b := readBody(r)
 			body, _ := io.ReadAll(b())
--- a/internal/standin/further_test.go
+++ b/internal/standin/further_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -15,10 +14,10 @@
 // atTheEnd are users who call a job off, ask about it and submit it again as its last task
 // ends.
 type atTheEnd struct {
-	w     *standin.World
-	r     *rand.Rand
-	mu    sync.Mutex
-	final map[string]string
+	w      *standin.World
+	random *standin.Streams // by job
+	mu     sync.Mutex
+	final  map[string]string
 }
 
 func (e *atTheEnd) at(w *standin.World) {
@@ -28,8 +27,9 @@
 
 func (e *atTheEnd) last(id string) {
 	e.mu.Lock()
-	cancel, ask := time.Duration(e.r.IntN(700))*time.Millisecond, time.Duration(e.r.IntN(700))*time.Millisecond
-	node := e.r.IntN(3)
+	r := e.random.Of(id)
+	cancel, ask := time.Duration(r.IntN(700))*time.Millisecond, time.Duration(r.IntN(700))*time.Millisecond
+	node := r.IntN(3)
 	e.mu.Unlock()
 	for i := range 3 {
 		go func() {
@@ -98,7 +98,7 @@
 		build func(seed uint64) meeting
 	}{
 		{"a cancellation, a question and a submission at the end of a job's last task", func(seed uint64) meeting {
-			e := &atTheEnd{r: rand.New(rand.NewPCG(seed, 40))}
+			e := &atTheEnd{random: standin.NewStreams(seed)}
 			return meeting{day{setup: e.at, ends: true}, func(_ *testing.T, u *users) { short(u, 10*s, 100*s, 500*ms) }, func() string {
 				n := map[string]int{}
 				for _, f := range e.final {
--- a/internal/standin/meetings_days_test.go
+++ b/internal/standin/meetings_days_test.go
@@ -61,7 +61,20 @@
 	endLeader := func(w *standin.World) { leader = max(w.Leader(), 0); w.Kill(leader) }
 	backLeader := func(w *standin.World) { w.StartNode(leader) }
 	terms := map[int]bool{}
-	who := func(w *standin.World) { terms[w.Leader()] = true }
+	who := func(w *standin.World) {
+		if i := w.Leader(); i >= 0 {
+			terms[i] = true
+		}
+	}
+	// Who leads after an end is chance: alone is a node that has not led yet, if there is one.
+	startAlone := func(w *standin.World) {
+		for i := range w.Nodes {
+			if !terms[i] || i == len(w.Nodes)-1 {
+				w.StartNode(i)
+				return
+			}
+		}
+	}
 	for _, c := range []struct {
 		day      day
 		happened func() string // what did not happen; "": it did
@@ -80,7 +93,8 @@
 		{day{name: "controllers hand over and back, all end, and one returns within a second", seed: 91,
 			setup: func(w *standin.World) { lateWrites(0.1)(w) },
 			acts: []act{{40 * s, endLeader}, {40*s + 300*ms, backLeader}, {47 * s, who}, {48 * s, endLeader}, {48*s + 300*ms, backLeader}, {56 * s, who},
-				{57 * s, killAll}, {57*s + 200*ms, start(1)}, {61 * s, who}, {62 * s, startAll}, {64 * s, kill(1)}, {64*s + 100*ms, start(1)}, {75 * s, lateWrites(0)}}},
+				{57 * s, killAll}, {57*s + 200*ms, startAlone}, {61 * s, who}, {63 * s, who}, {65 * s, who}, {66 * s, startAll},
+				{68 * s, kill(1)}, {68*s + 100*ms, start(1)}, {79 * s, lateWrites(0)}}},
 			func() string {
 				if len(terms) < 2 {
 					return "several leaders"
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -296,11 +296,11 @@
 		}}, {at + between(r, 3, 50), h.goOn}}
 	}},
 	{"cancelled at the end", func(r *rand.Rand, at time.Duration) []act {
-		e := &atTheEnd{r: rand.New(rand.NewPCG(r.Uint64(), 1))}
+		e := &atTheEnd{random: standin.NewStreams(r.Uint64())}
 		return []act{{at, e.at}, {at + between(r, 10, 40), func(w *standin.World) { w.Last(nil) }}}
 	}},
 	{"close looks", func(r *rand.Rand, at time.Duration) []act {
-		l := &looks{r: rand.New(rand.NewPCG(r.Uint64(), 1))}
+		l := &looks{random: standin.NewStreams(r.Uint64())}
 		return []act{{at, l.at}, {at + between(r, 10, 40), func(w *standin.World) { w.Looks(nil) }}}
 	}},
 	{"odd requests", func(r *rand.Rand, at time.Duration) []act {
--- a/internal/standin/receiver.go
+++ b/internal/standin/receiver.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -20,7 +19,7 @@
 	LoseReply, Refuse, Slow float64 // how often; slow ones take their time before or after the effect
 
 	mu      sync.Mutex
-	dice    *rand.Rand
+	random  *Streams // by notification
 	keys    map[string]bool
 	effects map[string]int // by type and job
 	order   map[string][]string
@@ -30,7 +29,7 @@
 
 // NewHook returns a receiver that fails by chance from a seed.
 func NewHook(seed uint64) *Hook {
-	return &Hook{dice: rand.New(rand.NewPCG(seed, 11)), keys: map[string]bool{}, effects: map[string]int{}, order: map[string][]string{}}
+	return &Hook{random: NewStreams(seed), keys: map[string]bool{}, effects: map[string]int{}, order: map[string][]string{}}
 }
 
 // ServeHTTP takes a notification.
@@ -45,7 +44,8 @@
 		return
 	}
 	h.mu.Lock()
-	p, pause := h.dice.Float64(), time.Duration(h.dice.IntN(20))*time.Second
+	random := h.random.Of(e.ID)
+	p, pause := random.Float64(), time.Duration(random.IntN(20))*time.Second
 	lose, refuse, slow := h.LoseReply, h.Refuse, h.Slow
 	h.posts++
 	h.mu.Unlock()
--- a/internal/standin/seven_test.go
+++ b/internal/standin/seven_test.go
@@ -64,9 +64,9 @@
 type looks struct {
 	w       *standin.World
 	mu      sync.Mutex
-	r       *rand.Rand
-	cancels bool // some jobs of short are cancelled at once
-	told    int  // what was looked at
+	random  *standin.Streams // by job
+	cancels bool             // some jobs of short are cancelled at once
+	told    int              // what was looked at
 	answers [3]int
 	refused [3]int // questions without an answer, by node
 	repeats int    // repeated submissions that were answered 200
@@ -107,8 +107,9 @@
 func (l *looks) look(id string) {
 	l.mu.Lock()
 	l.told++
-	cancel := l.cancels && id >= "job-001000" && l.r.IntN(6) == 0
-	first, pause := l.r.IntN(3), time.Duration(l.r.IntN(8000))*time.Microsecond
+	r := l.random.Of(id)
+	cancel := l.cancels && id >= "job-001000" && r.IntN(6) == 0
+	first, pause := r.IntN(3), time.Duration(r.IntN(8000))*time.Microsecond
 	lacking := map[string]any{"uid": id, "herd": "sweep"}
 	foreign := array(0, 1, 1)
 	foreign.ID, foreign.Team = id, "nobody"
@@ -171,12 +172,14 @@
 func TestCloseLooks(t *testing.T) {
 	const s, ms = time.Second, time.Millisecond
 	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
-		l := &looks{r: rand.New(rand.NewPCG(seed, 36)), cancels: true}
+		l := &looks{random: standin.NewStreams(seed), cancels: true}
 		one := int(seed) % 3
 		other := (one + 1) % 3
 		at := func(d time.Duration) time.Duration { return d + time.Duration(seed%7)*150*ms }
 		d := day{setup: l.at, ends: true, acts: []act{
 			{at(30 * s), kill(one)}, {at(30*s + 300*ms), start(one)},
+			// Whether users are told something of themselves in these 0.3 s is chance.
+			{at(30*s + 100*ms), func(*standin.World) { l.look("job-001000") }},
 			{at(45 * s), func(w *standin.World) { refuseOne(w, other, true) }}, {at(62 * s), func(w *standin.World) { refuseOne(w, other, false) }},
 			{at(70 * s), killAll}, {at(70*s + 200*ms), start(other)}, {at(72 * s), startAll},
 		}}
@@ -231,7 +234,7 @@
 	const s, ms = time.Second, time.Millisecond
 	hit := map[string]int{}
 	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
-		l := &looks{r: rand.New(rand.NewPCG(seed, 37)), cancels: true}
+		l := &looks{random: standin.NewStreams(seed), cancels: true}
 		lost := 0
 		lose := func(share float64) func(*standin.World) {
 			return func(w *standin.World) {
@@ -447,26 +450,33 @@
 // learn of before it could start it elsewhere or pass a limit.
 func TestUpAtOnceAndTheLeaderEnds(t *testing.T) {
 	const s, ms = time.Second, time.Millisecond
+	const rounds = 9
 	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
 		var writes late
 		young := 0 // machines with tasks that were up for less than three seconds as a leader ended
-		lead := 0
+		// When a machine is up and has a task is chance: the leader ends as soon as one does,
+		// or as none does for half a minute.
 		end := func(w *standin.World) {
-			for _, k := range w.Cloud.Workers() {
-				if k.Up() < 3*s && k.Tasks() > 0 {
-					young++
+			for wait := time.Duration(0); wait < 30*s; wait += 20 * ms {
+				if found := youngAtWork(w); found > 0 {
+					young += found
+					break
 				}
+				time.Sleep(20 * ms)
 			}
-			lead = max(w.Leader(), 0)
+			lead := max(w.Leader(), 0)
 			w.Kill(lead)
+			time.Sleep(4 * s)
+			w.StartNode(lead)
 		}
 		d := day{ends: true, setup: func(w *standin.World) {
 			writes.of(w.StateFaults, wire.CommitPath)
 			w.Cloud.Boots(func(n int) float64 { return 0.02 + 0.1*float64(n%2) }) // 0.3 s and 1.8 s
+			w.Settings.IdleReturnS = 2                                            // so that the next jobs need new machines
 			lateWrites(0.2)(w)
 		}}
-		for i := range 5 {
-			at := 30*s + time.Duration(i)*20*s
+		for i := range rounds {
+			at := 30*s + time.Duration(i)*60*s
 			submit := func(w *standin.World) {
 				for k := range 8 {
 					job := array(100+10*i+k, 4, 30)
@@ -477,13 +487,12 @@
 					w.Submit(job)
 				}
 			}
-			d.acts = append(d.acts, act{at, submit}, act{at + 2*s + time.Duration(seed%4)*300*ms + time.Duration(i)*400*ms, end},
-				act{at + 7*s, func(w *standin.World) { w.StartNode(lead) }})
+			d.acts = append(d.acts, act{at, submit}, act{at + time.Duration(seed%4)*300*ms + time.Duration(i)*100*ms, end})
 		}
-		d.acts = append(d.acts, act{135 * s, lateWrites(0)})
+		d.acts = append(d.acts, act{(35 + 60*rounds) * s, lateWrites(0)})
 		jobs := func(_ *testing.T, u *users) {
-			u.after(140*s, func() {
-				for i := range 5 {
+			u.after((40+60*rounds)*s, func() {
+				for i := range rounds {
 					for k := range 8 {
 						u.ended(fmt.Sprintf("job-%06d", 100+10*i+k))
 					}
@@ -503,6 +512,17 @@
 	})
 }
 
+// youngAtWork counts the machines with tasks that have been up for less than three seconds.
+func youngAtWork(w *standin.World) int {
+	found := 0
+	for _, k := range w.Cloud.Workers() {
+		if k.Up() < 3*time.Second && k.Tasks() > 0 {
+			found++
+		}
+	}
+	return found
+}
+
 // oldReports keeps copies of workers' reports, and has them arrive at every node.
 type oldReports struct {
 	mu     sync.Mutex
