--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -2,19 +2,35 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
-// checker watches the rules of the protocol from outside: it knows only what
-// users were told and what is on which machine.
+// Limit is what a team may use at most; 0 for none.
+type Limit struct{ CPUs, GPUs float64 }
+
+// checker watches the rules of the protocol in a world, with what only that knows.
 type checker struct {
-	w      *World
+	*Rules
+	w *World
+}
+
+// Rules watches the rules of the protocol from outside: it knows only what
+// users were told and what is on which machine.
+type Rules struct {
+	Log      func() *slog.Logger
+	Now      func() time.Time // of what it is told
+	Job      func(id string) *Spec
+	Limit    func(team string) Limit
+	CancelIn time.Duration
+	LastDone func(job string) // called, if set, as the last task of a job is done
+
 	mu     sync.Mutex
-	on     map[string]*Worker // tasks on machines
-	at     map[string]*Spec
+	on     map[string]Place      // tasks on machines
 	use    map[string][2]float64 // by team
 	doneT  map[string]map[int]bool
 	known  map[string]bool
@@ -36,9 +52,10 @@
 	unheard   map[string]time.Time // since when no question about a job was answered
 }
 
-func newChecker(w *World) *checker {
-	return &checker{
-		w: w, on: map[string]*Worker{}, at: map[string]*Spec{}, use: map[string][2]float64{},
+// NewRules returns rules that have seen nothing; its caller sets the exported fields.
+func NewRules() *Rules {
+	return &Rules{
+		Now: time.Now, on: map[string]Place{}, use: map[string][2]float64{},
 		doneT: map[string]map[int]bool{}, known: map[string]bool{}, last: map[string]string{},
 		cancel: map[string]time.Time{}, goneOf: map[string]bool{},
 		off:   map[string]bool{},
@@ -46,108 +63,132 @@
 	}
 }
 
-func (c *checker) fail(format string, args ...any) {
-	c.w.Log.Error("rule broken: " + fmt.Sprintf(format, args...))
+func newChecker(w *World) *checker {
+	r := NewRules()
+	r.Log = func() *slog.Logger { return w.Log }
+	r.Job, r.CancelIn, r.LastDone = w.spec, w.cancelIn, func(job string) { go w.lastDone(job) }
+	r.Limit = func(name string) Limit {
+		for _, t := range w.platform.Params.Teams {
+			if t.Name == name {
+				return Limit{t.CPUsMax, t.GPUsMax}
+			}
+		}
+		return Limit{}
+	}
+	return &checker{Rules: r, w: w}
+}
+
+// passed reports whether a use is over the limit.
+func (l Limit) passed(use [2]float64) bool {
+	return l.CPUs > 0 && use[0] > l.CPUs || l.GPUs > 0 && use[1] > l.GPUs
+}
+
+func (c *Rules) fail(format string, args ...any) {
+	c.Log().Error("rule broken: " + fmt.Sprintf(format, args...))
 	if len(c.broken) < 20 {
 		c.broken = append(c.broken, fmt.Sprintf(format, args...))
 	}
 }
 
-func (c *checker) list() []string {
+func (c *Rules) list() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return append([]string(nil), c.broken...)
 }
 
-func (c *checker) started(t *lot, k *Worker) {
-	c.w.Log.Debug("on machine", "task", t.Task, "attempt", t.Attempt, "machine", k.name)
+// Started is told that a task has its image, so that it is on its machine.
+func (c *Rules) Started(t TaskOn) {
+	c.Log().Debug("on machine", "task", t.Task, "attempt", t.Attempt, "machine", t.At.Machine)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
+	if o, ok := c.on[t.Task]; ok {
+		c.fail("ran_twice: %s starts on %s while on %s", t.Task, t.At.Machine, o.Machine)
+	}
+	c.checkPlace(t)
 	job, _, _ := strings.Cut(t.Task, "/")
-	s := t.spec
-	if o := c.on[t.Task]; o != nil {
-		c.fail("ran_twice: %s starts on %s while on %s", t.Task, k.name, o.name)
+	if at, ok := c.cancel[job]; ok && c.Now().Sub(at) > c.CancelIn {
+		c.fail("ran_cancelled: %s starts", t.Task)
 	}
-	zone := 0
-	for task, o := range c.on {
-		if strings.HasPrefix(task, job+"/") && task != t.Task {
-			if s.OneZone && o.zone != k.zone {
-				c.fail("wrong_place: %s in %s, %s in %s", t.Task, k.zone, task, o.zone)
+	c.on[t.Task] = t.At
+	u := c.use[t.Of.Team]
+	u[0], u[1] = u[0]+t.Of.CPUs, u[1]+t.Of.GPUs
+	c.use[t.Of.Team] = u
+	if c.Limit(t.Of.Team).passed(u) {
+		c.fail("quota: %s uses %v", t.Of.Team, u)
+	}
+}
+
+// checkPlace checks that a task's job allows where it starts; c.mu is held.
+func (c *Rules) checkPlace(t TaskOn) {
+	job, _, _ := strings.Cut(t.Task, "/")
+	s := t.Of
+	if s.OneZone || s.Spread {
+		zone := 0
+		for task, o := range c.on {
+			if !strings.HasPrefix(task, job+"/") || task == t.Task {
+				continue
+			}
+			if s.OneZone && o.Zone != t.At.Zone {
+				c.fail("wrong_place: %s in %s, %s in %s", t.Task, t.At.Zone, task, o.Zone)
 			}
-			if o.zone == k.zone {
+			if o.Zone == t.At.Zone {
 				zone++
 			}
 		}
-	}
-	if s.Spread && zone+1 > (s.Tasks+1)/2 {
-		c.fail("wrong_place: %s is one too many in %s", t.Task, k.zone)
-	}
-	if z, ok := s.Zone.(string); ok && z != k.zone || k.spot && !s.Spot {
-		c.fail("wrong_place: %s on %s", t.Task, k.name)
-	}
-	if types, ok := s.Types.([]string); ok {
-		good := false
-		for _, n := range types {
-			good = good || n == k.typ.Name
-		}
-		if !good {
-			c.fail("wrong_place: %s on a %s", t.Task, k.typ.Name)
+		if s.Spread && zone+1 > (s.Tasks+1)/2 {
+			c.fail("wrong_place: %s is one too many in %s", t.Task, t.At.Zone)
 		}
 	}
-	if at, ok := c.cancel[job]; ok && time.Since(at) > c.w.cancelIn {
-		c.fail("ran_cancelled: %s starts", t.Task)
+	if z, ok := s.Zone.(string); ok && z != t.At.Zone || t.At.Spot && !s.Spot {
+		c.fail("wrong_place: %s on %s", t.Task, t.At.Machine)
 	}
-	c.on[t.Task], c.at[t.Task] = k, s
-	u := c.use[s.Team]
-	u[0], u[1] = u[0]+s.CPUs, u[1]+s.GPUs
-	c.use[s.Team] = u
-	for _, team := range c.w.platform.Params.Teams {
-		if team.Name == s.Team && (team.CPUsMax > 0 && u[0] > team.CPUsMax || team.GPUsMax > 0 && u[1] > team.GPUsMax) {
-			c.fail("quota: %s uses %v", s.Team, u)
-		}
+	if types, ok := s.Types.([]string); ok && !slices.Contains(types, t.At.Type) {
+		c.fail("wrong_place: %s on a %s", t.Task, t.At.Type)
 	}
 }
 
-func (c *checker) left(t *lot, k *Worker) {
-	c.w.Log.Debug("left machine", "task", t.Task, "attempt", t.Attempt, "machine", k.name, "why", t.Why)
+// Left is told that a task is not on its machine any more.
+func (c *Rules) Left(t TaskOn) {
+	c.Log().Debug("left machine", "task", t.Task, "attempt", t.Attempt, "machine", t.At.Machine, "why", t.Why)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.on[t.Task] == k {
+	if c.on[t.Task] == t.At {
 		delete(c.on, t.Task)
 		job, _, _ := strings.Cut(t.Task, "/")
 		if at, ok := c.cancel[job]; ok {
-			c.gone = max(c.gone, time.Since(at))
+			c.gone = max(c.gone, c.Now().Sub(at))
 			c.goneOf[job] = true
 		}
 	}
-	u := c.use[t.spec.Team]
-	u[0], u[1] = u[0]-t.spec.CPUs, u[1]-t.spec.GPUs
-	c.use[t.spec.Team] = u
+	u := c.use[t.Of.Team]
+	u[0], u[1] = u[0]-t.Of.CPUs, u[1]-t.Of.GPUs
+	c.use[t.Of.Team] = u
 }
 
-func (c *checker) done(t *lot) {
-	job, index, _ := strings.Cut(t.Task, "/")
+// Done is told that a task of a job was done; of is nil if that is all that is known.
+func (c *Rules) Done(task string, of *Spec) {
+	job, index, _ := strings.Cut(task, "/")
 	i, _ := strconv.Atoi(index)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.doneT[job] == nil {
 		c.doneT[job] = map[int]bool{}
 	}
-	if t.spec != nil && !c.doneT[job][i] && len(c.doneT[job])+1 == t.spec.Tasks {
-		go c.w.lastDone(job)
+	if of != nil && !c.doneT[job][i] && len(c.doneT[job])+1 == of.Tasks && c.LastDone != nil {
+		c.LastDone(job)
 	}
 	c.doneT[job][i] = true
 }
 
-// ordered notes that a worker executes a command to start a task.
-func (c *checker) ordered(task string) {
+// Ordered notes that a worker executes a command to start a task.
+func (c *Rules) Ordered(task string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	job, _, _ := strings.Cut(task, "/")
 	if at, ok := c.cancel[job]; ok {
 		c.startsAfter++
-		c.startedAfter = max(c.startedAfter, time.Since(at))
+		c.startedAfter = max(c.startedAfter, c.Now().Sub(at))
 	}
 }
 
@@ -159,27 +200,27 @@
 	return w.check.startsAfter, w.check.startedAfter
 }
 
-func (c *checker) accepted(id string) {
+func (c *Rules) accepted(id string) {
 	c.mu.Lock()
 	c.known[id] = true
 	c.mu.Unlock()
 }
 
 // callsOff notes that a job's user asks to cancel it.
-func (c *checker) callsOff(id string) {
+func (c *Rules) callsOff(id string) {
 	c.mu.Lock()
 	c.off[id] = true
 	c.mu.Unlock()
 }
 
 // twice notes that a job that was accepted is accepted as new.
-func (c *checker) twice(id string) {
+func (c *Rules) twice(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fail("forgotten: %s was accepted and is taken as new", id)
 }
 
-func (c *checker) refused(id string, status int) {
+func (c *Rules) refused(id string, status int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.known[id] {
@@ -194,7 +235,7 @@
 	last  string
 }
 
-func (c *checker) asks(id string) asks {
+func (c *Rules) asks(id string) asks {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return asks{c.known[id], c.last[id]}
@@ -207,8 +248,8 @@
 }
 
 // takes takes what a user was told and reports whether it is a final state told first.
-func (c *checker) takes(id, state string, before asks) (first bool) {
-	spec := c.w.spec(id)
+func (c *Rules) takes(id, state string, before asks) (first bool) {
+	spec := c.Job(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.unheard, id)
@@ -237,23 +278,20 @@
 			c.fail("went_back: %s is called cancelled, and its user did not ask for that", id)
 		}
 		if c.last[id] == "" {
-			c.cancel[id] = time.Now()
+			c.cancel[id] = c.Now()
 		}
 		c.last[id] = state
 	}
 	return first
 }
 
-// expired notes that a worker's lease runs out; its lock is held.
-func (c *checker) expired(k *Worker) {
-	c.w.Log.Debug("lease over", "machine", k.name, "session", k.session, "tasks", len(k.tasks))
+// Expired notes that a worker's lease runs out.
+func (c *Rules) Expired(m Place, session uint64, tasks []TaskOn) {
+	c.Log().Debug("lease over", "machine", m.Machine, "session", session, "tasks", len(tasks))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, t := range k.tasks {
-		if t.placed {
-			c.lapsed++
-			return
-		}
+	if len(tasks) > 0 {
+		c.lapsed++
 	}
 }
 
@@ -272,18 +310,23 @@
 	return len(w.check.goneOf), w.check.gone
 }
 
-// watch looks for tasks of cancelled jobs that are still on machines.
+// CheckCancelled looks for tasks of cancelled jobs that are still on machines.
+func (c *Rules) CheckCancelled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for task := range c.on {
+		job, _, _ := strings.Cut(task, "/")
+		if at, ok := c.cancel[job]; ok && c.Now().Sub(at) > c.CancelIn {
+			c.fail("ran_cancelled: %s is still there", task)
+		}
+	}
+}
+
+// watch checks once a second what nobody tells.
 func (c *checker) watch() {
 	for c.w.ctx.Err() == nil {
 		time.Sleep(time.Second)
-		c.mu.Lock()
-		for task := range c.on {
-			job, _, _ := strings.Cut(task, "/")
-			if at, ok := c.cancel[job]; ok && time.Since(at) > c.w.cancelIn {
-				c.fail("ran_cancelled: %s is still there", task)
-			}
-		}
-		c.mu.Unlock()
+		c.CheckCancelled()
 		c.neglected()
 	}
 }
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -34,14 +36,21 @@
 	State   string  `msgpack:"phase"`
 	AgeS    float64 `msgpack:"age_s"`
 
-	worker *Worker
-	born   time.Time
+	running Running // nil until it is up
+	born    time.Time
+}
+
+// Running is what runs on a machine that is up.
+type Running interface {
+	// Die ends the machine and everything on it.
+	Die()
 }
 
 // Cloud is a stand-in for the machine cloud.
 type Cloud struct {
 	mu       sync.Mutex
-	w        *World
+	start    func(m Place, at string, t *MachineType) Running
+	address  func(n int, zone string) string // of the nth machine
 	Types    []MachineType
 	Capacity int                 // machines at most
 	boots    func(n int) float64 // see Boots
@@ -50,6 +59,36 @@
 	next     int
 }
 
+// NewCloud returns a cloud whose machines are at addresses, and are started with start when
+// they are up: nil if the cloud is over by then.
+func NewCloud(types []MachineType, capacity int, address func(n int, zone string) string,
+	start func(m Place, at string, t *MachineType) Running) *Cloud {
+	return &Cloud{
+		start: start, address: address, Types: types, Capacity: capacity,
+		machines: map[string]*stall{}, requests: map[string][]string{},
+	}
+}
+
+// Boot starts a machine that nobody has asked for.
+func (c *Cloud) Boot(typ, zone string, spot bool) (name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.boot(typ, zone, spot)
+}
+
+// Fail ends a machine by itself: it stays listed until it is returned.
+func (c *Cloud) Fail(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.machines[name]
+	if m == nil || m.running == nil {
+		return
+	}
+	m.State = "failed"
+	m.running.Die()
+	m.running = nil
+}
+
 // Machines counts the machines that are rented.
 func (c *Cloud) Machines() int {
 	c.mu.Lock()
@@ -71,8 +110,8 @@
 	defer c.mu.Unlock()
 	var out []*Worker
 	for _, m := range c.machines {
-		if m.worker != nil {
-			out = append(out, m.worker)
+		if k, ok := m.running.(*Worker); ok {
+			out = append(out, k)
 		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].name < out[b].name })
@@ -110,30 +149,42 @@
 		for _, n := range q.Machines {
 			if m := c.machines[n]; m != nil {
 				delete(c.machines, n)
-				if m.worker != nil {
-					m.worker.Die()
+				if m.running != nil {
+					m.running.Die()
 				}
 			}
 		}
 		respond(w, http.StatusOK, map[string]any{})
 	case r.URL.Path == wire.MachinesPath:
-		var list []*stall
-		for _, m := range c.machines {
+		list, more := c.page(r.URL.Query())
+		respond(w, http.StatusOK, map[string]any{"stalls": list, "more": more})
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// page lists machines by name, after one and so many of them; c.mu is held.
+func (c *Cloud) page(query url.Values) (list []*stall, more bool) {
+	since := query.Get("since")
+	limit, _ := strconv.Atoi(query.Get("limit"))
+	for _, m := range c.machines {
+		if m.ID > since {
 			m.AgeS = time.Since(m.born).Seconds()
 			list = append(list, m)
 		}
-		sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
-		respond(w, http.StatusOK, map[string]any{"stalls": list, "more": false})
-	default:
-		w.WriteHeader(http.StatusNotFound)
 	}
+	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
+	if limit > 0 && len(list) > limit {
+		return list[:limit], true
+	}
+	return list, false
 }
 
 // boot starts a machine; c.mu is held.
 func (c *Cloud) boot(typ, zone string, spot bool) string {
 	c.next++
 	m := &stall{
-		ID: fmt.Sprintf("n-%06d", c.next), Address: fmt.Sprintf("10.1.0.%d:9000", c.next),
+		ID: fmt.Sprintf("n-%06d", c.next), Address: c.address(c.next, zone),
 		Type: typ, Zone: zone, Spot: spot, State: "booting", born: time.Now(),
 	}
 	c.machines[m.ID] = m
@@ -150,9 +201,11 @@
 				time.Sleep(time.Duration(times * t.BootS * float64(time.Second)))
 				c.mu.Lock()
 				defer c.mu.Unlock()
-				if c.machines[m.ID] == m && c.w.ctx.Err() == nil {
-					m.State = "running"
-					m.worker = c.w.startWorker(m, t)
+				if c.machines[m.ID] != m {
+					return
+				}
+				if up := c.start(Place{Machine: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot}, m.Address, t); up != nil {
+					m.State, m.running = "running", up
 				}
 			}()
 		}
--- a/internal/standin/liveness.go
+++ b/internal/standin/liveness.go
@@ -105,7 +105,7 @@
 		if on[job]++; zones[job] == nil {
 			zones[job] = map[string]int{}
 		}
-		zones[job][k.zone]++
+		zones[job][k.Zone]++
 	}
 	ids := make([]string, 0, len(c.known))
 	for id := range c.known {
@@ -137,11 +137,10 @@
 		}
 		want = s.Tasks
 	}
-	u := c.use[s.Team]
-	for _, team := range c.w.platform.Params.Teams {
-		if team.Name == s.Team && (team.CPUsMax > 0 && u[0]+s.CPUs*float64(want) > team.CPUsMax || team.GPUsMax > 0 && u[1]+s.GPUs*float64(want) > team.GPUsMax) {
-			return false
-		}
+	use := c.use[s.Team]
+	use[0], use[1] = use[0]+s.CPUs*float64(want), use[1]+s.GPUs*float64(want)
+	if c.Limit(s.Team).passed(use) {
+		return false
 	}
 	byZone := map[string]int{}
 	for _, r := range rooms {
--- a/internal/standin/nomad.go
+++ b/internal/standin/nomad.go
@@ -68,7 +68,7 @@
 
 // describe reads a task's description of the controllers and lets it go on.
 func (k *Worker) describe(t *lot, job string) {
-	spec := k.w.read(job)
+	spec := k.site.FileJob(job)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if t.State != "fetching" || k.dead || k.find(t.Task, t.Attempt) != t {
@@ -96,9 +96,9 @@
 	t.timer = time.AfterFunc(fetch, func() { k.fetched(t) })
 }
 
-// read asks the controllers one after the other for a job's description, for a
+// readFile asks the controllers one after the other for a job's description, for a
 // while.
-func (w *World) read(job string) *Spec {
+func (w *World) readFile(job string) *Spec {
 	for try := range 12 {
 		if s := w.spec(job); s != nil {
 			return s
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"sort"
 	"strconv"
@@ -56,9 +57,70 @@
 	Commands []order `msgpack:"orders"`
 }
 
+// Site is what a worker finds round it.
+type Site interface {
+	// Context ends with the site.
+	Context() context.Context
+	Logger() *slog.Logger
+	// Serve serves the worker's direct commands at its address until stop is called, which
+	// also ends its connections.
+	Serve(k *Worker) (stop func())
+	// Client sends from the worker's address.
+	Client(address string) *http.Client
+	// Still has nothing go to or from an address, or lets it go on.
+	Still(address string, still bool)
+	Controllers() []Controller
+	// Job is a job's description as its user uploaded it, nil if there is none.
+	Job(id string) *Spec
+	// FileJob reads a job's description of the controllers; served tells whether there are
+	// any to be read.
+	FileJob(id string) *Spec
+	ServesFiles() bool
+	Timing() Timing
+	Observer() Observer
+	// GangJoined and GangLeft are told as a gang's task waits for the others, and as it
+	// leaves; the latter gives the cause that it leaves with. The worker's lock is held.
+	GangJoined(t *lot, k *Worker)
+	GangLeft(t *lot, why string) string
+}
+
+// Controller is a controller that workers report to.
+type Controller struct{ Name, Address string }
+
+// Timing is how workers go by time.
+type Timing struct {
+	Lease, GangWait time.Duration
+	ReportGap       func() time.Duration // until the next report
+}
+
+// Observer is told what workers do with tasks; the worker's lock is held.
+type Observer interface {
+	Started(t TaskOn)
+	Left(t TaskOn)
+	Done(task string, of *Spec)
+	Ordered(task string)
+	// Expired is told that a lease runs out on a machine with so many tasks.
+	Expired(m Place, session uint64, tasks []TaskOn)
+}
+
+// TaskOn is a task on a machine.
+type TaskOn struct {
+	Task    string
+	Attempt uint64
+	Why     string // it left
+	Of      *Spec
+	At      Place
+}
+
+// Place is a machine.
+type Place struct {
+	Machine, Type, Zone string
+	Spot                bool
+}
+
 // Worker is a stand-in for a worker.
 type Worker struct {
-	w    *World
+	site Site
 	name string
 	at   string
 	typ  *MachineType
@@ -81,24 +143,31 @@
 	Sick     bool // every task it starts fails
 	wake     chan struct{}
 	stop     context.CancelFunc
-	close    func() error
+	unserve  func()
 }
 
-// startWorker starts a machine's worker.
-func (w *World) startWorker(m *stall, t *MachineType) *Worker {
-	ctx, cancel := context.WithCancel(w.ctx)
+// StartWorker starts a machine's worker at an address.
+func StartWorker(site Site, at string, m Place, t *MachineType) *Worker {
+	ctx, cancel := context.WithCancel(site.Context())
 	k := &Worker{
-		w: w, name: m.ID, at: m.Address, typ: t, zone: m.Zone, spot: m.Spot, session: 1,
+		site: site, name: m.Machine, at: at, typ: t, zone: m.Zone, spot: m.Spot, session: 1,
 		images: map[string]bool{}, answered: time.Now(), up: time.Now(), wake: make(chan struct{}, 1), stop: cancel,
 	}
-	w.Net.Place(k.at, k.zone)
-	l := w.Net.Serve(k.at, w.WorkerFaults.Wrap(k))
-	k.close = l.Close
+	k.unserve = site.Serve(k)
 	go k.report(ctx)
 	go k.keepLease(ctx)
 	return k
 }
 
+// Place is the machine.
+func (k *Worker) Place() Place {
+	return Place{Machine: k.name, Type: k.typ.Name, Zone: k.zone, Spot: k.spot}
+}
+
+func (k *Worker) taskOn(t *lot) TaskOn {
+	return TaskOn{Task: t.Task, Attempt: t.Attempt, Why: t.Why, Of: t.spec, At: k.Place()}
+}
+
 // Name is the machine's name.
 func (k *Worker) Name() string { return k.name }
 
@@ -109,8 +178,7 @@
 	k.forgetAll()
 	k.mu.Unlock()
 	k.stop()
-	_ = k.close()
-	go k.w.Net.Drop(k.at)
+	k.unserve()
 }
 
 // Hang has the machine answer nothing and report nothing, or go on.
@@ -118,7 +186,7 @@
 	k.mu.Lock()
 	k.hung = hang
 	k.mu.Unlock()
-	k.w.Net.Still(k.at, hang)
+	k.site.Still(k.at, hang)
 }
 
 // Mute cuts the way from the machine to the controllers, and not the way back, or mends
@@ -191,14 +259,14 @@
 func (k *Worker) leave(t *lot) {
 	if t.placed {
 		t.placed = false
-		k.w.check.left(t, k)
+		k.site.Observer().Left(k.taskOn(t))
 	}
 }
 
 // keepLease ends the worker's lease in the moment in which the last answered
 // report was sent so long ago: controllers count on that moment.
 func (k *Worker) keepLease(ctx context.Context) {
-	t := time.NewTimer(k.w.lease)
+	t := time.NewTimer(k.site.Timing().Lease)
 	defer t.Stop()
 	for {
 		select {
@@ -207,18 +275,29 @@
 		case <-t.C:
 		}
 		k.mu.Lock()
-		if time.Since(k.answered) >= k.w.lease && !k.dead {
-			k.w.check.expired(k)
+		if time.Since(k.answered) >= k.site.Timing().Lease && !k.dead {
+			k.expire()
 			k.forgetAll()
 			k.session++
 			k.answered = time.Now()
 			k.poke()
 		}
-		t.Reset(time.Until(k.answered.Add(k.w.lease)))
+		t.Reset(time.Until(k.answered.Add(k.site.Timing().Lease)))
 		k.mu.Unlock()
 	}
 }
 
+// expire tells the observer that the lease is over; k.mu is held.
+func (k *Worker) expire() {
+	var on []TaskOn
+	for _, t := range k.tasks {
+		if t.placed {
+			on = append(on, k.taskOn(t))
+		}
+	}
+	k.site.Observer().Expired(k.Place(), k.session, on)
+}
+
 // snapshot is the current report; k.mu is held.
 func (k *Worker) snapshot() []byte {
 	k.seq++
@@ -231,17 +310,17 @@
 
 // report sends reports to one node after the other until one takes them.
 func (k *Worker) report(ctx context.Context) {
-	client := k.w.Net.Client(k.at)
+	client := k.site.Client(k.at)
 	cur := 0
 	for ctx.Err() == nil {
-		nodes := k.w.nodeAddrs()
+		nodes := k.site.Controllers()
 		k.mu.Lock()
 		body := k.snapshot()
 		session := k.session
 		k.mu.Unlock()
 		sent := time.Now()
-		status, answer := k.post(ctx, client, nodes[cur%len(nodes)], body)
-		pause := k.w.reportGap
+		status, answer := k.post(ctx, client, nodes[cur%len(nodes)].Address, body)
+		pause := k.site.Timing().ReportGap()
 		switch status {
 		case http.StatusOK:
 			var o orders
@@ -262,7 +341,7 @@
 			cur++
 			pause = time.Second
 			for i := range nodes {
-				if k.w.Nodes[i].Name == r.Node && i != (cur-1)%len(nodes) {
+				if nodes[i].Name == r.Node && i != (cur-1)%len(nodes) {
 					cur, pause = i, 100*time.Millisecond
 				}
 			}
@@ -359,11 +438,11 @@
 // execute carries out commands in their order; k.mu is held.
 func (k *Worker) execute(cmds []order) {
 	for _, o := range cmds {
-		k.w.Log.Debug("executed", "machine", k.name, "op", o.Op, "task", o.Task, "attempt", o.Attempt, "token", k.token, "session", k.session)
+		k.site.Logger().Debug("executed", "machine", k.name, "op", o.Op, "task", o.Task, "attempt", o.Attempt, "token", k.token, "session", k.session)
 		t := k.find(o.Task, o.Attempt)
 		switch {
 		case o.Op == "start" && t == nil:
-			k.w.check.ordered(o.Task)
+			k.site.Observer().Ordered(o.Task)
 			k.begin(o.Task, o.Attempt)
 		case o.Op == "halt" && t != nil && t.State != "exited":
 			if t.timer != nil {
@@ -387,10 +466,10 @@
 }
 
 func (k *Worker) exit(t *lot, why string, saved bool) {
-	why = k.w.gangLeft(t, why)
+	why = k.site.GangLeft(t, why)
 	t.State, t.Why, t.Saved = "exited", why, saved
 	if why == "done" {
-		k.w.check.done(t)
+		k.site.Observer().Done(t.Task, t.spec)
 	}
 	k.leave(t)
 	k.poke()
@@ -407,7 +486,7 @@
 
 func (k *Worker) begin(task string, attempt uint64) {
 	job, index, _ := strings.Cut(task, "/")
-	spec := k.w.spec(job)
+	spec := k.site.Job(job)
 	t := &lot{Task: task, Attempt: attempt, State: "exited", spec: spec}
 	var cpus, gpus, mem float64
 	busy := false
@@ -420,7 +499,7 @@
 	k.tasks = append(k.tasks, t)
 	i, err := strconv.Atoi(index)
 	switch {
-	case spec == nil && err == nil && k.w.Settings.Nomad != nil:
+	case spec == nil && err == nil && k.site.ServesFiles():
 		// No user uploaded it: perhaps it came in as a job file.
 		t.State, t.spec = "fetching", &Spec{}
 		go k.describe(t, job)
@@ -449,14 +528,14 @@
 	}
 	k.images[t.spec.Image] = true
 	t.placed = true
-	k.w.check.started(t, k)
+	k.site.Observer().Started(k.taskOn(t))
 	switch {
 	case k.Sick || t.spec.Broken:
 		k.exit(t, "error", false)
 	case t.spec.Shape == "ensemble":
 		t.State = "gathering"
-		t.timer = time.AfterFunc(k.w.gangWait, func() { k.end(t, "alone", false) })
-		k.w.gangJoin(t, k)
+		t.timer = time.AfterFunc(k.site.Timing().GangWait, func() { k.end(t, "alone", false) })
+		k.site.GangJoined(t, k)
 	default:
 		k.run(t)
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -127,7 +127,13 @@
 	w.check = newChecker(w)
 	byClient := func(r *http.Request) { w.endsWith(r.RemoteAddr) }
 	w.StateFaults.ends, w.CloudFaults.ends, w.WorkerFaults.ends = byClient, byClient, byClient
-	w.Cloud = &Cloud{w: w, Types: types, Capacity: 100, machines: map[string]*stall{}, requests: map[string][]string{}}
+	address := func(n int, _ string) string { return fmt.Sprintf("10.1.0.%d:9000", n) }
+	w.Cloud = NewCloud(types, 100, address, func(m Place, at string, t *MachineType) Running {
+		if w.ctx.Err() != nil {
+			return nil
+		}
+		return StartWorker(worldSite{w}, at, m, t)
+	})
 	w.Net.Serve(stateAddr, w.StateFaults.Wrap(w.State))
 	w.Net.Serve(cloudAddr, w.CloudFaults.Wrap(w.Cloud))
 	for i, zone := range []string{"a", "b", "c"} {
@@ -313,14 +319,6 @@
 // StateAddr is the state service's address.
 func (w *World) StateAddr() string { return stateAddr }
 
-func (w *World) nodeAddrs() []string {
-	out := make([]string, len(w.Nodes))
-	for i, n := range w.Nodes {
-		out[i] = n.addr
-	}
-	return out
-}
-
 func (w *World) spec(id string) *Spec {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -333,8 +331,8 @@
 	return maps.Clone(w.specs)
 }
 
-// gangJoin lets a gang run once all its tasks wait; the worker's lock is held.
-func (w *World) gangJoin(t *lot, k *Worker) {
+// gangJoined lets a gang run once all its tasks wait; the worker's lock is held.
+func (w *World) gangJoined(t *lot, k *Worker) {
 	job, _, _ := strings.Cut(t.Task, "/")
 	key := fmt.Sprintf("%s#%d", job, t.Attempt)
 	w.mu.Lock()
@@ -393,7 +391,7 @@
 	if why == "done" {
 		after, with, g.done = 0, "done", true
 		for i := range t.spec.Tasks {
-			w.check.done(&lot{Task: wire.TaskName(job, i)})
+			w.check.Done(wire.TaskName(job, i), nil)
 		}
 	}
 	for o, k := range g.ready {
