--- a/internal/standin/meetings_days_test.go
+++ b/internal/standin/meetings_days_test.go
@@ -82,8 +82,8 @@
 		{day{name: "a transaction without an answer is carried out late, after newer ones", seed: 90,
 			setup: func(w *standin.World) {
 				writes.of(w.StateFaults, wire.CommitPath)
-				lateWrites(0.3)(w)
-			}, acts: []act{{100 * s, lateWrites(0)}}},
+				lateWrites(0.4)(w)
+			}, acts: []act{{150 * s, lateWrites(0)}}},
 			func() string {
 				if writes.carried == 0 || writes.refused == 0 {
 					return "late writes: one that was carried out and one that a newer one had overtaken"
