--- a/internal/config/notify.go
+++ b/internal/config/notify.go
@@ -16,6 +16,7 @@
 	"olympos.io/encoding/edn"
 
 	"aspenstall/internal/core"
+	"aspenstall/internal/ednmap"
 	"aspenstall/internal/notify"
 	"aspenstall/internal/notify/deliver"
 )
@@ -35,11 +36,11 @@
 }
 
 // notifySettings reads the settings of notifications.
-func notifySettings(dir string, to **Notify) setting {
+func notifySettings(dir string, to **Notify) ednmap.Setting {
 	return func(b edn.RawMessage) error {
 		n := &Notify{}
 		var receivers, subs map[string]edn.RawMessage
-		if err := readMap(b, map[string]setting{"listen": loopback(&n.Listen), "receivers": rawMap(&receivers), "subscriptions": rawMap(&subs)}); err != nil {
+		if err := ednmap.Map(b, map[string]ednmap.Setting{"listen": loopback(&n.Listen), "receivers": rawMap(&receivers), "subscriptions": rawMap(&subs)}); err != nil {
 			return err
 		}
 		for _, name := range slices.Sorted(maps.Keys(receivers)) {
@@ -63,9 +64,9 @@
 
 // loopback reads an address that only this machine reaches: who does is an
 // operator.
-func loopback(to *string) setting {
+func loopback(to *string) ednmap.Setting {
 	return func(b edn.RawMessage) error {
-		if err := text(to)(b); err != nil {
+		if err := ednmap.Text(to)(b); err != nil {
 			return err
 		}
 		if err := address("", *to); err != nil {
@@ -78,7 +79,7 @@
 	}
 }
 
-func rawMap(to *map[string]edn.RawMessage) setting {
+func rawMap(to *map[string]edn.RawMessage) ednmap.Setting {
 	return func(b edn.RawMessage) error {
 		if err := edn.Unmarshal(b, to); err != nil {
 			return errors.New("want a map from names to settings")
@@ -98,11 +99,11 @@
 	var timeout, maxAge float64
 	var secrets []string
 	var body, ca, cert, key string
-	err := readMap(b, map[string]setting{
-		"url": text(&r.Reach.URL), "keeps-keys": flag(&r.Keys), "ask-url": text(&r.Reach.Ask), "max-age-s": number(1, 86400, &maxAge),
-		"per-s": number(0.01, 10_000, &r.Limits.PerSecond), "in-flight": whole(1, 1000, &r.Limits.InFlight), "timeout-s": number(0.1, 300, &timeout),
-		"secret-files": texts(&secrets), "body-file": text(&body), "content-type": text(&r.Reach.Type),
-		"ca-file": text(&ca), "cert-file": text(&cert), "key-file": text(&key),
+	err := ednmap.Map(b, map[string]ednmap.Setting{
+		"url": ednmap.Text(&r.Reach.URL), "keeps-keys": flag(&r.Keys), "ask-url": ednmap.Text(&r.Reach.Ask), "max-age-s": ednmap.Number(1, 86400, &maxAge),
+		"per-s": ednmap.Number(0.01, 10_000, &r.Limits.PerSecond), "in-flight": ednmap.Whole(1, 1000, &r.Limits.InFlight), "timeout-s": ednmap.Number(0.1, 300, &timeout),
+		"secret-files": ednmap.Texts(&secrets), "body-file": ednmap.Text(&body), "content-type": ednmap.Text(&r.Reach.Type),
+		"ca-file": ednmap.Text(&ca), "cert-file": ednmap.Text(&cert), "key-file": ednmap.Text(&key),
 	})
 	if err != nil {
 		return r, err
@@ -197,8 +198,8 @@
 	deadline := 86400.0
 	var events []string
 	promise := "exactly"
-	err := readMap(b, map[string]setting{
-		"team": text(&s.Team), "class": text(&s.Class), "receiver": text(&s.Receiver), "deadline-s": number(1, 30*86400, &deadline),
+	err := ednmap.Map(b, map[string]ednmap.Setting{
+		"team": ednmap.Text(&s.Team), "class": ednmap.Text(&s.Class), "receiver": ednmap.Text(&s.Receiver), "deadline-s": ednmap.Number(1, 30*86400, &deadline),
 		"events": keywords(&events), "promise": keyword(&promise),
 	})
 	if err != nil {
@@ -230,7 +231,7 @@
 	return s, nil
 }
 
-func flag(to *bool) setting {
+func flag(to *bool) ednmap.Setting {
 	return func(b edn.RawMessage) error {
 		if err := edn.Unmarshal(b, to); err != nil {
 			return fmt.Errorf("want true or false, not %s", bytes.TrimSpace(b))
@@ -239,7 +240,7 @@
 	}
 }
 
-func keyword(to *string) setting {
+func keyword(to *string) ednmap.Setting {
 	return func(b edn.RawMessage) error {
 		var k edn.Keyword
 		if err := edn.Unmarshal(b, &k); err != nil {
@@ -250,7 +251,7 @@
 	}
 }
 
-func keywords(to *[]string) setting {
+func keywords(to *[]string) ednmap.Setting {
 	return func(b edn.RawMessage) error {
 		var ks []edn.Keyword
 		if err := edn.Unmarshal(b, &ks); err != nil {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -5,9 +5,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
-	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -15,6 +13,7 @@
 	"olympos.io/encoding/edn"
 
 	"aspenstall/internal/core"
+	"aspenstall/internal/ednmap"
 )
 
 // Settings are the operators' own, in seconds where the name says so.
@@ -86,62 +85,30 @@
 	if err != nil {
 		return s, err
 	}
-	var whole edn.RawMessage
-	dec := edn.NewDecoder(bytes.NewReader(b))
-	if err := dec.Decode(&whole); err != nil {
-		return s, fmt.Errorf("%s: not a map of settings: %w", path, err)
-	}
-	var extra any
-	if err := dec.Decode(&extra); !errors.Is(err, io.EOF) {
-		return s, fmt.Errorf("%s: more than one expression", path)
-	}
-	if err := readMap(whole, s.all(filepath.Dir(path))); err != nil {
+	if err := ednmap.Read(b, s.all(filepath.Dir(path))); err != nil {
 		return s, fmt.Errorf("%s: %w", path, err)
 	}
 	return s, nil
 }
 
-// setting reads one setting's value.
-type setting func(edn.RawMessage) error
-
-// readMap reads a map of settings. Each is decoded by itself, so that an error
-// can name it; one that is misspelt and silently ignored would be worse than a
-// refusal.
-func readMap(b edn.RawMessage, known map[string]setting) error {
-	var given map[edn.Keyword]edn.RawMessage
-	if err := edn.Unmarshal(b, &given); err != nil {
-		return fmt.Errorf("not a map of settings: %w", err)
-	}
-	for _, k := range slices.Sorted(maps.Keys(given)) {
-		set, ok := known[string(k)]
-		if !ok {
-			return fmt.Errorf("%v: no such setting", k)
-		}
-		if err := set(given[k]); err != nil {
-			return fmt.Errorf("%v: %w", k, err)
-		}
-	}
-	return nil
-}
-
 // all lists the settings by name.
-func (s *Settings) all(dir string) map[string]setting {
-	return map[string]setting{
-		"leader-lease-s":  number(1, 60, &s.LeaderLeaseS),
-		"answer-grace-s":  number(0, 3600, &s.AnswerGraceS),
-		"idle-return-s":   number(0, 86400, &s.IdleReturnS),
-		"refusal-pause-s": number(0, 3600, &s.RefusalPauseS),
-		"hold-s":          number(0, 86400, &s.HoldS),
-		"quarantine-s":    number(0, 86400, &s.QuarantineS),
-		"suspect-s":       number(1, 600, &s.SuspectS),
-		"spare-tasks":     whole(0, 1000, &s.SpareTasks),
-		"list-every-s":    number(1, 3600, &s.ListEveryS),
+func (s *Settings) all(dir string) map[string]ednmap.Setting {
+	return map[string]ednmap.Setting{
+		"leader-lease-s":  ednmap.Number(1, 60, &s.LeaderLeaseS),
+		"answer-grace-s":  ednmap.Number(0, 3600, &s.AnswerGraceS),
+		"idle-return-s":   ednmap.Number(0, 86400, &s.IdleReturnS),
+		"refusal-pause-s": ednmap.Number(0, 3600, &s.RefusalPauseS),
+		"hold-s":          ednmap.Number(0, 86400, &s.HoldS),
+		"quarantine-s":    ednmap.Number(0, 86400, &s.QuarantineS),
+		"suspect-s":       ednmap.Number(1, 600, &s.SuspectS),
+		"spare-tasks":     ednmap.Whole(0, 1000, &s.SpareTasks),
+		"list-every-s":    ednmap.Number(1, 3600, &s.ListEveryS),
 		"priority-caps":   caps(&s.PriorityCaps),
 		"notify":          notifySettings(dir, &s.Notify),
 		"nomad": func(b edn.RawMessage) error {
 			n := DefaultNomad()
 			s.Nomad = &n
-			if err := readMap(b, n.all(dir)); err != nil {
+			if err := ednmap.Map(b, n.all(dir)); err != nil {
 				return err
 			}
 			return n.check()
@@ -149,18 +116,18 @@
 	}
 }
 
-func (n *Nomad) all(dir string) map[string]setting {
-	return map[string]setting{
-		"listen":         text(&n.Listen),
+func (n *Nomad) all(dir string) map[string]ednmap.Setting {
+	return map[string]ednmap.Setting{
+		"listen":         ednmap.Text(&n.Listen),
 		"token-key-file": keyFile(dir, &n.Key),
 		"tokens":         tokens(&n.Tokens),
 		"agent-tokens":   hashes(&n.AgentTokens),
-		"watchers":       whole(1, 100_000, &n.Watchers),
-		"connections":    whole(1, 200_000, &n.Conns),
-		"requests-per-s": whole(1, 1_000_000, &n.RequestsPerS),
-		"mhz-per-cpu":    whole(1, 100_000, &n.MHzPerCPU),
-		"scratch-mb":     whole(0, 10_000_000, &n.ScratchMB),
-		"gpu-devices":    texts(&n.GPUDevices),
+		"watchers":       ednmap.Whole(1, 100_000, &n.Watchers),
+		"connections":    ednmap.Whole(1, 200_000, &n.Conns),
+		"requests-per-s": ednmap.Whole(1, 1_000_000, &n.RequestsPerS),
+		"mhz-per-cpu":    ednmap.Whole(1, 100_000, &n.MHzPerCPU),
+		"scratch-mb":     ednmap.Whole(0, 10_000_000, &n.ScratchMB),
+		"gpu-devices":    ednmap.Texts(&n.GPUDevices),
 	}
 }
 
@@ -220,51 +187,7 @@
 	return nil
 }
 
-func number(lo, hi float64, to *float64) setting {
-	return func(b edn.RawMessage) error {
-		var n float64
-		if err := edn.Unmarshal(b, &n); err != nil || math.IsNaN(n) || n < lo || n > hi {
-			return fmt.Errorf("want a number from %v to %v, not %s", lo, hi, bytes.TrimSpace(b))
-		}
-		*to = n
-		return nil
-	}
-}
-
-func whole(lo, hi float64, to *int) setting {
-	return func(b edn.RawMessage) error {
-		var n float64
-		if err := number(lo, hi, &n)(b); err != nil {
-			return err
-		}
-		if n != math.Trunc(n) {
-			return fmt.Errorf("want a whole number, not %s", bytes.TrimSpace(b))
-		}
-		*to = int(n)
-		return nil
-	}
-}
-
-func text(to *string) setting {
-	return func(b edn.RawMessage) error {
-		if err := edn.Unmarshal(b, to); err != nil || *to == "" {
-			return fmt.Errorf("want a text, not %s", bytes.TrimSpace(b))
-		}
-		return nil
-	}
-}
-
-func texts(to *[]string) setting {
-	return func(b edn.RawMessage) error {
-		*to = nil
-		if err := edn.Unmarshal(b, to); err != nil {
-			return fmt.Errorf("want a list of texts, not %s", bytes.TrimSpace(b))
-		}
-		return nil
-	}
-}
-
-func caps(to *map[string]core.Priority) setting {
+func caps(to *map[string]core.Priority) ednmap.Setting {
 	return func(b edn.RawMessage) error {
 		var given map[string]edn.Keyword
 		if err := edn.Unmarshal(b, &given); err != nil {
@@ -298,10 +221,10 @@
 	return out, nil
 }
 
-func hashes(to *[]Hash) setting {
+func hashes(to *[]Hash) ednmap.Setting {
 	return func(b edn.RawMessage) error {
 		var given []string
-		err := texts(&given)(b)
+		err := ednmap.Texts(&given)(b)
 		if err == nil {
 			*to, err = decodeHashes(given)
 		}
@@ -309,7 +232,7 @@
 	}
 }
 
-func tokens(to *map[string][]Hash) setting {
+func tokens(to *map[string][]Hash) ednmap.Setting {
 	return func(b edn.RawMessage) error {
 		var given map[string][]string
 		if err := edn.Unmarshal(b, &given); err != nil {
@@ -330,10 +253,10 @@
 // minKey is the shortest key for tokens' hashes, in bytes.
 const minKey = 16
 
-func keyFile(dir string, to *[]byte) setting {
+func keyFile(dir string, to *[]byte) ednmap.Setting {
 	return func(b edn.RawMessage) error {
 		var path string
-		if err := text(&path)(b); err != nil {
+		if err := ednmap.Text(&path)(b); err != nil {
 			return err
 		}
 		b, err := readBeside(dir, path)
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -90,7 +90,8 @@
 	}
 }
 
-func (c *Rules) list() []string {
+// List lists the rules that were broken.
+func (c *Rules) List() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return append([]string(nil), c.broken...)
@@ -200,14 +201,15 @@
 	return w.check.startsAfter, w.check.startedAfter
 }
 
-func (c *Rules) accepted(id string) {
+// Accepted notes that a user was told that a job is accepted.
+func (c *Rules) Accepted(id string) {
 	c.mu.Lock()
 	c.known[id] = true
 	c.mu.Unlock()
 }
 
-// callsOff notes that a job's user asks to cancel it.
-func (c *Rules) callsOff(id string) {
+// CallsOff notes that a job's user asks to cancel it.
+func (c *Rules) CallsOff(id string) {
 	c.mu.Lock()
 	c.off[id] = true
 	c.mu.Unlock()
@@ -220,7 +222,8 @@
 	c.fail("forgotten: %s was accepted and is taken as new", id)
 }
 
-func (c *Rules) refused(id string, status int) {
+// Refused notes that a submission was refused for good.
+func (c *Rules) Refused(id string, status int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.known[id] {
@@ -228,27 +231,28 @@
 	}
 }
 
-// asks is what a user had been told of a job when it asked: answers to questions that
+// Asked is what a user had been told of a job when it asked: answers to questions that
 // were under way together may come in any order.
-type asks struct {
+type Asked struct {
 	known bool
 	last  string
 }
 
-func (c *Rules) asks(id string) asks {
+// Asks is what a user has been told of a job as it asks about it.
+func (c *Rules) Asks(id string) Asked {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return asks{c.known[id], c.last[id]}
+	return Asked{c.known[id], c.last[id]}
 }
 
-func (c *checker) told(id, state string, before asks) {
-	if c.takes(id, state, before) {
+func (c *checker) told(id, state string, before Asked) {
+	if c.Takes(id, state, before) {
 		c.w.look(id)
 	}
 }
 
-// takes takes what a user was told and reports whether it is a final state told first.
-func (c *Rules) takes(id, state string, before asks) (first bool) {
+// Takes takes what a user was told and reports whether it is a final state told first.
+func (c *Rules) Takes(id, state string, before Asked) (first bool) {
 	spec := c.Job(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -447,11 +447,11 @@
 		status, _ := w.request(http.MethodPost, w.next(), wire.JobsPath, b, 5*time.Second)
 		switch status {
 		case http.StatusOK, http.StatusCreated:
-			w.check.accepted(s.ID)
+			w.check.Accepted(s.ID)
 			w.look(s.ID)
 			return true
 		case http.StatusBadRequest, http.StatusUnprocessableEntity:
-			w.check.refused(s.ID, status)
+			w.check.Refused(s.ID, status)
 			return false
 		}
 		time.Sleep(time.Second)
@@ -466,13 +466,13 @@
 func (w *World) PollAt(i int, id string) string { return w.ask(w.Nodes[i].addr, id) }
 
 func (w *World) ask(at, id string) string {
-	before := w.check.asks(id)
+	before := w.check.Asks(id)
 	status, b := w.request(http.MethodGet, at, wire.JobsPath+"/"+id, nil, 2*time.Second)
 	return w.answered(id, status, b, before)
 }
 
 // answered is what a user is told of a job by an answer; "" for nothing.
-func (w *World) answered(id string, status int, body []byte, before asks) string {
+func (w *World) answered(id string, status int, body []byte, before Asked) string {
 	var s wire.JobState
 	switch {
 	case (status == http.StatusOK || status == http.StatusCreated) && wire.Unmarshal(body, &s) == nil:
@@ -492,11 +492,11 @@
 	if body == nil {
 		body = w.spec(id)
 	}
-	before := w.check.asks(id)
+	before := w.check.Asks(id)
 	b, _ := wire.Marshal(body)
 	status, answer := w.request(http.MethodPost, w.Nodes[i].addr, wire.JobsPath, b, 5*time.Second)
 	if before.known && (status == http.StatusBadRequest || status == http.StatusUnprocessableEntity) {
-		w.check.refused(id, status)
+		w.check.Refused(id, status)
 	}
 	if status == http.StatusCreated && before.known {
 		w.check.twice(id)
@@ -506,8 +506,8 @@
 
 // CancelAt asks one node once to cancel a job and returns what the user is told.
 func (w *World) CancelAt(i int, id string) string {
-	w.check.callsOff(id)
-	before := w.check.asks(id)
+	w.check.CallsOff(id)
+	before := w.check.Asks(id)
 	status, b := w.request(http.MethodPost, w.Nodes[i].addr, wire.JobsPath+"/"+id+"/"+wire.CancelEnd, nil, 5*time.Second)
 	return w.answered(id, status, b, before)
 }
@@ -536,8 +536,8 @@
 // Cancel cancels a job as a user does and returns its state, "" if it could
 // not be cancelled.
 func (w *World) Cancel(id string) string {
-	w.check.callsOff(id)
-	before := w.check.asks(id)
+	w.check.CallsOff(id)
+	before := w.check.Asks(id)
 	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); {
 		status, b := w.request(http.MethodPost, w.next(), wire.JobsPath+"/"+id+"/"+wire.CancelEnd, nil, 5*time.Second)
 		if told := w.answered(id, status, b, before); told != "" && told != "unknown" {
@@ -600,4 +600,4 @@
 }
 
 // Broken lists the rules that were broken.
-func (w *World) Broken() []string { return w.check.list() }
+func (w *World) Broken() []string { return w.check.List() }
