--- /dev/null
+++ b/cmd/scalerun/main.go
@@ -0,0 +1,119 @@
+// Command scalerun runs real controllers against thousands of hollow workers on this
+// machine's loopback, and says what each process spends.
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"aspenstall/internal/scale"
+)
+
+type cli struct {
+	Run    runCmd    `cmd:"" help:"Run once and write a result file."`
+	Report reportCmd `cmd:"" help:"Print tables of result files, with the slopes that they show, and draw them."`
+	Host   hostCmd   `cmd:"" hidden:"" help:"A process of workers; run starts it."`
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("scalerun"), kong.Description("Real controllers against thousands of hollow workers, on loopback, in real time."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "scalerun:", err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+type runCmd struct {
+	Settings string `arg:"" help:"The run's settings (an S-expression)." type:"existingfile"`
+	Binary   string `help:"The controllers' program." default:"target/aspenstall" type:"existingfile"`
+	Out      string `help:"The result file." default:"scalerun.json" type:"path"`
+	Logs     string `help:"Folder for the processes' files; a temporary one that is removed, if not given." type:"path"`
+	Workers  int    `help:"Another number of workers: tasks and rates go with it."`
+}
+
+// Run runs once.
+func (c *runCmd) Run(ctx context.Context) error {
+	s, err := scale.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	if c.Workers > 0 {
+		if s, err = s.ForWorkers(c.Workers); err != nil {
+			return err
+		}
+	}
+	dir := c.Logs
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "scalerun"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	} else if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	res, err := scale.New(s, os.Stderr).Do(ctx, c.Binary, dir)
+	if err != nil {
+		return err
+	}
+	res.Version = revision()
+	if err := res.Write(c.Out); err != nil {
+		return err
+	}
+	scale.WriteSummary(os.Stdout, res)
+	if len(res.RulesBroken) > 0 {
+		return fmt.Errorf("%d rules were broken", len(res.RulesBroken))
+	}
+	return nil
+}
+
+// revision names the sources that are here, "" if they can't be told.
+func revision() string {
+	out, err := exec.Command("git", "describe", "--always", "--dirty").Output()
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(out))
+}
+
+type reportCmd struct {
+	Results []string `arg:"" help:"Result files." type:"existingfile"`
+	Plots   string   `help:"Folder for plots (PNG)." type:"path"`
+}
+
+// Run prints the tables.
+func (c *reportCmd) Run() error {
+	var all []*scale.Result
+	for _, f := range c.Results {
+		r, err := scale.ReadResult(f)
+		if err != nil {
+			return fmt.Errorf("%s: %w", f, err)
+		}
+		all = append(all, r)
+	}
+	return scale.WriteReport(os.Stdout, all, c.Plots)
+}
+
+type hostCmd struct{}
+
+// Run runs a process of workers.
+func (hostCmd) Run(ctx context.Context) error {
+	in := bufio.NewReader(os.Stdin)
+	cfg, err := scale.ReadHostConfig(in)
+	if err != nil {
+		return err
+	}
+	return scale.RunHost(ctx, cfg, in, os.Stdout)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,14 +36,8 @@
 
 // Params are the deployment's parameters.
 type Params struct {
-	Zones []string `json:"zones"`
-	Teams []struct {
-		Name    string  `json:"name"`
-		CPUs    float64 `json:"cpus"`
-		CPUsMax float64 `json:"cpus_max"`
-		GPUs    float64 `json:"gpus"`
-		GPUsMax float64 `json:"gpus_max"`
-	} `json:"teams"`
+	Zones      []string    `json:"zones"`
+	Teams      []Team      `json:"teams"`
 	Objectives []Objective `json:"objectives"`
 	Workers    struct {
 		ReportS   float64 `json:"report_s"`
@@ -70,6 +64,15 @@
 	SkewMS float64 `json:"skew_ms"`
 }
 
+// Team is a team's quota: what it is guaranteed, and what it may use at most; 0 for none.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
 // Objective is an aim on starting or finishing.
 type Objective struct {
 	Kind    string  `json:"kind"`
--- /dev/null
+++ b/internal/scale/events.go
@@ -0,0 +1,127 @@
+package scale
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+
+	"aspenstall/internal/standin"
+)
+
+// EventKind says what a worker did.
+type EventKind string
+
+// The kinds.
+const (
+	EventStarted EventKind = "started"
+	EventLeft    EventKind = "left"
+	EventDone    EventKind = "done"
+	EventOrdered EventKind = "ordered"
+	EventExpired EventKind = "expired"
+	EventTraffic EventKind = "traffic" // of a process's workers, since it began
+)
+
+// Event is what a process of workers tells the run.
+type Event struct {
+	AtNS    int64         `json:"at"` // by the time of day
+	Kind    EventKind     `json:"kind"`
+	Task    string        `json:"task,omitempty"`
+	Attempt uint64        `json:"attempt,omitempty"`
+	Why     string        `json:"why,omitempty"`
+	Place   standin.Place `json:"place"`
+	Tasks   int           `json:"tasks,omitempty"` // on the machine, with EventExpired
+	Spent   *Spent        `json:"spent,omitempty"`
+}
+
+// Spent is what a process's workers have sent and received.
+type Spent struct {
+	Workers         int   `json:"workers"`
+	Reports         int64 `json:"reports"`
+	ReportsSent     int64 `json:"reports_sent_bytes"`
+	ReportsReceived int64 `json:"reports_received_bytes"`
+	Commands        int64 `json:"commands"`
+	CommandsSent    int64 `json:"commands_sent_bytes"`
+	CommandsGot     int64 `json:"commands_received_bytes"`
+}
+
+// CommandKind says what a process of workers is to do.
+type CommandKind string
+
+// The kinds.
+const (
+	CommandStart   CommandKind = "start"
+	CommandDie     CommandKind = "die"
+	CommandLeader  CommandKind = "leader" // the zone that commands come from
+	CommandCutZone CommandKind = "cut-zone"
+	CommandApart   CommandKind = "apart"
+)
+
+// Command is what the run tells a process of workers.
+type Command struct {
+	Kind    CommandKind   `json:"kind"`
+	Place   standin.Place `json:"place"`
+	Address string        `json:"address,omitempty"`
+	Zone    string        `json:"zone,omitempty"`
+	On      bool          `json:"on,omitempty"`
+}
+
+// settleFor is how long what happened is held back, so that what several processes tell is
+// judged in the order in which it happened.
+const settleFor = 2 * time.Second
+
+// timeline hands on what happened in its order, some time later.
+type timeline struct {
+	mu   sync.Mutex
+	heap eventHeap
+	next int
+}
+
+type happened struct {
+	at  time.Time
+	nth int
+	do  func()
+}
+
+type eventHeap []happened
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].nth < h[j].nth
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push adds an element.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(happened)) }
+
+// Pop removes the last element.
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// add notes what happened at a time.
+func (t *timeline) add(at time.Time, do func()) {
+	t.mu.Lock()
+	t.next++
+	heap.Push(&t.heap, happened{at, t.next, do})
+	t.mu.Unlock()
+}
+
+// drain calls, in order, all that happened before a time; now is told the time of each.
+func (t *timeline) drain(before time.Time, now func(time.Time)) {
+	for {
+		t.mu.Lock()
+		if len(t.heap) == 0 || !t.heap[0].at.Before(before) {
+			t.mu.Unlock()
+			return
+		}
+		h := heap.Pop(&t.heap).(happened)
+		t.mu.Unlock()
+		now(h.at)
+		h.do()
+	}
+}
--- /dev/null
+++ b/internal/scale/host.go
@@ -0,0 +1,261 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"aspenstall/internal/standin"
+)
+
+// HostConfig is what a process of workers is started with.
+type HostConfig struct {
+	Settings     Settings
+	Number       int    // of the process
+	Descriptions string // address at which jobs' descriptions are read
+	Controllers  []ControllerAt
+	Type         standin.MachineType
+}
+
+// ControllerAt is a controller and where it is.
+type ControllerAt struct {
+	Name, Zone, Address string
+}
+
+// host is a process of workers: one of a real worker, or many hollow ones.
+type host struct {
+	cfg    HostConfig
+	ctx    context.Context
+	links  *Links
+	leader atomic.Pointer[string] // zone of the leader
+	zoneAt map[string]string      // of controllers, by address
+
+	outMu sync.Mutex
+	out   *json.Encoder
+
+	mu      sync.Mutex
+	workers map[string]*standin.Worker
+	jobs    map[string]*standin.Spec
+	random  *rand.Rand
+
+	reports          atomic.Int64
+	commands         atomic.Int64
+	toControllers    Traffic
+	fromControllers  Traffic
+	descriptionsHTTP *http.Client
+}
+
+// RunHost runs a process of workers: commands come in, events go out, one JSON value a line.
+// It ends as its input does.
+func RunHost(ctx context.Context, cfg HostConfig, in io.Reader, out io.Writer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h := &host{
+		cfg: cfg, ctx: ctx, links: NewLinks(&cfg.Settings), zoneAt: map[string]string{}, out: json.NewEncoder(out),
+		workers: map[string]*standin.Worker{}, jobs: map[string]*standin.Spec{},
+		random:           rand.New(rand.NewPCG(uint64(cfg.Settings.Seed), uint64(1000+cfg.Number))),
+		descriptionsHTTP: &http.Client{Timeout: 5 * time.Second},
+	}
+	for _, c := range cfg.Controllers {
+		h.zoneAt[c.Address] = c.Zone
+	}
+	first := cfg.Controllers[0].Zone
+	h.leader.Store(&first)
+	go h.tellTraffic()
+	dec := json.NewDecoder(bufio.NewReader(in))
+	for {
+		var c Command
+		if err := dec.Decode(&c); err != nil {
+			if err == io.EOF {
+				return nil
+			}
+			return fmt.Errorf("commands: %w", err)
+		}
+		h.carryOut(c)
+	}
+}
+
+func (h *host) carryOut(c Command) {
+	switch c.Kind {
+	case CommandStart:
+		k := standin.StartWorker(hostSite{h}, c.Address, c.Place, &h.cfg.Type)
+		h.mu.Lock()
+		h.workers[c.Place.Machine] = k
+		h.mu.Unlock()
+	case CommandDie:
+		h.mu.Lock()
+		k := h.workers[c.Place.Machine]
+		delete(h.workers, c.Place.Machine)
+		h.mu.Unlock()
+		if k != nil {
+			k.Die()
+		}
+	case CommandLeader:
+		h.leader.Store(&c.Zone)
+	case CommandCutZone:
+		h.links.CutZone(c.Zone, c.On)
+	case CommandApart:
+		h.links.CutRegions(c.On)
+	}
+}
+
+func (h *host) tell(e Event) {
+	e.AtNS = time.Now().UnixNano()
+	h.outMu.Lock()
+	_ = h.out.Encode(&e)
+	h.outMu.Unlock()
+}
+
+// trafficEvery is how often a process tells what its workers have sent.
+const trafficEvery = time.Second
+
+func (h *host) tellTraffic() {
+	t := time.NewTicker(trafficEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-t.C:
+		}
+		h.mu.Lock()
+		workers := len(h.workers)
+		h.mu.Unlock()
+		h.tell(Event{Kind: EventTraffic, Spent: &Spent{
+			Workers: workers, Reports: h.reports.Load(), ReportsSent: h.toControllers.Sent.Load(), ReportsReceived: h.toControllers.Received.Load(),
+			Commands: h.commands.Load(), CommandsSent: h.fromControllers.Sent.Load(), CommandsGot: h.fromControllers.Received.Load(),
+		}})
+	}
+}
+
+// description reads a job's description once.
+func (h *host) description(id string) *standin.Spec {
+	h.mu.Lock()
+	s := h.jobs[id]
+	h.mu.Unlock()
+	if s != nil {
+		return s
+	}
+	resp, err := h.descriptionsHTTP.Get("http://" + h.cfg.Descriptions + "/" + id)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var d standin.Spec
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&d) != nil {
+		return nil
+	}
+	h.mu.Lock()
+	h.jobs[id] = &d
+	h.mu.Unlock()
+	return &d
+}
+
+// hostSite is what the workers of a process find round them.
+type hostSite struct{ h *host }
+
+func (s hostSite) Context() context.Context     { return s.h.ctx }
+func (s hostSite) Logger() *slog.Logger         { return slog.New(slog.DiscardHandler) }
+func (s hostSite) Still(string, bool)           {}
+func (s hostSite) Job(id string) *standin.Spec  { return s.h.description(id) }
+func (s hostSite) FileJob(string) *standin.Spec { return nil }
+func (s hostSite) ServesFiles() bool            { return false }
+func (s hostSite) Observer() standin.Observer   { return s }
+func (s hostSite) Controllers() []standin.Controller {
+	out := make([]standin.Controller, len(s.h.cfg.Controllers))
+	for i, c := range s.h.cfg.Controllers {
+		out[i] = standin.Controller{Name: c.Name, Address: c.Address}
+	}
+	return out
+}
+
+// Serve listens at the worker's address. A connection to it is the leader's.
+func (s hostSite) Serve(k *standin.Worker) (stop func()) {
+	leader := func() string { return *s.h.leader.Load() }
+	l, err := s.h.links.Listen(k.Addr(), k.Zone(), leader, &s.h.fromControllers)
+	if err != nil {
+		return func() {}
+	}
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.h.commands.Add(1)
+		k.ServeHTTP(w, r)
+	})
+	srv := &http.Server{Handler: counted, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	go func() { _ = srv.Serve(l) }()
+	return func() { _ = srv.Close() }
+}
+
+// Client reports from the worker's own address over one connection at a time.
+func (s hostSite) Client(address string) *http.Client {
+	from, _, _ := net.SplitHostPort(address)
+	zone := s.zoneOf(address)
+	dial := func(ctx context.Context, _, to string) (net.Conn, error) {
+		return s.h.links.Dial(ctx, from, zone, to, func() string { return s.h.zoneAt[to] }, &s.h.toControllers)
+	}
+	t := &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	return &http.Client{Transport: counting{t, &s.h.reports}}
+}
+
+// zoneOf is the zone of a worker's address: the address says which one.
+func (s hostSite) zoneOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	ip := net.ParseIP(host).To4()
+	if i := int(ip[1]) - firstZoneNet; i >= 0 && i < len(s.h.cfg.Settings.Zones) {
+		return s.h.cfg.Settings.Zones[i]
+	}
+	return ""
+}
+
+// counting counts requests.
+type counting struct {
+	next http.RoundTripper
+	n    *atomic.Int64
+}
+
+// RoundTrip carries out a request.
+func (c counting) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.n.Add(1)
+	return c.next.RoundTrip(r)
+}
+
+// Timing has reports come up to a quarter sooner or later, as the protocol has it.
+func (s hostSite) Timing() standin.Timing {
+	set := &s.h.cfg.Settings
+	return standin.Timing{Lease: seconds(set.LeaseS), GangWait: time.Minute, ReportGap: func() time.Duration {
+		s.h.mu.Lock()
+		defer s.h.mu.Unlock()
+		return seconds(set.ReportS * (0.75 + 0.5*s.h.random.Float64()))
+	}}
+}
+
+func (s hostSite) Gangs() standin.Gangs { return nil }
+
+// Started tells that a task is on its machine.
+func (s hostSite) Started(t standin.TaskOn) {
+	s.h.tell(Event{Kind: EventStarted, Task: t.Task, Attempt: t.Attempt, Place: t.At})
+}
+
+// Left tells that a task is not on its machine any more.
+func (s hostSite) Left(t standin.TaskOn) {
+	s.h.tell(Event{Kind: EventLeft, Task: t.Task, Attempt: t.Attempt, Why: t.Why, Place: t.At})
+}
+
+// Done tells that a task is done.
+func (s hostSite) Done(task string, _ *standin.Spec) { s.h.tell(Event{Kind: EventDone, Task: task}) }
+
+// Ordered tells that a command to start a task is executed.
+func (s hostSite) Ordered(task string) { s.h.tell(Event{Kind: EventOrdered, Task: task}) }
+
+// Expired tells that a worker's lease runs out.
+func (s hostSite) Expired(m standin.Place, _ uint64, tasks []standin.TaskOn) {
+	s.h.tell(Event{Kind: EventExpired, Place: m, Tasks: len(tasks)})
+}
--- /dev/null
+++ b/internal/scale/measure.go
@@ -0,0 +1,162 @@
+package scale
+
+import (
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/prometheus/procfs"
+)
+
+// Latency is a histogram of waits, in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// latencies collects waits. It is safe for concurrent use.
+type latencies struct {
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+}
+
+const maxLatency = 10 * time.Minute
+
+func newLatencies() *latencies {
+	return &latencies{hist: hdrhistogram.New(1, int64(maxLatency/time.Microsecond), 3)}
+}
+
+func (l *latencies) add(d time.Duration) {
+	l.mu.Lock()
+	_ = l.hist.RecordValue(int64(min(max(d, time.Microsecond), maxLatency) / time.Microsecond))
+	l.mu.Unlock()
+}
+
+func (l *latencies) result() Latency {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Latency{
+		Count: l.hist.TotalCount(), P50: ms(l.hist.ValueAtQuantile(50)), P99: ms(l.hist.ValueAtQuantile(99)), Max: ms(l.hist.Max()),
+	}
+}
+
+// Role is what a process is.
+type Role string
+
+// The roles.
+const (
+	RoleLeader   Role = "leader"
+	RoleFollower Role = "follower"
+	RoleWorker   Role = "worker" // a real one, alone in its process
+	RoleHollow   Role = "hollow" // many workers in one process
+	RoleRun      Role = "run"    // stand-ins of the state service, the cloud and users
+)
+
+// Usage is what a process spent while it was measured.
+type Usage struct {
+	Role      Role    `json:"role"`
+	Name      string  `json:"name"`
+	Workers   int     `json:"workers,omitempty"` // in it
+	Cores     float64 `json:"cores"`             // mean
+	PeakCores float64 `json:"peak_cores"`        // of one sample
+	MemMB     float64 `json:"mem_mb"`            // resident, mean
+	PeakMemMB float64 `json:"peak_mem_mb"`
+	Threads   int     `json:"threads"` // most
+	Sockets   int     `json:"sockets"` // most
+}
+
+// sampler follows processes through /proc.
+type sampler struct {
+	procs map[int]*sampled
+}
+
+type sampled struct {
+	usage    Usage
+	cpu      float64 // seconds at the last sample
+	at       time.Time
+	firstCPU float64
+	firstAt  time.Time
+	memory   float64 // sum over samples
+	samples  int
+}
+
+func newSampler() *sampler { return &sampler{procs: map[int]*sampled{}} }
+
+// sample reads a process once; a process that is gone is left out.
+func (s *sampler) sample(pid int, role Role, name string, workers int) {
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		return
+	}
+	stat, err := p.Stat()
+	if err != nil {
+		return
+	}
+	now, cpu := time.Now(), stat.CPUTime()
+	k := s.procs[pid]
+	if k == nil {
+		k = &sampled{firstCPU: cpu, firstAt: now, cpu: cpu, at: now}
+		s.procs[pid] = k
+	}
+	u := &k.usage
+	u.Role, u.Name, u.Workers = role, name, workers
+	if d := now.Sub(k.at).Seconds(); d > 0 {
+		u.PeakCores = max(u.PeakCores, (cpu-k.cpu)/d)
+		u.Cores = (cpu - k.firstCPU) / now.Sub(k.firstAt).Seconds()
+	}
+	k.cpu, k.at = cpu, now
+	mb := float64(stat.ResidentMemory()) / (1 << 20)
+	k.samples++
+	k.memory += mb
+	u.MemMB, u.PeakMemMB = k.memory/float64(k.samples), max(u.PeakMemMB, mb)
+	u.Threads = max(u.Threads, stat.NumThreads)
+	u.Sockets = max(u.Sockets, sockets(p))
+}
+
+// sockets counts a process's sockets.
+func sockets(p procfs.Proc) int {
+	targets, err := p.FileDescriptorTargets()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, t := range targets {
+		if strings.HasPrefix(t, "socket:") {
+			n++
+		}
+	}
+	return n
+}
+
+// residentMB is what a process holds now.
+func residentMB(pid int) float64 {
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		return 0
+	}
+	stat, err := p.Stat()
+	if err != nil {
+		return 0
+	}
+	return float64(stat.ResidentMemory()) / (1 << 20)
+}
+
+// machineMemoryMB is the memory of the machine that this runs on.
+func machineMemoryMB() float64 {
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return 0
+	}
+	m, err := fs.Meminfo()
+	if err != nil || m.MemTotal == nil {
+		return 0
+	}
+	return float64(*m.MemTotal) / 1024
+}
+
+var self = os.Getpid()
--- /dev/null
+++ b/internal/scale/report.go
@@ -0,0 +1,206 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// WriteSummary prints one result.
+func WriteSummary(w io.Writer, r *Result) {
+	fmt.Fprintf(w, "%d workers (%d alone in a process), %.0f tasks running, %.1f starts a second, %.0f s measured on %d cores; %d processes, %.0f MB at the most\n",
+		r.Workers, r.Settings.RealWorkers, r.RunningTasks, r.StartsPerS, r.MeasuredS, r.Cores, r.Processes, r.PeakTotalMB)
+	for _, role := range []Role{RoleLeader, RoleFollower, RoleWorker, RoleHollow, RoleRun} {
+		if u, n := r.of(role); n > 0 {
+			fmt.Fprintf(w, "  %-9s %3d: %.4f cores (peak %.2f), %.0f MB (peak %.0f), %d threads, %d sockets\n",
+				role, n, u.Cores, u.PeakCores, u.MemMB, u.PeakMemMB, u.Threads, u.Sockets)
+		}
+	}
+	per := float64(r.Workers) * r.MeasuredS
+	s := r.WorkersSpent
+	fmt.Fprintf(w, "  a worker and second: %.3f reports, %.0f B sent, %.0f B received; %.3f direct commands, %.0f B received, %.0f B sent\n",
+		float64(s.Reports)/per, float64(s.ReportsSent)/per, float64(s.ReportsReceived)/per,
+		float64(s.Commands)/per, float64(s.CommandsGot)/per, float64(s.CommandsSent)/per)
+	for _, kind := range slices.Sorted(maps.Keys(r.Counts)) {
+		if c := r.Counts[kind]; c.Requests > 0 {
+			fmt.Fprintf(w, "  %-28s %8.2f/s, %.0f B in, %.0f B out each\n", kind, float64(c.Requests)/r.MeasuredS, mean(c.In, c.Requests), mean(c.Out, c.Requests))
+		}
+	}
+	for _, kind := range slices.Sorted(maps.Keys(r.Changes)) {
+		fmt.Fprintf(w, "  change: %-20s %8.2f/s\n", kind, float64(r.Changes[kind])/r.MeasuredS)
+	}
+	fmt.Fprintf(w, "  peers %.0f B/s, state %.0f B/s, cloud %.0f B/s; %d records of %d bytes\n", r.Peers.perS(r.MeasuredS), r.State.perS(r.MeasuredS), r.Cloud.perS(r.MeasuredS), r.Records, r.RecordBytes)
+	fmt.Fprintf(w, "  submission %s\n  urgent work %s, %d after %v s\n", r.Submission, r.Urgent, r.UrgentLate, r.Settings.UrgentWithinS)
+	fmt.Fprintf(w, "  tasks stopped %d, leases lost %d, submissions failed %d, questions %d (unanswered %d), controllers ended by themselves %d\n",
+		r.Stopped, r.LeasesLost, r.Failed, r.Asked, r.Unanswered, r.EndedAlone)
+	for _, t := range r.Troubles {
+		fmt.Fprintf(w, "  trouble %s at %v s for %v s: next leader after %.2f s, next start after %.2f s, leases lost %d\n",
+			t.Trouble.Kind, t.Trouble.AtS, t.Trouble.ForS, t.NextLeaderS, t.FirstStartS, t.LeasesLost)
+	}
+	fmt.Fprintf(w, "  rules broken: %d\n", len(r.RulesBroken))
+	for _, b := range r.RulesBroken {
+		fmt.Fprintln(w, "   ", b)
+	}
+}
+
+func mean(sum, n int64) float64 { return float64(sum) / float64(max(n, 1)) }
+
+func (b Bytes) perS(seconds float64) float64 { return float64(b.Sent+b.Received) / seconds }
+
+// String is for people.
+func (l Latency) String() string {
+	return fmt.Sprintf("p50 %.0f ms, p99 %.0f ms, max %.0f ms of %d", l.P50, l.P99, l.Max, l.Count)
+}
+
+// quantity is something that grows with the number of workers.
+type quantity struct {
+	name string // of the table's row
+	unit string
+	file string // of the plot
+	of   func(r *Result) float64
+}
+
+func usage(role Role, of func(Usage) float64) func(*Result) float64 {
+	return func(r *Result) float64 {
+		u, _ := r.of(role)
+		return of(u)
+	}
+}
+
+func cores(u Usage) float64     { return u.Cores }
+func memory(u Usage) float64    { return u.PeakMemMB }
+func socketsOf(u Usage) float64 { return float64(u.Sockets) }
+
+// requestsOf counts the requests whose kind begins so.
+func requestsOf(prefix string) func(*Result) float64 {
+	return func(r *Result) float64 {
+		n := int64(0)
+		for kind, c := range r.Counts {
+			if strings.HasPrefix(kind, prefix) {
+				n += c.Requests
+			}
+		}
+		return float64(n) / r.MeasuredS
+	}
+}
+
+func changesPerS(r *Result) float64 {
+	n := int64(0)
+	for _, c := range r.Changes {
+		n += c
+	}
+	return float64(n) / r.MeasuredS
+}
+
+var quantities = []quantity{
+	{"leader, processor", "cores", "leader-cores", usage(RoleLeader, cores)},
+	{"leader, memory at its peak", "MB", "leader-memory", usage(RoleLeader, memory)},
+	{"leader, sockets", "sockets", "leader-sockets", usage(RoleLeader, socketsOf)},
+	{"follower, processor", "cores", "follower-cores", usage(RoleFollower, cores)},
+	{"follower, memory at its peak", "MB", "follower-memory", usage(RoleFollower, memory)},
+	{"workers' reports", "a second", "reports", func(r *Result) float64 { return float64(r.WorkersSpent.Reports) / r.MeasuredS }},
+	{"direct commands", "a second", "commands", func(r *Result) float64 { return float64(r.WorkersSpent.Commands) / r.MeasuredS }},
+	{"workers' bytes, all ways", "KB a second", "worker-bytes", func(r *Result) float64 {
+		s := r.WorkersSpent
+		return float64(s.ReportsSent+s.ReportsReceived+s.CommandsSent+s.CommandsGot) / r.MeasuredS / 1024
+	}},
+	{"state service, requests", "a second", "state-requests", requestsOf("state ")},
+	{"state service, changes", "a second", "state-changes", changesPerS},
+	{"cloud, requests", "a second", "cloud-requests", requestsOf("cloud ")},
+	{"between controllers", "KB a second", "peer-bytes", func(r *Result) float64 { return r.Peers.perS(r.MeasuredS) / 1024 }},
+	{"users' requests", "a second", "user-requests", requestsOf("users ")},
+}
+
+// fit is a straight line through measurements.
+type fit struct {
+	base, slope float64
+	residual    float64 // the largest, as a share of the largest value
+}
+
+func fitLine(x, y []float64) fit {
+	var f fit
+	f.base, f.slope = stat.LinearRegression(x, y, nil, false)
+	largest := slices.Max(y)
+	for i := range x {
+		f.residual = max(f.residual, math.Abs(y[i]-f.base-f.slope*x[i]))
+	}
+	if largest > 0 {
+		f.residual /= largest
+	}
+	return f
+}
+
+// fewest is how many sizes a slope needs.
+const fewest = 3
+
+// WriteReport prints what results at several sizes show, with a line fitted to each
+// quantity; plots go into a folder, if one is given.
+func WriteReport(w io.Writer, all []*Result, plots string) error {
+	slices.SortStableFunc(all, func(a, b *Result) int { return a.Workers - b.Workers })
+	x := make([]float64, len(all))
+	fmt.Fprint(w, "| measured |")
+	for i, r := range all {
+		x[i] = float64(r.Workers)
+		fmt.Fprintf(w, " %d workers |", r.Workers)
+	}
+	fmt.Fprint(w, " at none | a thousand workers more | residual |\n|")
+	fmt.Fprintln(w, strings.Repeat(" --- |", len(all)+4))
+	for _, q := range quantities {
+		y := make([]float64, len(all))
+		fmt.Fprintf(w, "| %s, %s |", q.name, q.unit)
+		for i, r := range all {
+			y[i] = q.of(r)
+			fmt.Fprintf(w, " %s |", short(y[i]))
+		}
+		if len(all) < fewest {
+			fmt.Fprintln(w, " | | |")
+			continue
+		}
+		f := fitLine(x, y)
+		fmt.Fprintf(w, " %s | %s | %.0f%% |\n", short(f.base), short(f.slope*1000), 100*f.residual)
+		if plots != "" {
+			if err := draw(filepath.Join(plots, q.file+".png"), q, x, y, f); err != nil {
+				return err
+			}
+		}
+	}
+	for _, r := range all {
+		fmt.Fprintf(w, "\n%d workers, sources %s, %s: %.0f tasks running, %.1f starts a second; urgent work %s; submission %s; rules broken %d\n",
+			r.Workers, r.Version, r.Date, r.RunningTasks, r.StartsPerS, r.Urgent, r.Submission, len(r.RulesBroken))
+	}
+	return nil
+}
+
+// short is a number with three digits that count.
+func short(v float64) string {
+	if math.Abs(v) >= 100 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
+
+func draw(path string, q quantity, x, y []float64, f fit) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = q.name, "workers", q.unit
+	p.X.Min, p.Y.Min = 0, 0
+	points := make(plotter.XYs, len(x))
+	for i := range x {
+		points[i].X, points[i].Y = x[i], y[i]
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	line := plotter.NewFunction(func(x float64) float64 { return f.base + f.slope*x })
+	p.Add(plotter.NewGrid(), scatter, line)
+	return p.Save(12*vg.Centimeter, 8*vg.Centimeter, path)
+}
--- /dev/null
+++ b/internal/scale/result.go
@@ -0,0 +1,106 @@
+package scale
+
+import (
+	"encoding/json"
+	"os"
+)
+
+// Result is what a run measured: counts and usage of the time that was measured, but for
+// what says otherwise.
+type Result struct {
+	Settings Settings `json:"settings"`
+	Version  string   `json:"version"` // of the controllers
+	Date     string   `json:"date"`
+	Cores    int      `json:"cores"` // of the machine
+
+	MeasuredS     float64        `json:"measured_s"`
+	Workers       int            `json:"workers"`       // up, at the end
+	RunningTasks  float64        `json:"running_tasks"` // mean
+	Starts        int            `json:"starts"`
+	StartsPerS    float64        `json:"starts_per_s"`
+	Stopped       int            `json:"stopped"` // tasks stopped by command
+	LeasesLost    int            `json:"leases_lost"`
+	JobsSubmitted int            `json:"jobs_submitted"` // in the whole run
+	JobsByClass   map[string]int `json:"jobs_by_class"`
+	Failed        int            `json:"submissions_failed"` // in the whole run
+	Asked         int            `json:"asked"`              // in the whole run
+	Unanswered    int            `json:"unanswered"`         // in the whole run
+
+	Usage        []Usage          `json:"usage"`
+	Counts       map[string]Count `json:"counts"`  // of messages, by kind
+	Changes      map[string]int64 `json:"changes"` // of the state service, by kind of record
+	WorkersSpent Spent            `json:"workers_spent"`
+	Peers        Bytes            `json:"peers"`
+	State        Bytes            `json:"state"` // with headers
+	Cloud        Bytes            `json:"cloud"`
+	Records      int              `json:"records"` // of the state service, at the end
+	RecordBytes  int              `json:"record_bytes"`
+
+	Submission Latency `json:"submission"` // in the whole run after warm-up
+	Urgent     Latency `json:"urgent"`
+	UrgentLate int     `json:"urgent_late"`
+
+	Troubles    []TroubleSeen `json:"troubles"`
+	RulesBroken []string      `json:"rules_broken"`
+	EndedAlone  int           `json:"ended_alone"` // controllers that ended by themselves
+	PeakTotalMB float64       `json:"peak_total_mb"`
+	Processes   int           `json:"processes"`
+}
+
+// Bytes are those of connections, both ways.
+type Bytes struct {
+	Sent     int64 `json:"sent"`
+	Received int64 `json:"received"`
+}
+
+// TroubleSeen is a trouble and what was seen of it.
+type TroubleSeen struct {
+	Trouble Trouble `json:"trouble"`
+	// NextLeaderS is until there was another leader's key, FirstStartS until the next task
+	// began after that; 0: not seen.
+	NextLeaderS float64 `json:"next_leader_s,omitempty"`
+	FirstStartS float64 `json:"first_start_s,omitempty"`
+	LeasesLost  int     `json:"leases_lost"` // until the next trouble or the end
+}
+
+// Usage of a role: the mean of the processes of that role.
+func (r *Result) of(role Role) (u Usage, n int) {
+	for _, o := range r.Usage {
+		if o.Role != role {
+			continue
+		}
+		n++
+		u.Cores += o.Cores
+		u.MemMB += o.MemMB
+		u.PeakCores = max(u.PeakCores, o.PeakCores)
+		u.PeakMemMB = max(u.PeakMemMB, o.PeakMemMB)
+		u.Threads = max(u.Threads, o.Threads)
+		u.Sockets = max(u.Sockets, o.Sockets)
+		u.Workers += o.Workers
+	}
+	if n > 0 {
+		u.Cores /= float64(n)
+		u.MemMB /= float64(n)
+	}
+	u.Role = role
+	return u, n
+}
+
+// Write writes the result to a file.
+func (r *Result) Write(path string) error {
+	b, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(b, '\n'), 0o644)
+}
+
+// ReadResult reads a result's file.
+func ReadResult(path string) (*Result, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var r Result
+	return &r, json.Unmarshal(b, &r)
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -212,3 +212,17 @@
 	}
 	return m.ID
 }
+
+// Up lists the machines that are up, by name.
+func (c *Cloud) Up() []Place {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Place
+	for _, m := range c.machines {
+		if m.running != nil {
+			out = append(out, Place{Machine: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Machine < out[b].Machine })
+	return out
+}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -18,8 +18,7 @@
 func (s worldSite) FileJob(id string) *Spec            { return s.w.readFile(id) }
 func (s worldSite) ServesFiles() bool                  { return s.w.Settings.Nomad != nil }
 func (s worldSite) Observer() Observer                 { return s.w.check }
-func (s worldSite) GangJoined(t *lot, k *Worker)       { s.w.gangJoined(t, k) }
-func (s worldSite) GangLeft(t *lot, why string) string { return s.w.gangLeft(t, why) }
+func (s worldSite) Gangs() Gangs                       { return s.w }
 
 func (s worldSite) Serve(k *Worker) (stop func()) {
 	s.w.Net.Place(k.at, k.zone)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -85,7 +85,15 @@
 	s.wake()
 }
 
+// keptChanges is how many changes the service keeps.
+const keptChanges = 10_000
+
+// wake has all watches look again, and forgets changes that are too old.
 func (s *State) wake() {
+	if more := len(s.log) - keptChanges; more > keptChanges/10 {
+		s.oldest = s.log[more-1].Version
+		s.log = append([]wire.Change(nil), s.log[more:]...)
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -99,7 +107,16 @@
 	}
 }
 
-// Get reads a key from outside.
+// Size says how many keys there are, and the bytes of their values.
+func (s *State) Size() (keys, size int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.keys {
+		size += len(e.Value)
+	}
+	return len(s.keys), size
+}
+
 // Cost says how many requests came and how many puts and deletes were executed.
 func (s *State) Cost() (requests, changes int) {
 	s.mu.Lock()
@@ -115,6 +132,7 @@
 	s.mu.Unlock()
 }
 
+// Get reads a key from outside.
 func (s *State) Get(key string) (wire.Entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -235,10 +253,10 @@
 			return
 		}
 		out := wire.Changes{Revision: s.rev, Events: []wire.Change{}}
-		for i := range s.log {
-			e := &s.log[i]
-			if e.Version > since && strings.HasPrefix(e.Put+e.Delete, prefix) {
-				out.Events = append(out.Events, *e)
+		first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > since })
+		for _, e := range s.log[first:] {
+			if strings.HasPrefix(e.Put+e.Delete, prefix) {
+				out.Events = append(out.Events, e)
 			}
 		}
 		left := time.Until(end)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -78,10 +78,15 @@
 	ServesFiles() bool
 	Timing() Timing
 	Observer() Observer
-	// GangJoined and GangLeft are told as a gang's task waits for the others, and as it
-	// leaves; the latter gives the cause that it leaves with. The worker's lock is held.
-	GangJoined(t *lot, k *Worker)
-	GangLeft(t *lot, why string) string
+	// Gangs brings gangs' tasks together; nil: there are none.
+	Gangs() Gangs
+}
+
+// Gangs is told as a gang's task waits for the others, and as it leaves, for which it gives
+// the cause. The worker's lock is held.
+type Gangs interface {
+	gangJoined(t *lot, k *Worker)
+	gangLeft(t *lot, why string) string
 }
 
 // Controller is a controller that workers report to.
@@ -466,7 +471,9 @@
 }
 
 func (k *Worker) exit(t *lot, why string, saved bool) {
-	why = k.site.GangLeft(t, why)
+	if g := k.site.Gangs(); g != nil {
+		why = g.gangLeft(t, why)
+	}
 	t.State, t.Why, t.Saved = "exited", why, saved
 	if why == "done" {
 		k.site.Observer().Done(t.Task, t.spec)
@@ -535,7 +542,9 @@
 	case t.spec.Shape == "ensemble":
 		t.State = "gathering"
 		t.timer = time.AfterFunc(k.site.Timing().GangWait, func() { k.end(t, "alone", false) })
-		k.site.GangJoined(t, k)
+		if g := k.site.Gangs(); g != nil {
+			g.gangJoined(t, k)
+		}
 	default:
 		k.run(t)
 	}
