--- a/cmd/aspenstall/main.go
+++ b/cmd/aspenstall/main.go
@@ -41,6 +41,7 @@
 	Check    struct{}  `cmd:"" help:"Check the settings and exit."`
 	Nomad    nomadCmd  `cmd:"" help:"Nomad's job files: check them, and make tokens for clients."`
 	Notify   notifyCmd `cmd:"" help:"Notifications: how they stand, and what was put aside."`
+	Cluster  configCmd `cmd:"" name:"config" help:"The configuration that may change while the cluster serves."`
 	Version  struct{}  `cmd:"" help:"Print the version and exit."`
 }
 
@@ -55,6 +56,9 @@
 		if errors.Is(err, errConfig) || errors.Is(err, errRefused) {
 			code = exitConfig
 		}
+		if own := configExitCode(err); own != 0 {
+			code = own
+		}
 		os.Exit(code)
 	}
 }
@@ -90,6 +94,9 @@
 	case "nomad check <file>":
 		return c.Nomad.Check.run(p, &s, os.Stdout)
 	}
+	if strings.HasPrefix(command, "config ") {
+		return c.Cluster.run(command, p, s, os.Stdout)
+	}
 	return run(p, s)
 }
 
--- /dev/null
+++ b/internal/clusterconfig/clusterconfig_test.go
@@ -0,0 +1,356 @@
+package clusterconfig_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"aspenstall/internal/clusterconfig"
+	"aspenstall/internal/core"
+	"aspenstall/internal/wire"
+)
+
+func cpus(least, most int64) clusterconfig.Team {
+	return clusterconfig.Team{Min: core.Res{CPU: least}, Max: core.Res{CPU: most}, Cap: core.Production}
+}
+
+var base = clusterconfig.Base{
+	Teams:  map[string]clusterconfig.Team{"blue": cpus(4000, 8000), "free": cpus(0, 0)},
+	Tuning: core.Tuning{Idle: 10 * core.Second, SpareTasks: 3},
+}
+
+func TestOver(t *testing.T) {
+	idle := 2.5
+	for _, c := range []struct {
+		name   string
+		config clusterconfig.Config
+		want   map[string]clusterconfig.Team
+		idle   core.Micros
+	}{
+		{"nothing", clusterconfig.Config{}, base.Teams, 10 * core.Second},
+		{"a quota within the platform's", clusterconfig.Config{Teams: map[string]clusterconfig.Team{"blue": cpus(1000, 6000)}},
+			map[string]clusterconfig.Team{"blue": cpus(1000, 6000), "free": cpus(0, 0)}, 10 * core.Second},
+		// A platform's file that is stricter than the one that it was checked against.
+		{"a limit over the platform's", clusterconfig.Config{Teams: map[string]clusterconfig.Team{"blue": cpus(9000, 9000)}},
+			map[string]clusterconfig.Team{"blue": cpus(8000, 8000), "free": cpus(0, 0)}, 10 * core.Second},
+		{"no limit where the platform has one", clusterconfig.Config{Teams: map[string]clusterconfig.Team{"blue": cpus(0, 0)}},
+			map[string]clusterconfig.Team{"blue": cpus(0, 8000), "free": cpus(0, 0)}, 10 * core.Second},
+		{"a limit where the platform has none", clusterconfig.Config{Teams: map[string]clusterconfig.Team{"free": cpus(0, 5000)}},
+			map[string]clusterconfig.Team{"blue": cpus(4000, 8000), "free": cpus(0, 5000)}, 10 * core.Second},
+		{"a team that is added, and a setting", clusterconfig.Config{Teams: map[string]clusterconfig.Team{"red": cpus(1, 2)}, Tuning: clusterconfig.Tuning{IdleReturnS: &idle}},
+			map[string]clusterconfig.Team{"blue": cpus(4000, 8000), "free": cpus(0, 0), "red": cpus(1, 2)}, 2500 * core.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := c.config.Over(&base)
+			if !maps.Equal(e.Teams, c.want) || e.Tuning.Idle != c.idle || e.Tuning.SpareTasks != 3 {
+				t.Errorf("got %+v", e)
+			}
+		})
+	}
+}
+
+func TestCheck(t *testing.T) {
+	low := cpus(0, 8000)
+	low.Cap = core.Normal
+	capped := clusterconfig.Base{Teams: map[string]clusterconfig.Team{"blue": low}}
+	for _, c := range []struct {
+		name, team string
+		value      clusterconfig.Team
+		base       clusterconfig.Base
+		want       string // "" if it is good
+	}{
+		{"good", "blue", cpus(1000, 8000), base, ""},
+		{"added", "red", cpus(0, 0), base, ""},
+		{"over the platform's limit", "blue", cpus(0, 8001), base, `:teams "blue" :cpus-max: the limit is over the platform's, 8`},
+		{"without a limit where the platform has one", "blue", cpus(0, 0), base, `:teams "blue" :cpus-max: the limit is over the platform's, 8`},
+		{"a guarantee over the limit", "red", cpus(9000, 8000), base, `:teams "red" :cpus: the guarantee 9 is over the limit 8`},
+		{"negative", "red", cpus(-1, 0), base, `:teams "red" :cpus: negative`},
+		{"a name with a space", "two words", cpus(0, 0), base, `:teams "two words": want a name of 1 to 64 bytes without spaces`},
+		{"a cap over the settings'", "blue", cpus(0, 8000), capped, `:teams "blue" :cap: higher than the settings' cap, :normal`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			config := clusterconfig.Config{Teams: map[string]clusterconfig.Team{c.team: c.value}}
+			got := ""
+			if p := config.Check(&c.base); p != nil {
+				got = p.Error()
+			}
+			if got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestDiffAndWarnings(t *testing.T) {
+	to := clusterconfig.Config{Teams: map[string]clusterconfig.Team{"blue": cpus(4000, 6000), "red": cpus(90_000, 0)}}
+	var got []string
+	for _, d := range clusterconfig.Diff((&clusterconfig.Config{}).Over(&base), to.Over(&base)) {
+		got = append(got, d.String())
+	}
+	want := []string{
+		"team blue :cpus-max: 8 -> 6", "team red :cpus: none -> 90", "team red :cpus-max: none -> unlimited", "team red :gpus: none -> 0",
+		"team red :gpus-max: none -> unlimited", "team red :cap: none -> :production", "team red :draining: none -> false",
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %q", got)
+	}
+	if w := to.Warnings(&base, core.Res{CPU: 50_000}); len(w) != 1 || !strings.Contains(w[0], "94 CPUs") {
+		t.Errorf("warnings %q", w)
+	}
+	if gone := clusterconfig.Removed(&to, &clusterconfig.Config{}, &base); !slices.Equal(gone, []string{"red"}) {
+		t.Errorf("removed %q: a team of the platform never is", gone)
+	}
+}
+
+// store is a state service for the records alone.
+type store struct {
+	revision uint64
+	keys     map[string]entry
+	log      []change
+}
+
+type entry struct {
+	value []byte
+	stamp uint64
+}
+
+type change struct {
+	key   string
+	value []byte // nil: dropped
+	stamp uint64
+}
+
+// commit carries out a transaction of a plan.
+func (s *store) commit(t *testing.T, head uint64, writes []clusterconfig.Write, limits clusterconfig.Limits) bool {
+	t.Helper()
+	if len(writes) > limits.TxnOps {
+		t.Fatalf("%d changes in a transaction of %d", len(writes), limits.TxnOps)
+	}
+	if s.keys[clusterconfig.HeadKey].stamp != head {
+		return false
+	}
+	s.revision++
+	for _, w := range writes {
+		if w.Head == nil && w.Page == nil {
+			delete(s.keys, w.Key)
+			s.log = append(s.log, change{w.Key, nil, s.revision})
+			continue
+		}
+		b, err := wire.ConfigCodec{}.Encode(w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := (wire.ConfigCodec{}).Size(b); n > limits.ValueBytes {
+			t.Fatalf("%s takes %d bytes of %d", w.Key, n, limits.ValueBytes)
+		}
+		s.keys[w.Key] = entry{b, s.revision}
+		s.log = append(s.log, change{w.Key, b, s.revision})
+	}
+	return true
+}
+
+func (s *store) records(t *testing.T) *clusterconfig.Records {
+	t.Helper()
+	r := &clusterconfig.Records{Pages: map[string]clusterconfig.Page{}}
+	for key, e := range s.keys {
+		var err error
+		if key == clusterconfig.HeadKey {
+			r.Head, err = wire.DecodeConfigHead(e.value)
+			r.Stamp = e.stamp
+		} else {
+			r.Pages[key], err = wire.DecodeConfigPage(e.value)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return r
+}
+
+// tell gives a follower one record as it was read.
+func tell(f *clusterconfig.Follower, c change) {
+	switch {
+	case c.value == nil:
+		f.Drop(c.key, c.stamp)
+	case c.key == clusterconfig.HeadKey:
+		h, err := wire.DecodeConfigHead(c.value)
+		f.Head(h, c.stamp, err)
+	default:
+		p, err := wire.DecodeConfigPage(c.value)
+		if err == nil {
+			f.Page(c.key, p, c.stamp)
+		}
+	}
+}
+
+// walker is an operator whose transactions are carried out one by one, late or never.
+type walker struct {
+	plan *clusterconfig.Plan
+	to   *clusterconfig.Config
+	next int
+}
+
+var walks = flag.Int("walks", 60, "how many random walks TestRandomWalk does")
+
+// TestRandomWalk has three operators change the configuration, with their transactions
+// interleaved, lost, late and repeated, and three followers read it in pieces, from the
+// log or as a list, also older ones again. Versions have one order, no follower goes back
+// or acts by something that was never a version, and all agree in the end. The long form, outside CI:
+//
+//	go test ./internal/clusterconfig -run TestRandomWalk -walks 500
+func TestRandomWalk(t *testing.T) {
+	limits := clusterconfig.Limits{ValueBytes: 400, TxnOps: 3}
+	made, conflicts, spanned := 0, 0, 0
+	for seed := range *walks {
+		r := rand.New(rand.NewPCG(uint64(seed), 1))
+		s := &store{keys: map[string]entry{}}
+		versions := map[uint64]*clusterconfig.Config{} // by the head's stamp
+		var walkers [3]*walker
+		var late []func()
+		followers := make([]*clusterconfig.Follower, 3)
+		read := make([]int, 3) // of the log
+		acted := make([]uint64, 3)
+		for i := range followers {
+			followers[i] = clusterconfig.NewFollower()
+		}
+		carryOut := func(w *walker, n int) bool {
+			ok := s.commit(t, w.plan.Stamp, w.plan.Transactions[n], limits)
+			if ok && n == len(w.plan.Transactions)-1 {
+				versions[s.revision] = w.to
+				made++
+				if n > 0 {
+					spanned++
+				}
+			}
+			return ok
+		}
+		resolve := func(i int) {
+			f := followers[i]
+			if _, err := f.Resolve(); err != nil && !errors.Is(err, clusterconfig.ErrIncomplete) {
+				t.Fatal(err)
+			}
+			_, stamp := f.Acted()
+			if stamp < acted[i] {
+				t.Fatalf("seed %d: a follower went back from %d to %d", seed, acted[i], stamp)
+			}
+			acted[i] = stamp
+			if stamp > 0 && !sameTeams(f.Config(), versions[stamp]) {
+				t.Fatalf("seed %d: a follower acts by what was never a version", seed)
+			}
+		}
+		for step := range 200 {
+			switch i := r.IntN(3); r.IntN(8) {
+			case 0: // an operator reads, and plans a change
+				to := randomConfig(r)
+				plan, err := clusterconfig.PlanChange(s.records(t), to, fmt.Sprint("change-", step), limits, wire.ConfigCodec{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				walkers[i] = &walker{plan: plan, to: to}
+			case 1, 2, 3: // its next transaction is carried out, or lost, or late; or repeated
+				w := walkers[i]
+				if w == nil || w.next >= len(w.plan.Transactions) {
+					continue
+				}
+				n := w.next
+				switch r.IntN(4) {
+				case 0:
+					late = append(late, func() { carryOut(w, n) })
+				case 1:
+					carryOut(w, n)
+					late = append(late, func() { carryOut(w, n) })
+					w.next++
+				default:
+					if !carryOut(w, n) {
+						conflicts++
+						walkers[i] = nil
+						continue
+					}
+					w.next++
+				}
+			case 4:
+				if len(late) > 0 {
+					k := r.IntN(len(late))
+					late[k]()
+					late = slices.Delete(late, k, k+1)
+				}
+			case 5: // a follower reads on, sometimes what it has read before
+				from := max(0, read[i]-r.IntN(3))
+				to := from + r.IntN(len(s.log)-from+1)
+				for _, c := range s.log[from:to] {
+					tell(followers[i], c)
+				}
+				read[i] = max(read[i], to)
+				resolve(i)
+			case 6: // it reads everything
+				for key, e := range s.keys {
+					tell(followers[i], change{key, e.value, e.stamp})
+				}
+				read[i] = len(s.log)
+				resolve(i)
+			case 7: // its process ends
+				followers[i], read[i], acted[i] = clusterconfig.NewFollower(), 0, 0
+			}
+		}
+		for i, f := range followers {
+			for _, c := range s.log {
+				tell(f, c)
+			}
+			resolve(i)
+			if !f.Current() {
+				t.Fatalf("seed %d: a follower that has read everything is behind", seed)
+			}
+			if got, err := s.records(t).Config(); err != nil || !sameTeams(got, f.Config()) {
+				t.Fatalf("seed %d: it has another configuration than what is stored, %v", seed, err)
+			}
+		}
+	}
+	t.Logf("%d versions, %d conflicts, %d of several transactions", made, conflicts, spanned)
+	if made < 5**walks || conflicts < *walks || spanned < *walks {
+		t.Errorf("the walks lack versions (%d), conflicts (%d) or changes of several transactions (%d)", made, conflicts, spanned)
+	}
+}
+
+func sameTeams(a, b *clusterconfig.Config) bool {
+	return b != nil && (len(a.Teams) == 0 && len(b.Teams) == 0 || reflect.DeepEqual(a.Teams, b.Teams))
+}
+
+func randomConfig(r *rand.Rand) *clusterconfig.Config {
+	c := &clusterconfig.Config{Teams: map[string]clusterconfig.Team{}}
+	for i := range r.IntN(60) {
+		if r.IntN(3) > 0 {
+			c.Teams[fmt.Sprintf("team-%02d", i)] = cpus(0, int64(r.IntN(3))*1000)
+		}
+	}
+	return c
+}
+
+// TestNewer: a head of a newer format is refused in one line, and nothing is decided by it
+// or by what was before.
+func TestNewer(t *testing.T) {
+	f := clusterconfig.NewFollower()
+	if !f.MayDecide(100*core.Second, 0) {
+		t.Error("nothing may be decided where there is no configuration")
+	}
+	f.Head(clusterconfig.Head{Format: clusterconfig.Format}, 1, nil)
+	if changed, err := f.Resolve(); !changed || err != nil || !f.MayDecide(core.Second, 0) || f.MayDecide(clusterconfig.FreshFor, 0) {
+		t.Errorf("changed %v, %v; may decide by what was read just now, and not by older", changed, err)
+	}
+	f.Head(clusterconfig.Head{Format: clusterconfig.Format + 1}, 2, nil)
+	if changed, err := f.Resolve(); changed || !errors.Is(err, clusterconfig.ErrNewer) || f.MayDecide(0, 0) {
+		t.Errorf("changed %v, %v; nothing may be decided", changed, err)
+	}
+	if _, err := f.Resolve(); err != nil {
+		t.Errorf("it is said again: %v", err)
+	}
+	f.Head(clusterconfig.Head{Format: clusterconfig.Format}, 3, nil)
+	if changed, err := f.Resolve(); !changed || err != nil || !f.MayDecide(0, 0) {
+		t.Errorf("after one that can be read: changed %v, %v", changed, err)
+	}
+}
--- /dev/null
+++ b/internal/config/cluster.go
@@ -0,0 +1,168 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"olympos.io/encoding/edn"
+
+	"aspenstall/internal/clusterconfig"
+	"aspenstall/internal/core"
+	"aspenstall/internal/ednmap"
+)
+
+// ReadClusterConfig reads and checks the configuration that operators change while the
+// cluster serves: one S-expression. A field of a team of the base that it does not name
+// stays as the base has it. Errors name file, line, field and reason.
+func ReadClusterConfig(path string, base *clusterconfig.Base) (*clusterconfig.Config, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &clusterconfig.Config{Teams: map[string]clusterconfig.Team{}}
+	var teams map[string]edn.RawMessage
+	err = ednmap.Read(b, map[string]ednmap.Setting{"teams": rawMap(&teams), "settings": clusterSettings(&c.Tuning)})
+	if err != nil {
+		return nil, located(path, b, err)
+	}
+	for _, name := range slices.Sorted(maps.Keys(teams)) {
+		t, err := readClusterTeam(teams[name], name, base)
+		if err != nil {
+			return nil, located(path, b, fmt.Errorf(":teams: %q: %w", name, err))
+		}
+		c.Teams[name] = t
+	}
+	if p := c.Check(base); p != nil {
+		return nil, fmt.Errorf("%s:%d: %w", path, lineOf(b, p.Path), p)
+	}
+	return c, nil
+}
+
+func clusterSettings(t *clusterconfig.Tuning) ednmap.Setting {
+	return func(b edn.RawMessage) error {
+		number := func(lo, hi float64, to **float64) ednmap.Setting {
+			return func(b edn.RawMessage) error {
+				*to = new(float64)
+				return ednmap.Number(lo, hi, *to)(b)
+			}
+		}
+		return ednmap.Map(b, map[string]ednmap.Setting{
+			"idle-return-s":   number(0, 86400, &t.IdleReturnS),
+			"refusal-pause-s": number(0, 3600, &t.RefusalPauseS),
+			"hold-s":          number(0, 86400, &t.HoldS),
+			"quarantine-s":    number(0, 86400, &t.QuarantineS),
+			"spare-tasks": func(b edn.RawMessage) error {
+				t.SpareTasks = new(int)
+				return ednmap.Whole(0, 1000, t.SpareTasks)(b)
+			},
+		})
+	}
+}
+
+// maxAmount is more than any team has of a resource.
+const maxAmount = 1e9
+
+func readClusterTeam(b edn.RawMessage, name string, base *clusterconfig.Base) (clusterconfig.Team, error) {
+	t, known := base.Teams[name]
+	if !known {
+		t.Cap = core.Production
+	}
+	amount := func(to *int64) ednmap.Setting {
+		return func(b edn.RawMessage) error {
+			var v float64
+			if err := ednmap.Number(0, maxAmount, &v)(b); err != nil {
+				return err
+			}
+			*to = int64(v * 1000)
+			return nil
+		}
+	}
+	err := ednmap.Map(b, map[string]ednmap.Setting{
+		"cpus": amount(&t.Min.CPU), "cpus-max": amount(&t.Max.CPU), "gpus": amount(&t.Min.GPU), "gpus-max": amount(&t.Max.GPU),
+		"cap": priority(&t.Cap), "draining": func(b edn.RawMessage) error {
+			if edn.Unmarshal(b, &t.Draining) != nil {
+				return fmt.Errorf("want true or false, not %s", bytes.TrimSpace(b))
+			}
+			return nil
+		},
+	})
+	return t, err
+}
+
+func priority(to *core.Priority) ednmap.Setting {
+	return func(b edn.RawMessage) error {
+		var word edn.Keyword
+		if edn.Unmarshal(b, &word) == nil {
+			for p := core.Low; p <= core.Production; p++ {
+				if p.String() == string(word) {
+					*to = p
+					return nil
+				}
+			}
+		}
+		return errors.New("want :low, :normal, :high or :production")
+	}
+}
+
+// located names the line of what an error is about, as far as the error says.
+func located(path string, text []byte, err error) error {
+	var keys []string
+	for _, part := range strings.Split(err.Error(), ": ") {
+		if !strings.HasPrefix(part, ":") && !strings.HasPrefix(part, `"`) {
+			break
+		}
+		keys = append(keys, part)
+	}
+	return fmt.Errorf("%s:%d: %w", path, lineOf(text, keys), err)
+}
+
+// lineOf is the line of the last of some keys, each of which is in what the one before names.
+func lineOf(text []byte, keys []string) int {
+	at := 0
+	for _, key := range keys {
+		i := bytes.Index(text[at:], []byte(key))
+		if i < 0 {
+			break
+		}
+		at += i
+	}
+	return bytes.Count(text[:at], []byte("\n")) + 1
+}
+
+// WriteClusterConfig writes a configuration as ReadClusterConfig reads it.
+func WriteClusterConfig(w io.Writer, c *clusterconfig.Config) {
+	fmt.Fprint(w, "{:teams\n {")
+	for i, name := range slices.Sorted(maps.Keys(c.Teams)) {
+		if i > 0 {
+			fmt.Fprint(w, "\n  ")
+		}
+		t := c.Teams[name]
+		fmt.Fprintf(w, "%q {:cpus %v :cpus-max %v :gpus %v :gpus-max %v :cap :%v :draining %v}", name,
+			units(t.Min.CPU), units(t.Max.CPU), units(t.Min.GPU), units(t.Max.GPU), t.Cap, t.Draining)
+	}
+	fmt.Fprint(w, "}\n :settings {")
+	sep := ""
+	for _, s := range []struct {
+		name  string
+		value *float64
+	}{
+		{"idle-return-s", c.Tuning.IdleReturnS}, {"refusal-pause-s", c.Tuning.RefusalPauseS}, {"hold-s", c.Tuning.HoldS}, {"quarantine-s", c.Tuning.QuarantineS},
+	} {
+		if s.value != nil {
+			fmt.Fprintf(w, "%s:%s %v", sep, s.name, *s.value)
+			sep = " "
+		}
+	}
+	if c.Tuning.SpareTasks != nil {
+		fmt.Fprintf(w, "%s:spare-tasks %d", sep, *c.Tuning.SpareTasks)
+	}
+	fmt.Fprintln(w, "}}")
+}
+
+func units(thousandths int64) float64 { return float64(thousandths) / 1000 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"slices"
 
+	"aspenstall/internal/clusterconfig"
 	"aspenstall/internal/core"
 )
 
@@ -51,6 +53,8 @@
 		WriteRPS float64 `json:"write_rps"`
 		ValueKB  float64 `json:"value_kb"`
 		TxnOps   int     `json:"txn_ops"`
+		// Next are the limits that will hold from some moment on; nil: these stay.
+		Next *NextLimits `json:"next"`
 	} `json:"state"`
 	Cloud struct {
 		RPS      float64 `json:"rps"`
@@ -64,6 +68,30 @@
 	SkewMS float64 `json:"skew_ms"`
 }
 
+// NextLimits are limits of the state service that will come: the size of a value and the
+// changes of a transaction; 0 where it does not say.
+type NextLimits struct {
+	ValueKB float64 `json:"value_kb"`
+	TxnOps  int     `json:"txn_ops"`
+}
+
+// valueMargin is what a record leaves of a value, in bytes, for what is round it.
+const valueMargin = 200
+
+// ConfigLimits are the smallest limits of the state service that can come.
+func (p *Platform) ConfigLimits() clusterconfig.Limits {
+	valueKB, txnOps := p.Params.State.ValueKB, p.Params.State.TxnOps
+	if next := p.Params.State.Next; next != nil {
+		if next.ValueKB > 0 {
+			valueKB = min(valueKB, next.ValueKB)
+		}
+		if next.TxnOps > 0 {
+			txnOps = min(txnOps, next.TxnOps)
+		}
+	}
+	return clusterconfig.Limits{ValueBytes: int(valueKB*1024) - valueMargin, TxnOps: txnOps}
+}
+
 // Team is a team's quota: what it is guaranteed, and what it may use at most; 0 for none.
 type Team struct {
 	Name    string  `json:"name"`
@@ -183,10 +211,7 @@
 		// Every second task finished is the worst case: two numbers with their
 		// commas for two tasks.
 		ChunkSize: max(int(p.Params.State.ValueKB*1024-200)/8, 16),
-		Tuning: core.Tuning{
-			Idle: core.Seconds(s.IdleReturnS), RefusalPause: core.Seconds(s.RefusalPauseS),
-			Hold: core.Seconds(s.HoldS), Quarantine: core.Seconds(s.QuarantineS), Suspect: core.Seconds(s.SuspectS), SpareTasks: s.SpareTasks,
-		},
+		Tuning:    tuning(s),
 	}
 	c.StartWithin = map[string][]core.Micros{}
 	for _, o := range p.Params.Objectives {
@@ -196,12 +221,38 @@
 		}
 		c.LateTimes = max(c.LateTimes, o.Times)
 	}
+	base := ConfigBase(p, s)
+	c.Teams = CoreTeams(&clusterconfig.Effective{Teams: base.Teams})
+	return c
+}
+
+// ConfigBase is what the controllers are started with, under the configuration that operators
+// change while they serve.
+func ConfigBase(p *Platform, s Settings) clusterconfig.Base {
+	b := clusterconfig.Base{Teams: map[string]clusterconfig.Team{}, Tuning: tuning(s)}
 	for _, t := range p.Params.Teams {
-		c.Teams = append(c.Teams, core.Team{
-			Name: t.Name,
-			Min:  core.Res{CPU: int64(t.CPUs * 1000), GPU: int64(t.GPUs * 1000)},
-			Max:  core.Res{CPU: int64(t.CPUsMax * 1000), GPU: int64(t.GPUsMax * 1000)},
-		})
+		b.Teams[t.Name] = clusterconfig.Team{
+			Min: core.Res{CPU: int64(t.CPUs * 1000), GPU: int64(t.GPUs * 1000)},
+			Max: core.Res{CPU: int64(t.CPUsMax * 1000), GPU: int64(t.GPUsMax * 1000)},
+			Cap: s.PriorityCap(t.Name),
+		}
+	}
+	return b
+}
+
+// CoreTeams are the teams as the core has them, by name.
+func CoreTeams(e *clusterconfig.Effective) []core.Team {
+	var out []core.Team
+	for _, name := range slices.Sorted(maps.Keys(e.Teams)) {
+		t := e.Teams[name]
+		out = append(out, core.Team{Name: name, Min: t.Min, Max: t.Max})
+	}
+	return out
+}
+
+func tuning(s Settings) core.Tuning {
+	return core.Tuning{
+		Idle: core.Seconds(s.IdleReturnS), RefusalPause: core.Seconds(s.RefusalPauseS),
+		Hold: core.Seconds(s.HoldS), Quarantine: core.Seconds(s.QuarantineS), Suspect: core.Seconds(s.SuspectS), SpareTasks: s.SpareTasks,
 	}
-	return c
 }
--- /dev/null
+++ b/internal/configclient/client.go
@@ -0,0 +1,375 @@
+// Package configclient changes the cluster's configuration through the state service's
+// published protocol, and finds out where a change is in force.
+package configclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"aspenstall/internal/clusterconfig"
+	"aspenstall/internal/core"
+	"aspenstall/internal/statestore"
+	"aspenstall/internal/wire"
+)
+
+// Errors that callers tell apart.
+var (
+	// ErrNotReady: a controller does not say that it knows configuration records.
+	ErrNotReady = errors.New("not every controller says that it knows configuration records")
+	// ErrConflict: somebody else changed the configuration meanwhile.
+	ErrConflict = errors.New("the configuration was changed meanwhile")
+	// ErrUnknown: whether the change was made could not be found out.
+	ErrUnknown = errors.New("whether the change was made is not known")
+	// ErrNotInForce: the change is made and could not be seen to be in force.
+	ErrNotInForce = errors.New("the change is made, and not known to be in force")
+	// ErrLive: a team that is to be removed has jobs that are not over.
+	ErrLive = errors.New("the team has jobs that are not over")
+)
+
+// Client changes the configuration. Its store's budget of requests is the caller's.
+type Client struct {
+	Store  *statestore.Client
+	Base   clusterconfig.Base
+	Limits clusterconfig.Limits
+	// Controllers are all that there are; Absent are those of them that are known to be
+	// down, and are not waited for.
+	Controllers, Absent []string
+}
+
+// View is what the state service holds.
+type View struct {
+	Records clusterconfig.Records
+	Config  *clusterconfig.Config
+	Acks    map[string]clusterconfig.Ack // by controller
+	Leader  string                       // "" if nobody leads
+}
+
+// pollEvery is between two looks at the state service.
+const pollEvery = 50 * time.Millisecond
+
+// Read reads the configuration and what the controllers say of it.
+func (c *Client) Read(ctx context.Context) (*View, error) {
+	entries, _, err := c.Store.List(ctx, clusterconfig.Prefix)
+	if err != nil {
+		return nil, err
+	}
+	v := &View{Records: clusterconfig.Records{Pages: map[string]clusterconfig.Page{}}, Acks: map[string]clusterconfig.Ack{}}
+	for _, e := range entries {
+		switch {
+		case e.Key == clusterconfig.HeadKey:
+			v.Records.Head, err = wire.DecodeConfigHead(e.Value)
+			v.Records.Stamp = e.Version
+		case strings.HasPrefix(e.Key, clusterconfig.PagePrefix):
+			v.Records.Pages[e.Key], err = wire.DecodeConfigPage(e.Value)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if v.Config, err = v.Records.Config(); err != nil {
+		return nil, err
+	}
+	return v, c.readAcks(ctx, v)
+}
+
+// readAcks reads what the controllers say, and who leads.
+func (c *Client) readAcks(ctx context.Context, v *View) error {
+	entries, _, err := c.Store.List(ctx, clusterconfig.AckPrefix)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		a, err := wire.DecodeConfigAck(e.Value)
+		if err != nil {
+			return fmt.Errorf("%s: %w", e.Key, err)
+		}
+		v.Acks[strings.TrimPrefix(e.Key, clusterconfig.AckPrefix)] = a
+	}
+	e, err := c.Store.Get(ctx, "c/leader")
+	if errors.Is(err, statestore.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var l wire.Leader
+	err = wire.Unmarshal(e.Value, &l)
+	v.Leader = l.Node
+	return err
+}
+
+// Unheard lists the controllers that do not say that they know this format.
+func (c *Client) Unheard(v *View) []string {
+	var out []string
+	for _, name := range c.members(v) {
+		if a, ok := v.Acks[name]; !ok || a.Format < clusterconfig.Format {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// members are all controllers that the caller or a controller knows, but for those that are
+// known to be down.
+func (c *Client) members(v *View) []string {
+	all := slices.Clone(c.Controllers)
+	for name, a := range v.Acks {
+		all = append(append(all, name), a.Peers...)
+	}
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return slices.DeleteFunc(all, func(name string) bool { return slices.Contains(c.Absent, name) })
+}
+
+// Ready makes sure that every controller knows configuration records: the first time it
+// writes a head that changes nothing, which controllers of an earlier version ignore.
+func (c *Client) Ready(ctx context.Context) (*View, error) {
+	var last *View // that was read
+	var failed error
+	for {
+		v, err := c.Read(ctx)
+		if err == nil && v.Records.Stamp == 0 {
+			_, err = c.write(ctx, v, &clusterconfig.Config{}, "enable")
+			if err == nil {
+				continue
+			}
+		}
+		switch {
+		case errors.Is(err, clusterconfig.ErrNewer), errors.Is(err, clusterconfig.ErrTooLarge):
+			return nil, err
+		case err != nil:
+			failed = err
+		case len(c.Unheard(v)) == 0:
+			return v, nil
+		default:
+			last = v
+		}
+		if !pause(ctx, pollEvery) {
+			break
+		}
+	}
+	if last != nil {
+		return last, fmt.Errorf("%w: %s", ErrNotReady, strings.Join(c.Unheard(last), ", "))
+	}
+	return nil, fmt.Errorf("%w: %w", ErrUnknown, failed)
+}
+
+// Made is a change that was made.
+type Made struct {
+	Number uint64
+	Stamp  uint64
+	// Answered is when the write was answered, or found out to have been carried out before:
+	// it was made by then.
+	Answered time.Time
+}
+
+// Apply writes a configuration over what was read. id names the change: one that was made
+// already, as its answer was lost, is not made again.
+func (c *Client) Apply(ctx context.Context, v *View, to *clusterconfig.Config, id string) (*Made, error) {
+	if n, ok := v.Records.Head.AppliedAs(id); ok {
+		return &Made{Number: n, Stamp: v.Records.Stamp, Answered: time.Now()}, nil
+	}
+	if p := to.Check(&c.Base); p != nil {
+		return nil, p
+	}
+	if err := c.mayRemove(ctx, v, to); err != nil {
+		return nil, err
+	}
+	return c.write(ctx, v, to, id)
+}
+
+// mayRemove fails if a team that is removed may have jobs: it has to be draining in the
+// version that is in force, so that none can come, and all its jobs have to be over.
+func (c *Client) mayRemove(ctx context.Context, v *View, to *clusterconfig.Config) error {
+	gone := clusterconfig.Removed(v.Config, to, &c.Base)
+	if len(gone) == 0 {
+		return nil
+	}
+	for _, name := range gone {
+		if !v.Config.Teams[name].Draining {
+			return fmt.Errorf("%w: team %q is not draining: first let it, until its jobs are over", ErrLive, name)
+		}
+	}
+	if !c.inForce(v, v.Records.Stamp) {
+		return fmt.Errorf("%w: that team %q is draining", ErrNotInForce, gone[0])
+	}
+	const jobPrefix = "c/job/"
+	entries, _, err := c.Store.List(ctx, jobPrefix)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		rec, err := wire.DecodeJob(strings.TrimPrefix(e.Key, jobPrefix), e.Value, e.Version)
+		if err != nil {
+			return err
+		}
+		if rec.Phase == core.Pending && slices.Contains(gone, rec.Spec.Team) {
+			return fmt.Errorf("%w: %s of team %q", ErrLive, rec.Spec.ID, rec.Spec.Team)
+		}
+	}
+	return nil
+}
+
+// write writes a version, until it is known whether that was done: the same transaction
+// again has no effect once it was carried out, and voids one that is still under way.
+func (c *Client) write(ctx context.Context, v *View, to *clusterconfig.Config, id string) (*Made, error) {
+	plan, err := clusterconfig.PlanChange(&v.Records, to, id, c.Limits, wire.ConfigCodec{})
+	if err != nil {
+		return nil, err
+	}
+	for i, writes := range plan.Transactions {
+		stamp, err := c.commit(ctx, plan.Stamp, writes)
+		if errors.Is(err, statestore.ErrConflict) {
+			return c.find(ctx, id)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if i == len(plan.Transactions)-1 {
+			made := &Made{Number: plan.Number, Stamp: stamp, Answered: time.Now()}
+			c.dropOld(ctx, stamp, plan.Drops)
+			return made, nil
+		}
+	}
+	return nil, ErrUnknown
+}
+
+// commit carries out a transaction on condition that the head is the one that was read. It
+// goes on trying while there is no answer.
+func (c *Client) commit(ctx context.Context, head uint64, writes []clusterconfig.Write) (uint64, error) {
+	txn := &wire.Txn{If: []wire.Cond{{Key: clusterconfig.HeadKey, Version: head}}}
+	for _, w := range writes {
+		if w.Head == nil && w.Page == nil {
+			txn.Then = append(txn.Then, wire.Write{Delete: w.Key})
+			continue
+		}
+		b, err := wire.ConfigCodec{}.Encode(w)
+		if err != nil {
+			return 0, err
+		}
+		txn.Then = append(txn.Then, wire.Write{Put: w.Key, Value: b})
+	}
+	for {
+		stamp, err := c.Store.Commit(ctx, txn)
+		if err == nil || errors.Is(err, statestore.ErrConflict) || errors.Is(err, statestore.ErrInvalid) {
+			return stamp, err
+		}
+		if !pause(ctx, pollEvery) {
+			return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+	}
+}
+
+// find finds out whether a change was made by an earlier try, or lost to another.
+func (c *Client) find(ctx context.Context, id string) (*Made, error) {
+	for {
+		v, err := c.Read(ctx)
+		if err == nil {
+			if n, ok := v.Records.Head.AppliedAs(id); ok {
+				return &Made{Number: n, Stamp: v.Records.Stamp, Answered: time.Now()}, nil
+			}
+			return nil, fmt.Errorf("%w: it is version %d now", ErrConflict, v.Records.Head.Number)
+		}
+		if !pause(ctx, pollEvery) {
+			return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+	}
+}
+
+// dropOld drops pages that nothing names any more, as far as that can be done now: the next
+// change's are dropped with it.
+func (c *Client) dropOld(ctx context.Context, head uint64, keys []string) {
+	for len(keys) > 0 {
+		n := min(len(keys), c.Limits.TxnOps)
+		txn := &wire.Txn{If: []wire.Cond{{Key: clusterconfig.HeadKey, Version: head}}}
+		for _, key := range keys[:n] {
+			txn.Then = append(txn.Then, wire.Write{Delete: key})
+		}
+		if _, err := c.Store.Commit(ctx, txn); err != nil {
+			return
+		}
+		keys = keys[n:]
+	}
+}
+
+// Forced is where and when a change was in force.
+type Forced struct {
+	After map[string]time.Duration // by controller that said so
+	// All is until no controller could decide by an older version: all said so, or the time
+	// was over in which one that says nothing can.
+	All time.Duration
+	// ByTime lists the controllers that said nothing.
+	ByTime []string
+}
+
+// Await waits until a change is in force everywhere. begun is when the change began.
+func (c *Client) Await(ctx context.Context, m *Made, begun time.Time) (*Forced, error) {
+	bound := m.Answered.Add(time.Duration(clusterconfig.InForceAfter) * time.Microsecond)
+	out := &Forced{After: map[string]time.Duration{}}
+	for {
+		v := &View{Acks: map[string]clusterconfig.Ack{}}
+		err := c.readAcks(ctx, v)
+		if err == nil {
+			for name, a := range v.Acks {
+				if _, said := out.After[name]; !said && a.Stamp >= m.Stamp {
+					out.After[name] = time.Since(begun)
+				}
+			}
+			out.All, out.ByTime = time.Since(begun), c.silent(v, out)
+			if len(out.ByTime) == 0 && len(c.Unheard(v)) == 0 {
+				return out, nil
+			}
+			if time.Now().After(bound) {
+				return out, c.byTime(v)
+			}
+		}
+		if !pause(ctx, pollEvery) {
+			return out, ErrNotInForce
+		}
+	}
+}
+
+// byTime says whether the bound holds for who says nothing: not for one of an earlier version,
+// which goes by its files. Such a one can't be told from one that is down, but if it leads.
+func (c *Client) byTime(v *View) error {
+	if _, known := v.Acks[v.Leader]; v.Leader != "" && !known {
+		return fmt.Errorf("%w: %s leads and says nothing: it may be of an earlier version", ErrNotInForce, v.Leader)
+	}
+	return nil
+}
+
+// silent lists the controllers that have not said that they act by a change.
+func (c *Client) silent(v *View, f *Forced) []string {
+	var out []string
+	for _, name := range c.members(v) {
+		if _, said := f.After[name]; !said {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// inForce reports whether every controller says that it acts by a version.
+func (c *Client) inForce(v *View, stamp uint64) bool {
+	for _, name := range c.members(v) {
+		if v.Acks[name].Stamp < stamp {
+			return false
+		}
+	}
+	return len(c.Unheard(v)) == 0
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,6 +37,7 @@
 	deputies  map[string][]*Deputy // by zone
 
 	dirty       bool       // room, work or quota changed: place again
+	suspended   bool       // nothing is placed; see SetPlacing
 	touched     []*machine // to be told something, perhaps
 	retouch     []*machine // the same, after a pause: a write for them failed
 	probes      []*machine // to be probed
@@ -146,7 +147,7 @@
 		c.rankAt = now + Second
 		c.rankJobs(now)
 	}
-	if c.dirty && now-c.placed >= c.cfg.PlacePause || now >= c.placeAt {
+	if !c.suspended && (c.dirty && now-c.placed >= c.cfg.PlacePause || now >= c.placeAt) {
 		c.dirty = false
 		c.placed, c.placeAt = now, now+Second
 		c.schedule(now)
@@ -171,7 +172,7 @@
 
 // Wake says when Step is wanted next if there is no event and no tick before.
 func (c *Core) Wake() Micros {
-	if c.dirty {
+	if c.dirty && !c.suspended {
 		return c.placed + c.cfg.PlacePause
 	}
 	return math.MaxInt64
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,8 @@
 	syncPause core.Micros // between two
 	waiting   []func(ok bool)
 
+	config clusterConfig
+
 	catalog  []core.MachineType
 	nomad    *nomad    // nil: job files are not served
 	notifier *notifier // nil: nobody is notified
@@ -120,6 +122,7 @@
 	for zone, ds := range zones {
 		n.core.Deputies(zone, ds)
 	}
+	n.config.init(p, s)
 	n.counts = map[string]peer.Counts{}
 	n.nomad = newNomad(n)
 	n.notifier = newNotifier(n)
@@ -210,6 +213,7 @@
 			n.commit.pump()
 			n.judgeHealth()
 			n.resignBlind()
+			n.acknowledge()
 			if time.Since(served) >= tellServed {
 				served = time.Now()
 				n.logServed()
@@ -283,6 +287,7 @@
 	if !n.leads() {
 		return
 	}
+	n.core.SetPlacing(n.mayDecide())
 	for _, a := range n.core.Step(n.now()) {
 		n.run(a)
 	}
@@ -308,7 +313,7 @@
 		t.raise()
 	case core.SendCommands:
 		go func() {
-			o, r := n.workers.Send(n.ctx, a, n.mayAct)
+			o, r := n.workers.Send(n.ctx, a, n.maySend(a.Commands))
 			n.post(func() { n.ifTerm(t, func() { n.core.Commanded(n.now(), a.Machine, a.Token, o, r) }) })
 		}()
 	case core.Rent:
--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -333,7 +333,7 @@
 func (n *Node) Terms(team string) translate.Terms {
 	s := n.settings.Nomad
 	return translate.Terms{
-		Team: team, Zones: n.cfg.Params.Zones, MHzPerCPU: s.MHzPerCPU, ScratchMB: s.ScratchMB, GPUs: s.GPUDevices, Cap: n.settings.PriorityCap,
+		Team: team, Zones: n.cfg.Params.Zones, MHzPerCPU: s.MHzPerCPU, ScratchMB: s.ScratchMB, GPUs: s.GPUDevices, Cap: n.priorityCap,
 	}
 }
 
@@ -364,7 +364,7 @@
 func (n *Node) Register(ctx context.Context, reg registry.Registration) (httpapi.Registered, error) {
 	return ask(ctx, n, httpapi.ErrUnavailable, func(reply func(httpapi.Registered, error)) {
 		n.changeJob(maxTries, reply, func() (*registry.Change, error) {
-			if len(n.catalog) == 0 {
+			if len(n.catalog) == 0 || !n.mayDecide() {
 				return nil, httpapi.ErrUnavailable // what could run is not known
 			}
 			for i := range reg.Groups {
@@ -473,6 +473,9 @@
 // itemOf makes a transaction of a change, and what to learn once it is written.
 func (n *Node) itemOf(ch *registry.Change) (it *item, learn func(rev uint64), err error) {
 	it = &item{conds: ch.Conds, ops: ch.Puts}
+	if len(ch.Start) > 0 {
+		it.conds = append(it.conds, n.configConds()...)
+	}
 	var recs []core.JobRecord
 	put := func(rec core.JobRecord) error {
 		key := jobPrefix + rec.Spec.ID
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"aspenstall/internal/clusterconfig"
 	"aspenstall/internal/core"
 	"aspenstall/internal/peer"
 )
@@ -31,8 +32,9 @@
 	nonce   uint64 // of its last reply to this node as the leader
 	replied core.Micros
 	// agreed: asked then, it told every cancellation that users can have from it.
-	agreed core.Micros
-	deputy core.Deputy // what it may have answered in this node's place
+	agreed   core.Micros
+	deputy   core.Deputy // what it may have answered in this node's place
+	noConfig uint64      // life of its process that is known not to act by the configuration
 }
 
 // tellPeers exchanges status with one peer until ctx ends.
@@ -122,6 +124,7 @@
 	s := &peer.Status{
 		Node: n.cfg.Member, StateOK: n.stateOK(), Workers: n.beatHeard > 0 && n.now()-n.beatHeard < 3*core.Second,
 		Seen: math.MaxUint64, Life: n.life, AnsweredAgo: -1, Leader: n.view.lastLeader, LeaderToken: n.view.lastToken,
+		ConfigFormat: clusterconfig.Format, Config: n.config.stamp.Load(),
 	}
 	if n.view.ready {
 		s.Have = n.view.revision
@@ -169,6 +172,7 @@
 	}
 	k.at, k.stateOK = time.Now(), s.StateOK
 	k.deputy.Spoke(n.now())
+	n.noticeVersion(k, s)
 	if n.term == nil {
 		for _, c := range s.Counts {
 			if _, known := n.view.jobs[c.Job]; known || len(n.counts) < 100_000 {
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -91,13 +91,31 @@
 		n.lookup(id, reply, refuse(http.StatusBadRequest))
 	case !n.view.ready || len(n.catalog) == 0:
 		reply(httpapi.Unavailable())
+	case !n.config.follower.Current():
+		n.lookup(id, reply, refuse(http.StatusServiceUnavailable))
 	case n.cannotRun(spec) != "":
-		n.lookup(id, reply, refuse(http.StatusUnprocessableEntity))
+		n.lookup(id, reply, func() { n.refuseOrCreate(spec, asked, reply) })
 	default:
 		n.create(spec, reply)
 	}
 }
 
+// refuseOrCreate refuses a submission that can't run by what has been read since it came:
+// the configuration may have changed. Nor is it told once that changes before it is written.
+func (n *Node) refuseOrCreate(spec *core.JobSpec, asked core.Micros, reply func(httpapi.Answer)) {
+	switch {
+	case !n.mayDecide():
+		reply(httpapi.Unavailable())
+	case n.cannotRun(spec) == "":
+		n.create(spec, reply)
+	default:
+		a := n.unknownAs(http.StatusUnprocessableEntity, asked)
+		inTime, stamp := a.Fresh, n.config.stamp.Load()
+		a.Fresh = func() bool { return inTime() && n.sameConfig(stamp) }
+		reply(a)
+	}
+}
+
 func (n *Node) create(spec *core.JobSpec, reply func(httpapi.Answer)) {
 	if n.unreached() {
 		reply(httpapi.Unavailable())
@@ -111,8 +129,9 @@
 		return
 	}
 	key := jobPrefix + spec.ID
+	judgedBy := n.config.stamp.Load()
 	it := &item{
-		conds: []wire.Cond{{Key: key}},
+		conds: append(n.configConds(), wire.Cond{Key: key}),
 		ops:   []wire.Write{{Put: key, Value: b}},
 		done: func(rev uint64, err error) {
 			switch {
@@ -122,7 +141,7 @@
 				reply(httpapi.Answer{Status: http.StatusCreated, Body: &wire.Accepted{ID: spec.ID, State: wire.StatePending},
 					Fresh: n.toldFrom(n.now())}) // it may be cancelled by then, through another node
 			case errors.Is(err, statestore.ErrConflict):
-				n.lookup(spec.ID, reply, func() { reply(httpapi.Unavailable()) })
+				n.lookup(spec.ID, reply, func() { n.judgeAgain(spec, judgedBy, reply) })
 			case errors.Is(err, statestore.ErrInvalid):
 				n.log.Info("submission refused by the state service", "job", spec.ID, "err", err)
 				reply(httpapi.Answer{Status: http.StatusBadRequest})
@@ -137,26 +156,33 @@
 	}
 }
 
+// judgeAgain submits a job that nobody knows once more if the configuration has changed since
+// it was judged: its write was on condition that it had not.
+func (n *Node) judgeAgain(spec *core.JobSpec, judgedBy uint64, reply func(httpapi.Answer)) {
+	if n.sameConfig(judgedBy) {
+		reply(httpapi.Unavailable())
+		return
+	}
+	n.submit(spec.ID, spec, reply)
+}
+
 // cannotRun says why a job could never run here, "" if it could.
 func (n *Node) cannotRun(s *core.JobSpec) string {
-	team := -1
-	for i := range n.cfg.Params.Teams {
-		if n.cfg.Params.Teams[i].Name == s.Team {
-			team = i
-		}
-	}
-	if team < 0 {
+	t, known := n.config.effective.Teams[s.Team]
+	if !known {
 		return fmt.Sprintf("there is no team %q", s.Team)
 	}
-	if limit := n.settings.PriorityCap(s.Team); s.Priority > limit {
-		return fmt.Sprintf("team %s may ask for %v priority at most, not %v", s.Team, limit, s.Priority)
+	if t.Draining {
+		return fmt.Sprintf("team %s takes no new jobs", s.Team)
+	}
+	if s.Priority > t.Cap {
+		return fmt.Sprintf("team %s may ask for %v priority at most, not %v", s.Team, t.Cap, s.Priority)
 	}
 	all := s.Need
 	if s.Kind != core.Array {
 		all = s.Need.Times(s.Tasks)
 	}
-	t := &n.cfg.Params.Teams[team]
-	if t.CPUsMax > 0 && float64(all.CPU) > t.CPUsMax*1000 || t.GPUsMax > 0 && float64(all.GPU) > t.GPUsMax*1000 {
+	if t.Max.CPU > 0 && all.CPU > t.Max.CPU || t.Max.GPU > 0 && all.GPU > t.Max.GPU {
 		return fmt.Sprintf("it needs more than the limit of team %s", s.Team)
 	}
 	if zones := n.cfg.Params.Zones; s.Zone != "" && len(zones) > 0 && !slices.Contains(zones, s.Zone) {
@@ -282,7 +308,7 @@
 			reply(httpapi.Unavailable())
 			return
 		}
-		n.answerBeat(reply, token, cmds, n.mayAct)
+		n.answerBeat(reply, token, cmds, n.maySend(cmds))
 	})
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"aspenstall/internal/clusterconfig"
 	"aspenstall/internal/core"
 	"aspenstall/internal/nomad/registry"
 	"aspenstall/internal/peer"
@@ -91,8 +92,10 @@
 		n.setLeader("", rev)
 	}
 	n.heardState(rev, asked)
+	n.resolveConfig()
 	n.tellOutbox(jobs, before, rev)
 	n.view.ready = true
+	n.acknowledge()
 	n.judgeHealth()
 	n.wakeElector()
 }
@@ -116,6 +119,8 @@
 				jobs = append(jobs, e.Put[len(jobPrefix):])
 			}
 			n.applyPut(e.Put, e.Value, e.Version)
+		} else if clusterconfig.IsRecord(e.Delete) {
+			n.dropConfig(e.Delete, e.Version)
 		} else if e.Delete != leaderKey {
 			if e.Version > n.view.revision {
 				n.nomad.drop(e.Delete, e.Version)
@@ -125,6 +130,8 @@
 		}
 	}
 	n.heardState(ch.Revision, asked)
+	n.resolveConfig()
+	n.acknowledge()
 	n.tellOutbox(jobs, before, ch.Revision)
 }
 
@@ -163,6 +170,8 @@
 			return
 		}
 		n.learnJob(rec)
+	case clusterconfig.IsRecord(key):
+		n.putConfig(key, value, stamp)
 	case strings.HasPrefix(key, registry.Prefix):
 		// Of two reads that overlap, the later may hold what the earlier had, and
 		// what is gone since must not come back.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -43,6 +43,11 @@
 	Cancelled []Cancelled `msgpack:"x,omitempty"`
 	Vouches   bool        `msgpack:"k,omitempty"`
 
+	// ConfigFormat is the newest format of the configuration that the node reads, 0 for an
+	// earlier version of the program; Config is the revision of the one that it acts by.
+	ConfigFormat int    `msgpack:"cf,omitempty"`
+	Config       uint64 `msgpack:"cr,omitempty"`
+
 	Life  uint64 `msgpack:"l"`           // of its process
 	Nonce uint64 `msgpack:"o,omitempty"` // of this reply
 	Echo  uint64 `msgpack:"e,omitempty"` // from the leader: the peer's last reply that it has; it may answer workers a while from that
--- /dev/null
+++ b/internal/standin/config_test.go
@@ -0,0 +1,604 @@
+package standin_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"aspenstall/internal/clusterconfig"
+	"aspenstall/internal/config"
+	"aspenstall/internal/configclient"
+	"aspenstall/internal/core"
+	"aspenstall/internal/standin"
+	"aspenstall/internal/statestore"
+	"aspenstall/internal/wire"
+)
+
+var drawnConfig = flag.Int("drawn-config", 6, "how many drawn days TestConfigDrawn plays")
+
+// operator changes the configuration of a world and remembers what was in force when.
+type operator struct {
+	t      *testing.T
+	w      *standin.World
+	client *configclient.Client
+	base   clusterconfig.Base
+
+	mu      sync.Mutex
+	history []inForce
+	longest time.Duration // until a change was in force
+	forced  int
+	numbers []uint64 // of the versions that were made, in their order
+}
+
+// inForce is a configuration and since when it was replaced; zero: it was not.
+type inForce struct {
+	config   *clusterconfig.Config
+	replaced time.Time
+}
+
+// lateStart is how long after a decision its task can be on a machine: its command is late
+// and the image is fetched.
+const lateStart = 45 * time.Second
+
+// newOperator follows a world from its beginning: a team's limit is the highest of the
+// versions that a start which is seen now can have been decided by.
+func newOperator(t *testing.T, w *standin.World, p config.Platform) *operator {
+	o := &operator{t: t, w: w, base: config.ConfigBase(&p, w.Settings)}
+	o.client = o.newClient("operator", p)
+	o.history = []inForce{{config: &clusterconfig.Config{}}}
+	w.SetLimit(o.limit)
+	return o
+}
+
+func (o *operator) newClient(name string, p config.Platform) *configclient.Client {
+	return &configclient.Client{
+		Store: statestore.New(o.w.StateAddr(), 0, 0, 2, o.w.Net.Dialer(name)),
+		Base:  o.base, Limits: p.ConfigLimits(), Controllers: []string{"node-0", "node-1", "node-2"},
+	}
+}
+
+func (o *operator) limit(team string) standin.Limit {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	most := standin.Limit{CPUs: -1, GPUs: -1}
+	unlimited := func(l, v float64) float64 {
+		if v == 0 || l == 0 {
+			return 0
+		}
+		return max(l, v)
+	}
+	for _, h := range o.history {
+		if !h.replaced.IsZero() && time.Since(h.replaced) > lateStart {
+			continue
+		}
+		t := h.config.Over(&o.base).Teams[team]
+		cpus, gpus := float64(t.Max.CPU)/1000, float64(t.Max.GPU)/1000
+		most.CPUs, most.GPUs = unlimited(most.CPUs, cpus), unlimited(most.GPUs, gpus)
+	}
+	return most
+}
+
+// change makes a configuration of the one that there is and waits until it is in force.
+func (o *operator) change(id string, within time.Duration, edit func(c *clusterconfig.Config)) (*configclient.Forced, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	begun := time.Now()
+	v, err := o.client.Ready(ctx)
+	if err != nil {
+		return nil, err
+	}
+	to := &clusterconfig.Config{Teams: maps.Clone(v.Config.Teams), Tuning: v.Config.Tuning}
+	if to.Teams == nil {
+		to.Teams = map[string]clusterconfig.Team{}
+	}
+	edit(to)
+	// From here on it may be made, whatever is answered.
+	o.mu.Lock()
+	o.history = append(o.history, inForce{config: to})
+	nth := len(o.history) - 1
+	o.mu.Unlock()
+	m, err := o.client.Apply(ctx, v, to, id)
+	if err != nil {
+		return nil, err
+	}
+	f, err := o.client.Await(ctx, m, begun)
+	if err != nil {
+		return f, err
+	}
+	o.mu.Lock()
+	for i := range o.history[:nth] {
+		if o.history[i].replaced.IsZero() {
+			o.history[i].replaced = time.Now()
+		}
+	}
+	o.longest = max(o.longest, time.Since(m.Answered))
+	o.forced++
+	o.numbers = append(o.numbers, m.Number)
+	o.mu.Unlock()
+	return f, nil
+}
+
+// team edits one team's quota, from the base if it has none of its own.
+func (o *operator) team(name string, edit func(t *clusterconfig.Team)) func(*clusterconfig.Config) {
+	return func(c *clusterconfig.Config) {
+		t, ok := c.Teams[name]
+		if !ok {
+			t, ok = o.base.Teams[name]
+		}
+		if !ok {
+			t.Cap = core.Production
+		}
+		edit(&t)
+		c.Teams[name] = t
+	}
+}
+
+func maxCPUs(n int64) func(*clusterconfig.Team) {
+	return func(t *clusterconfig.Team) { t.Max.CPU, t.Min.CPU = 1000*n, min(t.Min.CPU, 1000*n) }
+}
+
+// playConfig plays a day with an operator.
+func playConfig(t *testing.T, d day, p config.Platform, act func(t *testing.T, o *operator, u *users)) {
+	t.Helper()
+	var o *operator
+	setup := d.setup
+	d.ends = true
+	d.setup = func(w *standin.World) {
+		o = newOperator(t, w, p)
+		if setup != nil {
+			setup(w)
+		}
+	}
+	play(t, d, p, machineTypes[:1], func(t *testing.T, u *users) { act(t, o, u) })
+}
+
+// tight is a platform whose state service takes few changes.
+func tight() config.Platform { return sizes[1].of() }
+
+// TestConfigMeaning: what each kind of change does to running and waiting work.
+func TestConfigMeaning(t *testing.T) {
+	const s = time.Second
+	on := func(w *standin.World, id string) int { return w.On(id) }
+	for _, c := range []struct {
+		name string
+		act  func(t *testing.T, o *operator, u *users)
+	}{
+		{"a max that is raised lets more tasks start", func(t *testing.T, o *operator, u *users) {
+			must(t, o, "low", o.team("blue", maxCPUs(8)))
+			u.w.Submit(array(1, 20, 150))
+			time.Sleep(60 * s)
+			if n := on(u.w, "job-000001"); n != 4 {
+				t.Errorf("%d tasks of 2 CPUs run under a limit of 8", n)
+			}
+			must(t, o, "high", o.team("blue", maxCPUs(32)))
+			time.Sleep(60 * s)
+			if n := on(u.w, "job-000001"); n != 16 {
+				t.Errorf("%d tasks of 2 CPUs run under a limit of 32", n)
+			}
+		}},
+		{"a max that is lowered below what is used stops nothing and starts nothing", func(t *testing.T, o *operator, u *users) {
+			u.w.Submit(array(1, 40, 100))
+			time.Sleep(70 * s)
+			before := on(u.w, "job-000001")
+			must(t, o, "low", o.team("blue", maxCPUs(20)))
+			starts := u.w.Starts()
+			time.Sleep(10 * s)
+			if n := on(u.w, "job-000001"); n != before || before <= 10 {
+				t.Errorf("%d tasks ran before, %d after", before, n)
+			}
+			if n := u.w.Starts(); n != starts {
+				t.Errorf("%d tasks were started over the limit", n-starts)
+			}
+			time.Sleep(100 * s)
+			if n := on(u.w, "job-000001"); n > 10 {
+				t.Errorf("%d tasks run under a limit of 20 CPUs", n)
+			}
+			must(t, o, "back", o.team("blue", maxCPUs(60)))
+		}},
+		{"a min that is raised is reclaimed, one that is lowered is not protected", func(t *testing.T, o *operator, u *users) {
+			u.w.Cloud.Capacity = 4 // 16 CPUs
+			for _, name := range []string{"blue", "green"} {
+				must(t, o, "min-"+name, o.team(name, func(t *clusterconfig.Team) { t.Min.CPU = 0 }))
+			}
+			u.w.Submit(array(1, 20, 300))
+			time.Sleep(60 * s)
+			other := array(2, 4, 300)
+			other.Team = "green"
+			u.w.Submit(other)
+			time.Sleep(30 * s)
+			if n := on(u.w, other.ID); n != 0 {
+				t.Errorf("%d tasks of a team without a min are given room", n)
+			}
+			must(t, o, "raised", o.team("green", func(t *clusterconfig.Team) { t.Min.CPU = 8000 }))
+			time.Sleep(45 * s)
+			if n := on(u.w, other.ID); n != 4 {
+				t.Errorf("%d of 4 tasks within the raised min run", n)
+			}
+			u.w.Cancel("job-000001")
+		}},
+		{"a team that is added, drained and removed", func(t *testing.T, o *operator, u *users) {
+			job := array(1, 2, 30)
+			job.Team = "red"
+			if got := u.w.Post(0, &job); got != http.StatusUnprocessableEntity {
+				t.Errorf("a job of a team that there is not is answered %d", got)
+			}
+			must(t, o, "add", o.team("red", maxCPUs(8)))
+			if got := u.w.Post(1, &job); got != http.StatusCreated {
+				t.Errorf("a job of the new team is answered %d", got)
+			}
+			u.w.Submit(job)
+			gone := func(c *clusterconfig.Config) { delete(c.Teams, "red") }
+			if _, err := o.change("gone", 10*s, gone); !errors.Is(err, configclient.ErrLive) {
+				t.Errorf("removed without draining: %v", err)
+			}
+			must(t, o, "drain", o.team("red", func(t *clusterconfig.Team) { t.Draining = true }))
+			late := array(2, 1, 1)
+			late.Team = "red"
+			if got := u.w.Post(2, &late); got != http.StatusUnprocessableEntity {
+				t.Errorf("a job of a draining team is answered %d", got)
+			}
+			if _, err := o.change("gone", 10*s, gone); !errors.Is(err, configclient.ErrLive) {
+				t.Errorf("removed with a job that runs: %v", err)
+			}
+			u.must(job.ID, "done")
+			must(t, o, "gone", gone)
+			if got, told := u.w.Repeat(0, job.ID, &job); got != http.StatusOK || told != "done" {
+				t.Errorf("a repeat of its job is answered %d, %q", got, told)
+			}
+		}},
+		{"a cap that is lowered refuses and is lifted", func(t *testing.T, o *operator, u *users) {
+			must(t, o, "cap", o.team("green", func(t *clusterconfig.Team) { t.Cap = core.Normal }))
+			job := service(1, 1)
+			for i := range 3 {
+				if got := u.w.Post(i, &job); got != http.StatusUnprocessableEntity {
+					t.Errorf("node %d answers %d to a production job", i, got)
+				}
+			}
+			must(t, o, "lift", o.team("green", func(t *clusterconfig.Team) { t.Cap = core.Production }))
+			for i := range 3 {
+				if got := u.w.Post(i, &job); got != http.StatusCreated && got != http.StatusOK {
+					t.Errorf("node %d answers %d once it may", i, got)
+				}
+			}
+			u.w.Submit(job)
+			u.must(job.ID, "running")
+			u.w.Cancel(job.ID)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			playConfig(t, day{seed: 500}, twoTeams(), func(t *testing.T, o *operator, u *users) {
+				time.Sleep(10 * s)
+				c.act(t, o, u)
+				if n := u.w.Starts(); n == 0 {
+					u.w.Submit(array(9, 1, 1))
+					u.must("job-000009", "done")
+				}
+			})
+		})
+	}
+}
+
+// must makes a change and has it in force within four seconds.
+func must(t *testing.T, o *operator, id string, edit func(*clusterconfig.Config)) {
+	t.Helper()
+	if _, err := o.change(id, 4*time.Second, edit); err != nil {
+		t.Errorf("change %s: %v", id, err)
+	}
+}
+
+// TestConfigHardCases brings about what can come between a change and its being in force.
+func TestConfigHardCases(t *testing.T) {
+	const s = time.Second
+	busy := func(u *users) { short(u, 0, 150*s, 700*time.Millisecond) }
+	lower := func(o *operator, n int64) func(*clusterconfig.Config) { return o.team("blue", maxCPUs(n)) }
+	for _, size := range sizes {
+		for _, c := range []struct {
+			name string
+			act  func(t *testing.T, o *operator, u *users)
+		}{
+			{"two operators at once", func(t *testing.T, o *operator, u *users) {
+				other := &operator{t: t, w: o.w, base: o.base, client: o.newClient("operator-2", size.of())}
+				ctx, cancel := context.WithTimeout(context.Background(), 10*s)
+				defer cancel()
+				must(t, o, "first", lower(o, 50))
+				v, err := o.client.Ready(ctx)
+				if err != nil {
+					t.Fatal(err)
+				}
+				lost := 0
+				var wg sync.WaitGroup
+				for i, k := range []*operator{o, other} {
+					to := &clusterconfig.Config{Teams: map[string]clusterconfig.Team{"blue": {Max: core.Res{CPU: int64(30000 + i)}, Cap: core.Production}}}
+					wg.Go(func() {
+						_, err := k.client.Apply(ctx, v, to, fmt.Sprint("both-", i))
+						if errors.Is(err, configclient.ErrConflict) {
+							o.mu.Lock()
+							lost++
+							o.mu.Unlock()
+						} else if err != nil {
+							t.Error(err)
+						}
+					})
+				}
+				wg.Wait()
+				if lost != 1 {
+					t.Errorf("%d of two lost", lost)
+				}
+				must(t, o, "after", lower(o, 40))
+			}},
+			{"the answer is lost after the write", func(t *testing.T, o *operator, u *users) {
+				must(t, o, "first", lower(o, 50))
+				unanswered := 0
+				o.w.StateFaults.Set(func(f *standin.Faults) {
+					f.NoAnswer, f.LateOnly = 1, wire.CommitPath
+					f.Unanswered = func(_ string, status int, body []byte) {
+						if status == http.StatusOK && strings.Contains(string(body), clusterconfig.HeadKey) && strings.Contains(string(body), "lost") {
+							unanswered++
+						}
+					}
+				})
+				time.AfterFunc(1200*time.Millisecond, func() {
+					o.w.StateFaults.Set(func(f *standin.Faults) { f.NoAnswer = 0 })
+				})
+				if _, err := o.change("lost", 20*s, lower(o, 30)); err != nil {
+					t.Error(err)
+				}
+				if unanswered == 0 {
+					t.Error("no write of the head was carried out without an answer")
+				}
+			}},
+			{"the write is carried out late", func(t *testing.T, o *operator, u *users) {
+				must(t, o, "first", lower(o, 50))
+				var refused int
+				o.w.StateFaults.Set(func(f *standin.Faults) {
+					f.Late, f.LateBy, f.LateOnly = 1, 8*s, wire.CommitPath
+					f.Repeated = func(_ string, status int) {
+						if status == http.StatusConflict {
+							refused++
+						}
+					}
+				})
+				time.AfterFunc(1200*time.Millisecond, func() {
+					o.w.StateFaults.Set(func(f *standin.Faults) { f.Late = 0 })
+				})
+				if _, err := o.change("late", 20*s, lower(o, 30)); err != nil {
+					t.Error(err)
+				}
+				must(t, o, "newer", lower(o, 20))
+				time.Sleep(12 * s)
+				if refused == 0 {
+					t.Error("no late write was void")
+				}
+				v, err := o.client.Read(context.Background())
+				if err != nil || v.Config.Teams["blue"].Max.CPU != 20_000 {
+					t.Errorf("after the late write: %+v, %v", v, err)
+				}
+			}},
+			{"the leader ends between write and force, and its successor too", func(t *testing.T, o *operator, u *users) {
+				must(t, o, "first", lower(o, 50))
+				leader := max(o.w.Leader(), 0)
+				o.w.Looks(nil)
+				u.group.Go(func() {
+					o.w.Kill(leader)
+					time.Sleep(3500 * time.Millisecond)
+					next := o.w.Leader()
+					o.w.StartNode(leader)
+					if next >= 0 {
+						o.w.Kill(next)
+						time.Sleep(2 * s)
+						o.w.StartNode(next)
+					}
+				})
+				time.Sleep(time.Millisecond)
+				ctx, cancel := context.WithTimeout(context.Background(), 4*s)
+				defer cancel()
+				v, err := o.client.Read(ctx)
+				if err != nil {
+					t.Fatal(err)
+				}
+				begun := time.Now()
+				to := &clusterconfig.Config{Teams: maps.Clone(v.Config.Teams)}
+				lower(o, 20)(to)
+				o.mu.Lock()
+				o.history = append(o.history, inForce{config: to})
+				o.mu.Unlock()
+				m, err := o.client.Apply(ctx, v, to, "ends")
+				if err != nil {
+					t.Fatal(err)
+				}
+				f, err := o.client.Await(ctx, m, begun)
+				if err != nil || len(f.ByTime) == 0 || f.All > 4*s {
+					t.Errorf("in force by %+v, %v", f, err)
+				}
+				o.mu.Lock()
+				for i := range o.history[:len(o.history)-1] {
+					o.history[i].replaced = time.Now()
+				}
+				o.mu.Unlock()
+				time.Sleep(20 * s)
+				must(t, o, "after", lower(o, 30))
+			}},
+			{"a leader that writes and does not read", func(t *testing.T, o *operator, u *users) {
+				must(t, o, "first", lower(o, 50))
+				leader := max(o.w.Leader(), 0)
+				refuseReads := func(on bool) {
+					o.w.StateFaults.Set(func(f *standin.Faults) { f.RefuseReads[o.w.NodeAddr(leader)] = on })
+				}
+				refuseReads(true)
+				f, err := o.change("unread", 4*s, lower(o, 10))
+				if err != nil || len(f.ByTime) != 1 {
+					t.Errorf("in force by %+v, %v", f, err)
+				}
+				time.Sleep(30 * s)
+				refuseReads(false)
+				time.Sleep(10 * s)
+				must(t, o, "after", lower(o, 30))
+			}},
+			{"the changes that a controller watches from are forgotten", func(t *testing.T, o *operator, u *users) {
+				must(t, o, "first", lower(o, 50))
+				o.w.State.Forget()
+				must(t, o, "forgotten", lower(o, 20))
+			}},
+			{"the state service refuses one, then all", func(t *testing.T, o *operator, u *users) {
+				must(t, o, "first", lower(o, 50))
+				one := (max(o.w.Leader(), 0) + 1) % 3
+				refuseOne(o.w, one, true)
+				if f, err := o.change("one", 4*s, lower(o, 20)); err != nil || len(f.ByTime) != 1 {
+					t.Errorf("one refused: in force by %+v, %v", f, err)
+				}
+				refuseOne(o.w, one, false)
+				time.Sleep(8 * s)
+				o.w.StateFaults.Set(func(f *standin.Faults) { f.Down = true })
+				if _, err := o.change("out", 4*s, lower(o, 30)); err == nil {
+					t.Error("a change is made while the state service is out")
+				}
+				o.w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+				o.w.State.Renewed()
+				time.Sleep(8 * s)
+				must(t, o, "out", lower(o, 30))
+				v, err := o.client.Read(context.Background())
+				if err != nil || v.Records.Head.Number != 3 {
+					t.Errorf("version %d after three changes, %v", v.Records.Head.Number, err)
+				}
+			}},
+			{"a controller is missing", func(t *testing.T, o *operator, u *users) {
+				other := (max(o.w.Leader(), 0) + 1) % 3
+				o.w.Kill(other)
+				if _, err := o.change("first", 8*s, lower(o, 50)); !errors.Is(err, configclient.ErrNotReady) {
+					t.Errorf("a change without all controllers: %v", err)
+				}
+				o.client.Absent = []string{fmt.Sprint("node-", other)}
+				must(t, o, "without it", lower(o, 50))
+				o.client.Absent = nil
+				o.w.StartNode(other)
+				time.Sleep(5 * s)
+				must(t, o, "with it", lower(o, 40))
+			}},
+			{"limits of the state service that come", func(t *testing.T, o *operator, u *users) {
+				o.client.Limits = clusterconfig.Limits{ValueBytes: 1800, TxnOps: 4}
+				many := func(c *clusterconfig.Config) {
+					for i := range 150 {
+						c.Teams[fmt.Sprintf("team-with-a-long-name-%03d", i)] = clusterconfig.Team{Max: core.Res{CPU: 1_000_000}, Cap: core.High}
+					}
+				}
+				must(t, o, "many", many)
+				must(t, o, "one of them", o.team("team-with-a-long-name-077", maxCPUs(5)))
+				v, err := o.client.Read(context.Background())
+				if err != nil || len(v.Config.Teams) != 150 || len(v.Records.Head.Pages) < 5 || len(v.Records.Pages) != len(v.Records.Head.Pages) {
+					t.Errorf("%d teams on %d pages of %d, %v", len(v.Config.Teams), len(v.Records.Head.Pages), len(v.Records.Pages), err)
+				}
+			}},
+		} {
+			t.Run(size.name+"/"+c.name, func(t *testing.T) {
+				playConfig(t, day{seed: 510}, size.of(), func(t *testing.T, o *operator, u *users) {
+					busy(u)
+					time.Sleep(30 * s)
+					c.act(t, o, u)
+				})
+			})
+		}
+	}
+}
+
+// TestConfigBesideUsers: ten changes a second for a minute beside users' writes, with few
+// changes to be had: users are accepted as ever, and each change is in force in time.
+func TestConfigBesideUsers(t *testing.T) {
+	playConfig(t, day{seed: 520}, tight(), func(t *testing.T, o *operator, u *users) {
+		time.Sleep(20 * time.Second)
+		slowest := time.Duration(0)
+		var mu sync.Mutex
+		for i := range 120 {
+			job := array(600+i, 1, 2)
+			u.after(time.Duration(i)*500*time.Millisecond, func() {
+				begun := time.Now()
+				u.w.Submit(job)
+				mu.Lock()
+				slowest = max(slowest, time.Since(begun))
+				mu.Unlock()
+				u.must(job.ID, "done")
+			})
+		}
+		made := 0
+		for i := range 600 {
+			_, err := o.change(fmt.Sprint("change-", i), 4*time.Second, o.team("green", maxCPUs(int64(20+i%40))))
+			if err != nil {
+				t.Errorf("change %d: %v", i, err)
+			}
+			made++
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Logf("%d changes, the longest until in force %v; slowest submission %v", made, o.longest, slowest)
+		if slowest > time.Second {
+			t.Errorf("a submission took %v beside changes of configuration", slowest)
+		}
+	})
+}
+
+// TestConfigDrawn plays drawn troubles with changes of quotas all the time: versions have
+// one order, nothing starts over a limit that is in force, no rule is broken. The long form,
+// outside CI:
+//
+//	go test ./internal/standin -run TestConfigDrawn -drawn-config 500
+func TestConfigDrawn(t *testing.T) {
+	for seed := range *drawnConfig {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(uint64(seed), 50))
+			kinds := slices.Concat(meetingKinds, newKinds, troubleKinds)
+			var troubles []trouble
+			for range 2 + r.IntN(3) {
+				troubles = append(troubles, kinds[r.IntN(len(kinds))])
+			}
+			d := drawn(r, seed, uint64(5000+seed), troubles, 30, 90)
+			p := sizes[seed%2].of()
+			playConfig(t, d, p, func(t *testing.T, o *operator, u *users) {
+				changed := make(chan struct{})
+				go func() {
+					defer close(changed)
+					o.wander(rand.New(rand.NewPCG(uint64(seed), 51)), 170*time.Second)
+				}()
+				mixedJobs(t, u)
+				<-changed
+				for i := 1; i < len(o.numbers); i++ {
+					if o.numbers[i] <= o.numbers[i-1] {
+						t.Errorf("version %d came after %d", o.numbers[i], o.numbers[i-1])
+					}
+				}
+				if o.forced < 10 {
+					t.Errorf("only %d changes were in force", o.forced)
+				}
+				// What waits is to end.
+				for i, name := range []string{"blue", "green"} {
+					for try := 0; ; try++ {
+						_, err := o.change(fmt.Sprint("end-", i, "-", try), 15*time.Second, o.team(name, maxCPUs(60)))
+						if err == nil || try == 10 {
+							break
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// wander changes quotas for a while, by chance.
+func (o *operator) wander(r *rand.Rand, d time.Duration) {
+	begun := time.Now()
+	for i := 0; time.Since(begun) < d; i++ {
+		name := []string{"blue", "green"}[r.IntN(2)]
+		limit := int64(24 + r.IntN(37)) // no job of mixedJobs asks for more
+		least := int64(r.IntN(40)) * 1000
+		_, _ = o.change(fmt.Sprint("walk-", i), 15*time.Second, o.team(name, func(t *clusterconfig.Team) {
+			t.Max.CPU, t.Min.CPU = limit*1000, min(least, limit*1000)
+		}))
+		time.Sleep(time.Duration(r.IntN(3000)) * time.Millisecond)
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -599,5 +599,12 @@
 	return out
 }
 
+// SetLimit has the rules go by other limits of teams than the platform's file has.
+func (w *World) SetLimit(limit func(team string) Limit) {
+	w.check.mu.Lock()
+	defer w.check.mu.Unlock()
+	w.check.Limit = limit
+}
+
 // Broken lists the rules that were broken.
 func (w *World) Broken() []string { return w.check.List() }
--- /dev/null
+++ b/internal/wire/config.go
@@ -0,0 +1,165 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"aspenstall/internal/clusterconfig"
+	"aspenstall/internal/core"
+)
+
+// Records of the configuration that operators change while the cluster serves.
+
+type configChange struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       string
+	Number   uint64
+}
+
+type configHead struct {
+	Format int            `msgpack:"f"`
+	Number uint64         `msgpack:"n"`
+	Pages  []string       `msgpack:"p"` // without their prefix
+	Last   []configChange `msgpack:"l"`
+
+	IdleReturnS   *float64 `msgpack:"ir,omitempty"`
+	RefusalPauseS *float64 `msgpack:"rp,omitempty"`
+	HoldS         *float64 `msgpack:"hs,omitempty"`
+	QuarantineS   *float64 `msgpack:"qs,omitempty"`
+	SpareTasks    *int     `msgpack:"st,omitempty"`
+}
+
+// configTeam is a list rather than a map: many share one value.
+type configTeam struct {
+	_msgpack       struct{} `msgpack:",as_array"`
+	Name           string
+	MinCPU, MaxCPU int64
+	MinGPU, MaxGPU int64
+	Cap            uint8
+	Draining       bool
+}
+
+type configPage struct {
+	Teams []configTeam `msgpack:"t"`
+}
+
+type configAck struct {
+	Format int      `msgpack:"f"`
+	Stamp  uint64   `msgpack:"s"`
+	Number uint64   `msgpack:"n"`
+	Peers  []string `msgpack:"p"`
+	Error  string   `msgpack:"e,omitempty"`
+}
+
+// ConfigCodec encodes the configuration's records.
+type ConfigCodec struct{}
+
+// Encode encodes a head or a page.
+func (ConfigCodec) Encode(w clusterconfig.Write) ([]byte, error) {
+	switch {
+	case w.Head != nil:
+		return encodeConfigHead(w.Head)
+	case w.Page != nil:
+		return encodeConfigPage(w.Page)
+	}
+	return nil, fmt.Errorf("no value at %q", w.Key)
+}
+
+// Size is a value's size as JSON, in bytes.
+func (ConfigCodec) Size(value []byte) int {
+	var v any
+	if err := msgpack.Unmarshal(value, &v); err != nil {
+		return len(value)
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return len(value)
+	}
+	return len(b)
+}
+
+func encodeConfigHead(h *clusterconfig.Head) ([]byte, error) {
+	w := configHead{
+		Format: h.Format, Number: h.Number, Pages: []string{},
+		IdleReturnS: h.Tuning.IdleReturnS, RefusalPauseS: h.Tuning.RefusalPauseS, HoldS: h.Tuning.HoldS,
+		QuarantineS: h.Tuning.QuarantineS, SpareTasks: h.Tuning.SpareTasks,
+	}
+	for _, key := range h.Pages {
+		w.Pages = append(w.Pages, key[len(clusterconfig.PagePrefix):])
+	}
+	for _, a := range h.Last {
+		w.Last = append(w.Last, configChange{ID: a.ID, Number: a.Number})
+	}
+	return Marshal(&w)
+}
+
+// DecodeConfigHead decodes the configuration's head. Of one of a newer format nothing but
+// that is known.
+func DecodeConfigHead(b []byte) (clusterconfig.Head, error) {
+	var format struct {
+		Format int `msgpack:"f"`
+	}
+	if err := Unmarshal(b, &format); err != nil {
+		return clusterconfig.Head{}, fmt.Errorf("the configuration's head: %w", err)
+	}
+	if format.Format > clusterconfig.Format {
+		return clusterconfig.Head{Format: format.Format}, nil
+	}
+	var w configHead
+	if err := Unmarshal(b, &w); err != nil {
+		return clusterconfig.Head{}, fmt.Errorf("the configuration's head: %w", err)
+	}
+	h := clusterconfig.Head{Format: w.Format, Number: w.Number, Tuning: clusterconfig.Tuning{
+		IdleReturnS: w.IdleReturnS, RefusalPauseS: w.RefusalPauseS, HoldS: w.HoldS, QuarantineS: w.QuarantineS, SpareTasks: w.SpareTasks,
+	}}
+	for _, key := range w.Pages {
+		h.Pages = append(h.Pages, clusterconfig.PagePrefix+key)
+	}
+	for _, a := range w.Last {
+		h.Last = append(h.Last, clusterconfig.Applied{ID: a.ID, Number: a.Number})
+	}
+	return h, nil
+}
+
+func encodeConfigPage(p *clusterconfig.Page) ([]byte, error) {
+	w := configPage{Teams: []configTeam{}}
+	for _, name := range slices.Sorted(maps.Keys(p.Teams)) {
+		t := p.Teams[name]
+		w.Teams = append(w.Teams, configTeam{
+			Name: name, MinCPU: t.Min.CPU, MaxCPU: t.Max.CPU, MinGPU: t.Min.GPU, MaxGPU: t.Max.GPU, Cap: uint8(t.Cap), Draining: t.Draining,
+		})
+	}
+	return Marshal(&w)
+}
+
+// DecodeConfigPage decodes a page of the configuration.
+func DecodeConfigPage(b []byte) (clusterconfig.Page, error) {
+	var w configPage
+	if err := Unmarshal(b, &w); err != nil {
+		return clusterconfig.Page{}, fmt.Errorf("a page of the configuration: %w", err)
+	}
+	p := clusterconfig.Page{Teams: map[string]clusterconfig.Team{}}
+	for _, t := range w.Teams {
+		p.Teams[t.Name] = clusterconfig.Team{
+			Min: core.Res{CPU: t.MinCPU, GPU: t.MinGPU}, Max: core.Res{CPU: t.MaxCPU, GPU: t.MaxGPU},
+			Cap: core.Priority(t.Cap), Draining: t.Draining,
+		}
+	}
+	return p, nil
+}
+
+// EncodeConfigAck encodes what a controller says of the configuration that it acts by.
+func EncodeConfigAck(a *clusterconfig.Ack) ([]byte, error) {
+	return Marshal(&configAck{Format: a.Format, Stamp: a.Stamp, Number: a.Number, Peers: a.Peers, Error: a.Error})
+}
+
+// DecodeConfigAck decodes it.
+func DecodeConfigAck(b []byte) (clusterconfig.Ack, error) {
+	var w configAck
+	err := Unmarshal(b, &w)
+	return clusterconfig.Ack{Format: w.Format, Stamp: w.Stamp, Number: w.Number, Peers: w.Peers, Error: w.Error}, err
+}
