--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"aspenstall/internal/clusterconfig"
 	"aspenstall/internal/core"
 	"aspenstall/internal/notify"
 )
@@ -149,3 +150,54 @@
 		})
 	}
 }
+
+func TestClusterConfig(t *testing.T) {
+	base := clusterconfig.Base{Teams: map[string]clusterconfig.Team{"blue": {Min: core.Res{CPU: 4000}, Max: core.Res{CPU: 8000}, Cap: core.High}}}
+	for _, c := range []struct{ name, text, want string }{
+		{"good", `{:teams {"blue" {:cpus 2 :cap :low} "red" {:cpus 1.5 :cpus-max 3 :draining true}} :settings {:idle-return-s 5 :spare-tasks 2}}`, ""},
+		{"empty", `{}`, ""},
+		{"not a map", `[1]`, ":1: not a map"},
+		{"an unknown field", "{:teams\n {\"blue\" {:cpus 2}\n  \"red\" {:cpu 2}}}", ":3: :teams: \"red\": :cpu: no such setting"},
+		{"a wrong value", "{:teams\n {\"blue\"\n  {:cpus 2\n   :cap :urgent}}}", ":4: :teams: \"blue\": :cap: want :low"},
+		{"over the platform's limit", "{:teams\n {\"blue\"\n  {:cpus 2\n   :cpus-max 9}}}", ":4: :teams \"blue\" :cpus-max: the limit is over the platform's, 8"},
+		{"a setting that may not change", "{:settings\n {:leader-lease-s 9}}", ":2: :settings: :leader-lease-s: no such setting"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			path := file(t, c.text)
+			got, err := ReadClusterConfig(path, &base)
+			verdict(t, err, path, c.want)
+			if err != nil {
+				return
+			}
+			var out strings.Builder
+			WriteClusterConfig(&out, got)
+			again, err := ReadClusterConfig(file(t, out.String()), &base)
+			if err != nil || len(clusterconfig.Diff(got.Over(&base), again.Over(&base))) > 0 {
+				t.Errorf("written and read again it differs: %s, %v", out.String(), err)
+			}
+		})
+	}
+	blue, err := ReadClusterConfig(file(t, `{:teams {"blue" {:cpus 2}}}`), &base)
+	if want := (clusterconfig.Team{Min: core.Res{CPU: 2000}, Max: core.Res{CPU: 8000}, Cap: core.High}); err != nil || blue.Teams["blue"] != want {
+		t.Errorf("what a file does not name is not the platform's: %+v, %v", blue, err)
+	}
+}
+
+func TestConfigLimits(t *testing.T) {
+	for _, c := range []struct {
+		next string
+		want clusterconfig.Limits
+	}{
+		{`"txn_ops":12`, clusterconfig.Limits{ValueBytes: 3896, TxnOps: 12}},
+		{`"txn_ops":12,"next":{"rps":5,"value_kb":2,"txn_ops":4}`, clusterconfig.Limits{ValueBytes: 1848, TxnOps: 4}},
+		{`"txn_ops":12,"next":{"value_kb":16}`, clusterconfig.Limits{ValueBytes: 3896, TxnOps: 12}},
+	} {
+		p, err := LoadPlatform(file(t, strings.Replace(goodPlatform, `"txn_ops":12`, c.next, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := p.ConfigLimits(); got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.next, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/change.go
@@ -0,0 +1,112 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"time"
+
+	"aspenstall/internal/clusterconfig"
+	"aspenstall/internal/configclient"
+	"aspenstall/internal/core"
+	"aspenstall/internal/netdial"
+	"aspenstall/internal/statestore"
+)
+
+// operatorNumber is where the operator reaches the state service, beside the controllers.
+const operatorNumber = 150
+
+// operator changes teams' quotas all the time, by the operators' own client.
+type operator struct {
+	run    *Run
+	client *configclient.Client
+	random *rand.Rand
+	forced *latencies // from the beginning of a change until it is in force everywhere
+	made   int
+	failed int
+	byTime int // of those made: in force by time, as a controller said nothing
+}
+
+func newOperator(r *Run) *operator {
+	base := clusterconfig.Base{Teams: map[string]clusterconfig.Team{}}
+	for _, t := range r.teams {
+		base.Teams[t.Name] = clusterconfig.Team{
+			Min: core.Res{CPU: int64(t.CPUs * 1000)}, Max: core.Res{CPU: int64(t.CPUsMax * 1000)}, Cap: core.Production,
+		}
+	}
+	const valueMargin, connections = 200, 2
+	c := &configclient.Client{
+		Store: statestore.New(stateAddress(operatorNumber), 0, 0, connections, netdial.TCP(time.Second)), Base: base,
+		Limits: clusterconfig.Limits{ValueBytes: int(r.settings.StateValueKB*1024) - valueMargin, TxnOps: r.settings.StateTxnOps},
+	}
+	for _, k := range r.controllers {
+		c.Controllers = append(c.Controllers, k.name)
+	}
+	return &operator{run: r, client: c, random: rand.New(rand.NewPCG(uint64(r.settings.Seed), 5)), forced: newLatencies()}
+}
+
+// changeTimeout is how long one change is waited for.
+const changeTimeout = 30 * time.Second
+
+// change makes changes at a rate until ctx ends.
+func (o *operator) change(ctx context.Context, perS float64) {
+	for n := 0; pause(ctx, seconds(o.random.ExpFloat64()/perS)); n++ {
+		begun := time.Now()
+		forced, err := o.one(ctx, fmt.Sprint("change-", n))
+		if ctx.Err() != nil {
+			return
+		}
+		o.run.mu.Lock()
+		if err != nil {
+			o.failed++
+			fmt.Fprintf(o.run.log, "change %d: %v\n", n, err)
+		} else {
+			o.made++
+			o.forced.add(time.Since(begun))
+			if len(forced.ByTime) > 0 {
+				o.byTime++
+			}
+		}
+		o.run.mu.Unlock()
+	}
+}
+
+// one changes one team's quota, within what the platform's file allows, and waits until that
+// is in force.
+func (o *operator) one(ctx context.Context, id string) (*configclient.Forced, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	begun := time.Now()
+	// A controller that is down is known to be by those who end it here.
+	o.client.Absent = o.run.down()
+	v, err := o.client.Ready(ctx)
+	if err != nil {
+		return nil, err
+	}
+	to := &clusterconfig.Config{Teams: maps.Clone(v.Config.Teams), Tuning: v.Config.Tuning}
+	if to.Teams == nil {
+		to.Teams = map[string]clusterconfig.Team{}
+	}
+	name := o.run.teams[o.random.IntN(len(o.run.teams)-1)].Name // not the urgent work's
+	t := o.client.Base.Teams[name]
+	t.Max.CPU = int64(float64(t.Max.CPU) * (0.7 + 0.3*o.random.Float64()))
+	t.Min.CPU = int64(float64(t.Min.CPU) * (0.7 + 0.3*o.random.Float64()))
+	to.Teams[name] = t
+	m, err := o.client.Apply(ctx, v, to, id)
+	if err != nil {
+		return nil, err
+	}
+	return o.client.Await(ctx, m, begun)
+}
+
+// down lists the controllers whose process does not run.
+func (r *Run) down() []string {
+	var out []string
+	for _, c := range r.controllers {
+		if c.running() == 0 {
+			out = append(out, c.name)
+		}
+	}
+	return out
+}
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -34,7 +34,9 @@
 const (
 	teamSkew        = 0.7  // the nth team's share falls with n to this power
 	guaranteedShare = 0.85 // of the fleet
-	borrowTimes     = 3    // a team's max by its min
+	urgentTeam      = "team-urgent"
+	urgentRoom      = 3 // times what runs on the average
+	borrowTimes     = 3 // a team's max by its min
 )
 
 // makeTeams divides the fleet among teams of very different size.
@@ -43,17 +45,22 @@
 	fleet := perMachine * float64(s.Workers)
 	sum := 0.0
 	teams := make([]Team, s.Teams)
-	for i := range teams {
+	last := len(teams) - 1
+	for i := range teams[:last] {
 		teams[i].weight = math.Pow(float64(i+1), -teamSkew)
 		sum += teams[i].weight
 	}
-	for i := range teams {
+	for i := range teams[:last] {
 		t := &teams[i]
 		t.Name = fmt.Sprintf("team-%03d", i+1)
 		t.weight /= sum
 		t.CPUs = max(math.Floor(guaranteedShare*fleet*t.weight), s.TaskCPUs)
 		t.CPUsMax = max(borrowTimes*t.CPUs, 20*s.TaskCPUs)
 	}
+	// Urgent work has a team whose guarantee covers it: beyond a guarantee it waits for room
+	// as all work does.
+	guarantee := math.Ceil(urgentRoom*s.UrgentPerS*urgentRunS) * s.TaskCPUs
+	teams[last] = Team{Name: urgentTeam, CPUs: max(guarantee, s.TaskCPUs), CPUsMax: max(2*guarantee, s.TaskCPUs)}
 	return teams
 }
 
@@ -135,7 +142,7 @@
 	case classService:
 		j.Shape, j.Urgency, j.Tasks, j.EstimateS, j.RunS, j.Spread = "standing", "production", serviceTasks, 0, 0, true
 	case classUrgent:
-		j.Urgency, j.Tasks, j.EstimateS, j.RunS = "high", 1, urgentRunS, urgentRunS
+		j.Urgency, j.Tasks, j.EstimateS, j.RunS, j.Team = "high", 1, urgentRunS, urgentRunS, urgentTeam
 	}
 	return j
 }
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -40,6 +40,9 @@
 	}
 	fmt.Fprintf(w, "  peers %.0f B/s, state %.0f B/s, cloud %.0f B/s; %d records of %d bytes\n", r.Peers.perS(r.MeasuredS), r.State.perS(r.MeasuredS), r.Cloud.perS(r.MeasuredS), r.Records, r.RecordBytes)
 	fmt.Fprintf(w, "  submission %s\n  urgent work %s, %d after %v s\n", r.Submission, r.Urgent, r.UrgentLate, r.Settings.UrgentWithinS)
+	if r.ConfigMade+r.ConfigFailed > 0 {
+		fmt.Fprintf(w, "  configuration in force %s, %d failed, %d in force by time\n", r.Config, r.ConfigFailed, r.ConfigByTime)
+	}
 	fmt.Fprintf(w, "  tasks stopped %d, leases lost %d, submissions failed %d, questions %d (unanswered %d), controllers ended by themselves %d\n",
 		r.Stopped, r.LeasesLost, r.Failed, r.Asked, r.Unanswered, r.EndedAlone)
 	for _, t := range r.Troubles {
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -40,6 +40,11 @@
 	Urgent     Latency `json:"urgent"`
 	UrgentLate int     `json:"urgent_late"`
 
+	Config       Latency `json:"config"` // until a change was in force
+	ConfigMade   int     `json:"config_made"`
+	ConfigFailed int     `json:"config_failed"`
+	ConfigByTime int     `json:"config_by_time"` // in force by time, as a controller said nothing
+
 	Troubles    []TroubleSeen `json:"troubles"`
 	RulesBroken []string      `json:"rules_broken"`
 	EndedAlone  int           `json:"ended_alone"` // controllers that ended by themselves
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -29,6 +29,7 @@
 	cloud    *standin.Cloud
 	rules    *standin.Rules
 	users    *users
+	operator *operator
 	counts   *counts
 	timeline timeline
 	log      io.Writer // progress
@@ -107,6 +108,9 @@
 		r.cloud.Boot(machineType, s.Zones[n%len(s.Zones)], false)
 	}
 	r.users.load(ctx)
+	if s.ChangesPerS > 0 {
+		r.users.group.Go(func() { r.operator.change(ctx, s.ChangesPerS) })
+	}
 	if !r.progress(ctx, "warming up", seconds(s.WarmUpS)) {
 		return nil, fmt.Errorf("ended early: %w", context.Cause(ctx))
 	}
@@ -159,6 +163,11 @@
 			go r.links.Forward(in, c.zone, o.zone, clusterAddress(o.number), &r.traffic.peers)
 		}
 	}
+	r.operator = newOperator(r)
+	regional := func() string { return "" }
+	if err := r.listen(stateAddress(operatorNumber), regional, r.counts.count("operator", r.state), &Traffic{}); err != nil {
+		return err
+	}
 	return r.listen(descriptionsAddress, func() string { return "" }, r.users, &Traffic{})
 }
 
@@ -447,6 +456,12 @@
 	s := &r.settings
 	res := &Result{Settings: *s, Date: time.Now().UTC().Format(time.RFC3339), Cores: runtime.NumCPU(), Processes: s.processes() + 1}
 	r.users.submission, r.users.started = newLatencies(), newLatencies()
+	r.users.mu.Lock()
+	r.users.late = 0
+	r.users.mu.Unlock()
+	r.mu.Lock()
+	r.operator.forced, r.operator.made, r.operator.failed, r.operator.byTime = newLatencies(), 0, 0, 0
+	r.mu.Unlock()
 	before := r.snapshot()
 	samples := newSampler()
 	troubles := make(chan []TroubleSeen, 1)
@@ -547,6 +562,8 @@
 	}
 	res.Records, res.RecordBytes = r.state.Size()
 	r.mu.Lock()
+	o := r.operator
+	res.Config, res.ConfigMade, res.ConfigFailed, res.ConfigByTime = o.forced.result(), o.made, o.failed, o.byTime
 	res.PeakTotalMB = r.peakMB
 	r.mu.Unlock()
 }
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -31,6 +31,7 @@
 	ArrayTasks    int     // of an array, on the average
 	UrgentPerS    float64 // single tasks of high priority
 	UrgentWithinS float64 // that one is to start within
+	ChangesPerS   float64 // of configuration
 
 	MachineCPUs float64
 	TaskCPUs    float64
@@ -124,6 +125,7 @@
 		"service-share":          ednmap.Number(0, 0.95, &s.ServiceShare),
 		"array-tasks":            ednmap.Whole(1, 10_000, &s.ArrayTasks),
 		"urgent-per-s":           ednmap.Number(0, 100, &s.UrgentPerS),
+		"changes-per-s":          ednmap.Number(0, 100, &s.ChangesPerS),
 		"urgent-within-s":        ednmap.Number(0.1, 60, &s.UrgentWithinS),
 		"machine-cpus":           ednmap.Number(1, 1000, &s.MachineCPUs),
 		"task-cpus":              ednmap.Number(0.1, 1000, &s.TaskCPUs),
@@ -179,6 +181,8 @@
 		return fmt.Errorf(":regions: want one for each of %d zones, not %d", len(s.Zones), len(s.Regions))
 	case len(s.Zones) == 0 || len(s.Zones) > 12:
 		return errors.New(":zones: want 1 to 12")
+	case s.Teams < 2:
+		return errors.New(":teams: want two at least: one is for urgent work")
 	case s.RealWorkers > s.Workers:
 		return errors.New(":real-workers: more than :workers")
 	case s.processes() > maxProcesses:
