--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -39,6 +39,7 @@
 type runCmd struct {
 	Settings string `arg:"" help:"The run's settings (an S-expression)." type:"existingfile"`
 	Binary   string `help:"The controllers' program." default:"target/aspenstall" type:"existingfile"`
+	Last     string `help:"The last controller's program: another version beside the others." type:"existingfile"`
 	Out      string `help:"The result file." default:"scalerun.json" type:"path"`
 	Logs     string `help:"Folder for the processes' files; a temporary one that is removed, if not given." type:"path"`
 	Workers  int    `help:"Another number of workers: tasks and rates go with it."`
@@ -64,7 +65,7 @@
 	} else if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	res, err := scale.New(s, os.Stderr).Do(ctx, c.Binary, dir)
+	res, err := scale.New(s, os.Stderr).Do(ctx, scale.Programs{Binary: c.Binary, Last: c.Last}, dir)
 	if err != nil {
 		return err
 	}
--- a/internal/nomad/httpapi/backend.go
+++ b/internal/nomad/httpapi/backend.go
@@ -21,6 +21,7 @@
 	// ErrUnavailable: it cannot be said or done now; a retry finds out.
 	ErrUnavailable = errors.New("this cannot be done or said now; try again")
 	// ErrNoLeader: no node leads that could say where tasks are.
+	//lint:ignore ST1005 the published clients know it by this text
 	ErrNoLeader = errors.New("No cluster leader")
 	// ErrBusy: too many queries wait already.
 	ErrBusy = errors.New("too many blocking queries")
--- a/internal/nomad/registry/registry.go
+++ b/internal/nomad/registry/registry.go
@@ -23,6 +23,7 @@
 
 // Group is a group of a job and its native job.
 type Group struct {
+	//lint:ignore U1000 the encoder reads its tag
 	_msgpack struct{} `msgpack:",as_array"` // as it is kept
 	Name     string
 	Native   string // the native job's id
--- a/internal/notify/deliver/deliver_test.go
+++ b/internal/notify/deliver/deliver_test.go
@@ -44,7 +44,9 @@
 			w.WriteHeader(429)
 		}, notify.NotSent, maxAfter},
 		{"not allowed, for now", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(403) }, notify.NotSent, 0},
-		{"elsewhere", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/other", 307) }, notify.NotSent, 0},
+		{"elsewhere", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+		}, notify.NotSent, 0},
 		{"failed", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, notify.Unknown, 0},
 		{"cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, notify.Unknown, 0},
 		{"garbage", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -84,8 +84,22 @@
 	}
 }
 
-// Do runs it: dir takes the processes' files, binary is the real program.
-func (r *Run) Do(ctx context.Context, binary, dir string) (*Result, error) {
+// Programs are the controllers' programs.
+type Programs struct {
+	Binary string
+	Last   string // of the last controller, another version; "" for the same
+}
+
+// of is the program of a controller.
+func (p Programs) of(i, controllers int) string {
+	if p.Last != "" && i == controllers-1 {
+		return p.Last
+	}
+	return p.Binary
+}
+
+// Do runs it: dir takes the processes' files.
+func (r *Run) Do(ctx context.Context, programs Programs, dir string) (*Result, error) {
 	s := &r.settings
 	limit := seconds(s.WarmUpS + s.MeasureS + 120)
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -96,7 +110,7 @@
 	}
 	defer r.logs.Close()
 	defer r.closeAll()
-	if err := r.serve(ctx, binary, dir); err != nil {
+	if err := r.serve(programs, dir); err != nil {
 		return nil, err
 	}
 	if err := r.startProcesses(ctx); err != nil {
@@ -126,11 +140,11 @@
 }
 
 // serve listens for controllers and workers.
-func (r *Run) serve(ctx context.Context, binary, dir string) error {
+func (r *Run) serve(programs Programs, dir string) error {
 	s := &r.settings
 	for i := range s.Controllers {
 		r.controllers = append(r.controllers, &controller{
-			number: i, name: fmt.Sprintf("controller-%d", i), zone: s.Zones[i%len(s.Zones)], binary: binary, log: r.logs,
+			number: i, name: fmt.Sprintf("controller-%d", i), zone: s.Zones[i%len(s.Zones)], binary: programs.of(i, s.Controllers), log: r.logs,
 		})
 	}
 	r.cloud = standin.NewCloud([]standin.MachineType{r.machine()}, s.Workers, r.workerAddress, r.startWorker)
--- a/internal/standin/config_test.go
+++ b/internal/standin/config_test.go
@@ -595,6 +595,14 @@
 				o.w.StartNode(other)
 				time.Sleep(5 * s)
 				must(t, o, "with it", lower(o, 40))
+				o.w.Kill(other) // what it has said ends with its lease
+				time.Sleep(8 * s)
+				if _, err := o.change("again", 4*s, lower(o, 30)); !errors.Is(err, configclient.ErrNotReady) {
+					t.Errorf("a change without one that has ended: %v", err)
+				}
+				o.w.StartNode(other)
+				time.Sleep(5 * s)
+				must(t, o, "back", lower(o, 30))
 			}},
 			{"limits of the state service that come", func(t *testing.T, o *operator, u *users) {
 				o.client.Limits = clusterconfig.Limits{ValueBytes: 1800, TxnOps: 4}
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -21,17 +21,16 @@
 // controller confirms cancellations to users, and then nobody has the state service for
 // longer than a cancellation may take, while workers stay with the old leader.
 type refused struct {
-	first    time.Duration // from the refusal to the first cancellations
-	out      time.Duration // from the refusal to the outage
-	lasts    time.Duration // the outage; 0: longer than a cancellation may take
-	moved    bool          // another leads by then, and workers hear it
-	setup    func(w *standin.World)
-	with     []act // times count from the refusal
-	told     int   // cancellations that were told before the outage began
-	toldOut  int   // and by the time it had lasted a second
-	stayed   int   // workers with tasks that the old leader answered in the outage
-	leader   int
-	lastTask time.Duration
+	first   time.Duration // from the refusal to the first cancellations
+	out     time.Duration // from the refusal to the outage
+	lasts   time.Duration // the outage; 0: longer than a cancellation may take
+	moved   bool          // another leads by then, and workers hear it
+	setup   func(w *standin.World)
+	with    []act // times count from the refusal
+	told    int   // cancellations that were told before the outage began
+	toldOut int   // and by the time it had lasted a second
+	stayed  int   // workers with tasks that the old leader answered in the outage
+	leader  int
 }
 
 // refuseOne refuses one node the state service, or serves it again.
--- a/internal/standin/seven_test.go
+++ b/internal/standin/seven_test.go
@@ -71,7 +71,6 @@
 	refused [3]int // questions without an answer, by node
 	repeats int    // repeated submissions that were answered 200
 	odd     int    // those of them with a body that would be refused for a new job
-	wrong   []string
 }
 
 func (l *looks) at(w *standin.World) {
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -15,6 +15,7 @@
 // Records of the configuration that operators change while the cluster serves.
 
 type configChange struct {
+	//lint:ignore U1000 the encoder reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 	ID       string
 	Number   uint64
@@ -35,6 +36,7 @@
 
 // configTeam is a list rather than a map: many share one value.
 type configTeam struct {
+	//lint:ignore U1000 the encoder reads its tag
 	_msgpack       struct{} `msgpack:",as_array"`
 	Name           string
 	MinCPU, MaxCPU int64
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -70,6 +70,7 @@
 
 // machineRecord is a list rather than a map: many share one value.
 type machineRecord struct {
+	//lint:ignore U1000 the encoder reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
 	Address  string
@@ -103,6 +104,7 @@
 }
 
 type keptTask struct {
+	//lint:ignore U1000 the encoder reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 	Job      string
 	Index    int
@@ -110,6 +112,7 @@
 }
 
 type keptMachine struct {
+	//lint:ignore U1000 the encoder reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
 	Tasks    []keptTask
