--- a/internal/scale/processes.go
+++ b/internal/scale/processes.go
@@ -54,6 +54,7 @@
 	platform string // file
 	settings string // file
 	log      *os.File
+	group    *sync.WaitGroup // of all processes
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
@@ -68,6 +69,7 @@
 	if c.pid != 0 {
 		return nil
 	}
+	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	cmd := command(ctx, c.log, c.binary, "--settings", c.settings, "--config", c.platform)
 	if err := cmd.Start(); err != nil {
@@ -75,18 +77,25 @@
 		return fmt.Errorf("controller %s: %w", c.name, err)
 	}
 	c.cancel, c.pid = cancel, cmd.Process.Pid
-	go func() {
+	c.group.Go(func() {
 		_ = cmd.Wait()
 		c.mu.Lock()
-		if ctx.Err() == nil {
+		alone := ctx.Err() == nil
+		if alone {
 			c.ended++
 		}
 		c.pid = 0
 		c.mu.Unlock()
-	}()
+		if alone && pause(ctx, restartAfter) {
+			_ = c.start(outer)
+		}
+	})
 	return nil
 }
 
+// restartAfter is until a controller that ended by itself is started again.
+const restartAfter = time.Second
+
 // kill ends the process without a word.
 func (c *controller) kill() {
 	c.mu.Lock()
@@ -151,7 +160,7 @@
 }
 
 // startHost starts a process of workers, whose events go to tell.
-func startHost(ctx context.Context, log io.Writer, cfg HostConfig, real bool, most int, tell func(*hostProcess, Event)) (*hostProcess, error) {
+func startHost(ctx context.Context, group *sync.WaitGroup, log io.Writer, cfg HostConfig, real bool, most int, tell func(*hostProcess, Event)) (*hostProcess, error) {
 	binary, err := os.Executable()
 	if err != nil {
 		return nil, err
@@ -176,7 +185,7 @@
 		return nil, err
 	}
 	h := &hostProcess{number: cfg.Number, real: real, pid: cmd.Process.Pid, most: most, in: json.NewEncoder(stdin)}
-	go func() {
+	group.Go(func() {
 		dec := json.NewDecoder(bufio.NewReader(stdout))
 		for {
 			var e Event
@@ -186,7 +195,7 @@
 			tell(h, e)
 		}
 		_ = cmd.Wait()
-	}()
+	})
 	return h, nil
 }
 
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -38,6 +38,7 @@
 	controllers []*controller
 	hosts       []*hostProcess
 	listeners   []io.Closer
+	processes   sync.WaitGroup
 	traffic     struct{ peers, state, cloud Traffic }
 
 	mu         sync.Mutex
@@ -103,6 +104,7 @@
 	s := &r.settings
 	limit := seconds(s.WarmUpS + s.MeasureS + 120)
 	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer r.processes.Wait() // they end with ctx
 	defer cancel()
 	var err error
 	if r.logs, err = os.Create(filepath.Join(dir, "processes.log")); err != nil {
@@ -144,7 +146,7 @@
 	s := &r.settings
 	for i := range s.Controllers {
 		r.controllers = append(r.controllers, &controller{
-			number: i, name: fmt.Sprintf("controller-%d", i), zone: s.Zones[i%len(s.Zones)], binary: programs.of(i, s.Controllers), log: r.logs,
+			number: i, name: fmt.Sprintf("controller-%d", i), zone: s.Zones[i%len(s.Zones)], binary: programs.of(i, s.Controllers), log: r.logs, group: &r.processes,
 		})
 	}
 	r.cloud = standin.NewCloud([]standin.MachineType{r.machine()}, s.Workers, r.workerAddress, r.startWorker)
@@ -231,7 +233,7 @@
 		if real {
 			most = 1
 		}
-		h, err := startHost(ctx, r.logs, cfg, real, most, r.told)
+		h, err := startHost(ctx, &r.processes, r.logs, cfg, real, most, r.told)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,187 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test's binary be a process of workers, as cmd/scalerun is.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "host" {
+		in := bufio.NewReader(os.Stdin)
+		cfg, err := ReadHostConfig(in)
+		if err == nil {
+			err = RunHost(context.Background(), cfg, in, os.Stdout)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// TestSmoke runs the built program with a few workers for some seconds: what it asserts does
+// not go by how fast the machine is.
+func TestSmoke(t *testing.T) {
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "aspenstall")
+	if out, err := exec.Command("go", "build", "-o", binary, "aspenstall/cmd/aspenstall").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	s := DefaultSettings()
+	s.Workers, s.RealWorkers, s.PerProcess, s.Teams, s.RunningTasks, s.StartsPerS = 6, 2, 4, 3, 20, 1
+	s.WarmUpS, s.MeasureS = 6, 5
+	if err := s.check(); err != nil {
+		t.Fatal(err)
+	}
+	res, err := New(s, io.Discard).Do(t.Context(), Programs{Binary: binary}, dir)
+	if err != nil {
+		log, _ := os.ReadFile(filepath.Join(dir, "processes.log"))
+		t.Fatalf("%v\n%s", err, log)
+	}
+	if len(res.RulesBroken) > 0 || res.EndedAlone > 0 {
+		t.Errorf("rules broken %q, controllers ended by themselves %d", res.RulesBroken, res.EndedAlone)
+	}
+	if res.Workers != s.Workers || res.WorkersSpent.Reports == 0 || len(res.Usage) == 0 {
+		t.Errorf("%d workers, %d reports, usage of %d processes", res.Workers, res.WorkersSpent.Reports, len(res.Usage))
+	}
+	path := filepath.Join(dir, "result.json")
+	if err := res.Write(path); err != nil {
+		t.Fatal(err)
+	}
+	if again, err := ReadResult(path); err != nil || again.Workers != res.Workers {
+		t.Errorf("read again: %v, %v", again, err)
+	}
+	if l, err := net.Listen("tcp", controllerAddress(0)); err != nil {
+		t.Errorf("a process is left: %v", err)
+	} else {
+		_ = l.Close()
+	}
+}
+
+func TestSettings(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"the plan's", `{:workers 2900}`, ""},
+		{"a trouble", `{:troubles [{:kind "rack" :at-s 5 :count 40}]}`, ""},
+		{"an unknown trouble", `{:troubles [{:kind "flood"}]}`, `:troubles: trouble 1: :kind: want one of`},
+		{"more tasks than room", `{:running-tasks 20301}`, ":running-tasks: there is room for 20300"},
+		{"too many processes", `{:per-process 10}`, ":per-process: 315 processes in all, more than 200"},
+		{"a zone without a region", `{:zones ["a" "b"]}`, ":regions: want one for each of 2 zones, not 6"},
+		{"misspelt", `{:worker 1}`, ":worker: no such setting"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "scale.sexp")
+			if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := LoadSettings(path)
+			if (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %v, want %q", err, c.want)
+			}
+		})
+	}
+	for _, path := range []string{"../../deploy/scalerun.sexp", "../../deploy/scalerun-troubles.sexp"} {
+		if _, err := LoadSettings(path); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestTimeline: what several processes tell is judged in the order in which it happened.
+func TestTimeline(t *testing.T) {
+	var line timeline
+	begin := time.Unix(1000, 0)
+	var got []int
+	for _, at := range []int{5, 1, 4, 2, 3, 9} {
+		line.add(begin.Add(time.Duration(at)*time.Second), func() { got = append(got, at) })
+	}
+	line.drain(begin.Add(6*time.Second), func(time.Time) {})
+	if !slices.Equal(got, []int{1, 2, 3, 4, 5}) {
+		t.Errorf("in the order %v", got)
+	}
+}
+
+// TestLinks: bytes are counted, and held while a zone is cut off.
+func TestLinks(t *testing.T) {
+	s := DefaultSettings()
+	s.RegionDelayMS, s.ZoneDelayMS = 0, 0
+	l := NewLinks(&s)
+	var near, far Traffic
+	ln, err := l.Listen("127.0.0.1:0", "a1", func() string { return "b1" }, &far)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			_, _ = io.Copy(c, c)
+		}
+	}()
+	c, err := l.Dial(t.Context(), "", "b1", ln.Addr().String(), func() string { return "a1" }, &near)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	echo := func() <-chan error {
+		out := make(chan error, 1)
+		go func() {
+			if _, err := c.Write([]byte("12345")); err != nil {
+				out <- err
+				return
+			}
+			_, err := io.ReadFull(c, make([]byte, 5))
+			out <- err
+		}()
+		return out
+	}
+	if err := <-echo(); err != nil {
+		t.Fatal(err)
+	}
+	l.CutRegions(true)
+	answer := echo()
+	select {
+	case err := <-answer:
+		t.Errorf("something came through a cut: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	l.CutRegions(false)
+	if err := <-answer; err != nil {
+		t.Error(err)
+	}
+	if near.Sent.Load() != 10 || near.Received.Load() != 10 {
+		t.Errorf("counted %d sent, %d received", near.Sent.Load(), near.Received.Load())
+	}
+}
+
+func TestReport(t *testing.T) {
+	var all []*Result
+	for _, n := range []int{725, 1450, 2900} {
+		all = append(all, &Result{Workers: n, MeasuredS: 10, Usage: []Usage{{Role: RoleLeader, Cores: 0.01 + float64(n)/10_000, Sockets: n + 100}}})
+	}
+	var out bytes.Buffer
+	if err := WriteReport(&out, all, t.TempDir()); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		"| leader, processor, cores | 0.0825 | 0.155 | 0.3 | 0.01 | 0.1 | 0% |",
+		"| leader, sockets, sockets | 825 | 1550 | 3000 | 100 | 1000 | 0% |",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the report lacks %q:\n%s", want, out.String())
+		}
+	}
+}
