--- a/internal/core/blame.go
+++ b/internal/core/failure_attribution.go
@@ -14,9 +14,9 @@
 const (
 	// suspectFrom is on how many machines a job fails before it is suspect.
 	suspectFrom = 3
-	// blameJobs is how many jobs that are not suspect fail on a machine before it
+	// attributeJobs is how many jobs that are not suspect fail on a machine before it
 	// is taken out of use.
-	blameJobs = 2
+	attributeJobs = 2
 	// provenAfter is how long a task has to run to have run well: one that fails
 	// does so once it has its image, or soon after.
 	provenAfter = 3 * Second
@@ -63,7 +63,7 @@
 		m.failed = map[string]bool{}
 	}
 	m.failed[job] = true
-	if len(m.failed) >= blameJobs && now >= m.quarantine {
+	if len(m.failed) >= attributeJobs && now >= m.quarantine {
 		m.quarantine = now + c.cfg.Tuning.Quarantine
 		c.note("quarantine: several jobs failed here", "machine", m.name)
 		c.drain(m, now, 0)
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -28,9 +28,9 @@
 	}
 	var best *machine
 	if j.spec.Kind == Gang {
-		best = c.preyOfPlan(j, guaranteed, now, only, plan)
+		best = c.victimMachineOfPlan(j, guaranteed, now, only, plan)
 	} else {
-		best = c.cheapestPrey(j, guaranteed, now, only)
+		best = c.cheapestVictimMachine(j, guaranteed, now, only)
 	}
 	if best == nil {
 		return nil
@@ -48,9 +48,9 @@
 	return best
 }
 
-// preyCost is what it costs to make room on a machine for a task of the job;
+// evictionCost is what it costs to make room on a machine for a task of the job;
 // false if that is not possible. Where the job's other tasks are does not count.
-func (c *Core) preyCost(j *job, m *machine, guaranteed bool, now Micros, plan *reclaimPlan) (int64, bool) {
+func (c *Core) evictionCost(j *job, m *machine, guaranteed bool, now Micros, plan *reclaimPlan) (int64, bool) {
 	if m.vacating || !c.usable(m, now) || !c.kindAllowed(j, m) || !j.spec.Need.Fits(m.typ.Cap) {
 		return 0, false
 	}
@@ -58,31 +58,31 @@
 	return cost + c.startCost(j, m), victims != nil
 }
 
-// preyOfPlan looks at every machine. It can't choose: that keeps what it saw for a
+// victimMachineOfPlan looks at every machine. It can't choose: that keeps what it saw for a
 // pass and looks again only at machines that changed, while what a plan has taken
 // already makes all machines with tasks of the same teams cheaper or dearer, and
 // the plan may be dropped.
-func (c *Core) preyOfPlan(j *job, guaranteed bool, now Micros, only string, plan *reclaimPlan) (best *machine) {
+func (c *Core) victimMachineOfPlan(j *job, guaranteed bool, now Micros, only string, plan *reclaimPlan) (best *machine) {
 	c.looked += len(c.order)
 	var bestCost int64
 	for _, m := range c.order {
 		if only != "" && m.zone != only || !j.zoneAllowed(m.zone) || j.errors[m.name] {
 			continue
 		}
-		if cost, ok := c.preyCost(j, m, guaranteed, now, plan); ok && (best == nil || cost < bestCost) {
+		if cost, ok := c.evictionCost(j, m, guaranteed, now, plan); ok && (best == nil || cost < bestCost) {
 			best, bestCost = m, cost
 		}
 	}
 	return best
 }
 
-// cheapestPrey is the machine on which making room for a task of the job costs
+// cheapestVictimMachine is the machine on which making room for a task of the job costs
 // least.
-func (c *Core) cheapestPrey(j *job, guaranteed bool, now Micros, only string) *machine {
+func (c *Core) cheapestVictimMachine(j *job, guaranteed bool, now Micros, only string) *machine {
 	key := kindOf(j)
 	key.team, key.priority, key.reclaim, key.guaranteed = j.spec.Team, j.spec.Priority, true, guaranteed
 	none := &reclaimPlan{}
-	return c.choose(key, c.order, j, only, func(m *machine) (int64, bool) { return c.preyCost(j, m, guaranteed, now, none) },
+	return c.choose(key, c.order, j, only, func(m *machine) (int64, bool) { return c.evictionCost(j, m, guaranteed, now, none) },
 		func(m *machine) bool { return j.errors[m.name] })
 }
 
