--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -63,7 +63,7 @@
 
 	notBefore Micros // back-off after failures
 	pauses    int    // how often it backed off
-	proven    bool   // a task of it ran well: see blame.go
+	proven    bool   // a task of it ran well: see failure_attribution.go
 }
 
 func newJob(rec JobRecord, submitted Micros) *job {
--- a/internal/scale/events.go
+++ b/internal/scale/events.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 // EventKind says what a worker did.
@@ -23,14 +23,14 @@
 
 // Event is what a process of workers tells the run.
 type Event struct {
-	AtNS    int64         `json:"at"` // by the time of day
-	Kind    EventKind     `json:"kind"`
-	Task    string        `json:"task,omitempty"`
-	Attempt uint64        `json:"attempt,omitempty"`
-	Why     string        `json:"why,omitempty"`
-	Place   standin.Place `json:"place"`
-	Tasks   int           `json:"tasks,omitempty"` // on the machine, with EventExpired
-	Spent   *Spent        `json:"spent,omitempty"`
+	AtNS    int64           `json:"at"` // by the time of day
+	Kind    EventKind       `json:"kind"`
+	Task    string          `json:"task,omitempty"`
+	Attempt uint64          `json:"attempt,omitempty"`
+	Why     string          `json:"why,omitempty"`
+	Place   simulator.Place `json:"place"`
+	Tasks   int             `json:"tasks,omitempty"` // on the machine, with EventExpired
+	Spent   *Spent          `json:"spent,omitempty"`
 }
 
 // Spent is what a process's workers have sent and received.
@@ -58,11 +58,11 @@
 
 // Command is what the run tells a process of workers.
 type Command struct {
-	Kind    CommandKind   `json:"kind"`
-	Place   standin.Place `json:"place"`
-	Address string        `json:"address,omitempty"`
-	Zone    string        `json:"zone,omitempty"`
-	On      bool          `json:"on,omitempty"`
+	Kind    CommandKind     `json:"kind"`
+	Place   simulator.Place `json:"place"`
+	Address string          `json:"address,omitempty"`
+	Zone    string          `json:"zone,omitempty"`
+	On      bool            `json:"on,omitempty"`
 }
 
 // settleFor is how long what happened is held back, so that what several processes tell is
--- a/internal/scale/host.go
+++ b/internal/scale/host.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 // HostConfig is what a process of workers is started with.
@@ -23,7 +23,7 @@
 	Number       int    // of the process
 	Descriptions string // address at which jobs' descriptions are read
 	Controllers  []ControllerAt
-	Type         standin.MachineType
+	Type         simulator.MachineType
 }
 
 // ControllerAt is a controller and where it is.
@@ -43,8 +43,8 @@
 	out   *json.Encoder
 
 	mu      sync.Mutex
-	workers map[string]*standin.Worker
-	jobs    map[string]*standin.Spec
+	workers map[string]*simulator.Worker
+	jobs    map[string]*simulator.Spec
 	random  *rand.Rand
 
 	reports          atomic.Int64
@@ -61,7 +61,7 @@
 	defer cancel()
 	h := &host{
 		cfg: cfg, ctx: ctx, links: NewLinks(&cfg.Settings), zoneAt: map[string]string{}, out: json.NewEncoder(out),
-		workers: map[string]*standin.Worker{}, jobs: map[string]*standin.Spec{},
+		workers: map[string]*simulator.Worker{}, jobs: map[string]*simulator.Spec{},
 		random:           rand.New(rand.NewPCG(uint64(cfg.Settings.Seed), uint64(1000+cfg.Number))),
 		descriptionsHTTP: &http.Client{Timeout: 5 * time.Second},
 	}
@@ -87,7 +87,7 @@
 func (h *host) carryOut(c Command) {
 	switch c.Kind {
 	case CommandStart:
-		k := standin.StartWorker(hostSite{h}, c.Address, c.Place, &h.cfg.Type)
+		k := simulator.StartWorker(hostSite{h}, c.Address, c.Place, &h.cfg.Type)
 		h.mu.Lock()
 		h.workers[c.Place.Machine] = k
 		h.mu.Unlock()
@@ -138,7 +138,7 @@
 }
 
 // description reads a job's description once.
-func (h *host) description(id string) *standin.Spec {
+func (h *host) description(id string) *simulator.Spec {
 	h.mu.Lock()
 	s := h.jobs[id]
 	h.mu.Unlock()
@@ -150,7 +150,7 @@
 		return nil
 	}
 	defer resp.Body.Close()
-	var d standin.Spec
+	var d simulator.Spec
 	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&d) != nil {
 		return nil
 	}
@@ -163,23 +163,23 @@
 // hostSite is what the workers of a process find round them.
 type hostSite struct{ h *host }
 
-func (s hostSite) Context() context.Context     { return s.h.ctx }
-func (s hostSite) Logger() *slog.Logger         { return slog.New(slog.DiscardHandler) }
-func (s hostSite) Still(string, bool)           {}
-func (s hostSite) Job(id string) *standin.Spec  { return s.h.description(id) }
-func (s hostSite) FileJob(string) *standin.Spec { return nil }
-func (s hostSite) ServesFiles() bool            { return false }
-func (s hostSite) Observer() standin.Observer   { return s }
-func (s hostSite) Controllers() []standin.Controller {
-	out := make([]standin.Controller, len(s.h.cfg.Controllers))
+func (s hostSite) Context() context.Context       { return s.h.ctx }
+func (s hostSite) Logger() *slog.Logger           { return slog.New(slog.DiscardHandler) }
+func (s hostSite) Still(string, bool)             {}
+func (s hostSite) Job(id string) *simulator.Spec  { return s.h.description(id) }
+func (s hostSite) FileJob(string) *simulator.Spec { return nil }
+func (s hostSite) ServesFiles() bool              { return false }
+func (s hostSite) Observer() simulator.Observer   { return s }
+func (s hostSite) Controllers() []simulator.Controller {
+	out := make([]simulator.Controller, len(s.h.cfg.Controllers))
 	for i, c := range s.h.cfg.Controllers {
-		out[i] = standin.Controller{Name: c.Name, Address: c.Address}
+		out[i] = simulator.Controller{Name: c.Name, Address: c.Address}
 	}
 	return out
 }
 
 // Serve listens at the worker's address. A connection to it is the leader's.
-func (s hostSite) Serve(k *standin.Worker) (stop func()) {
+func (s hostSite) Serve(k *simulator.Worker) (stop func()) {
 	leader := func() string { return *s.h.leader.Load() }
 	l, err := s.h.links.Listen(k.Addr(), k.Zone(), leader, &s.h.fromControllers)
 	if err != nil {
@@ -228,34 +228,34 @@
 }
 
 // Timing has reports come up to a quarter sooner or later, as the protocol has it.
-func (s hostSite) Timing() standin.Timing {
+func (s hostSite) Timing() simulator.Timing {
 	set := &s.h.cfg.Settings
-	return standin.Timing{Lease: seconds(set.LeaseS), GangWait: time.Minute, ReportGap: func() time.Duration {
+	return simulator.Timing{Lease: seconds(set.LeaseS), GangWait: time.Minute, ReportGap: func() time.Duration {
 		s.h.mu.Lock()
 		defer s.h.mu.Unlock()
 		return seconds(set.ReportS * (0.75 + 0.5*s.h.random.Float64()))
 	}}
 }
 
-func (s hostSite) Gangs() standin.Gangs { return nil }
+func (s hostSite) Gangs() simulator.Gangs { return nil }
 
 // Started tells that a task is on its machine.
-func (s hostSite) Started(t standin.TaskOn) {
+func (s hostSite) Started(t simulator.TaskOn) {
 	s.h.tell(Event{Kind: EventStarted, Task: t.Task, Attempt: t.Attempt, Place: t.At})
 }
 
 // Left tells that a task is not on its machine any more.
-func (s hostSite) Left(t standin.TaskOn) {
+func (s hostSite) Left(t simulator.TaskOn) {
 	s.h.tell(Event{Kind: EventLeft, Task: t.Task, Attempt: t.Attempt, Why: t.Why, Place: t.At})
 }
 
 // Done tells that a task is done.
-func (s hostSite) Done(task string, _ *standin.Spec) { s.h.tell(Event{Kind: EventDone, Task: task}) }
+func (s hostSite) Done(task string, _ *simulator.Spec) { s.h.tell(Event{Kind: EventDone, Task: task}) }
 
 // Ordered tells that a command to start a task is executed.
 func (s hostSite) Ordered(task string) { s.h.tell(Event{Kind: EventOrdered, Task: task}) }
 
 // Expired tells that a worker's lease runs out.
-func (s hostSite) Expired(m standin.Place, _ uint64, tasks []standin.TaskOn) {
+func (s hostSite) Expired(m simulator.Place, _ uint64, tasks []simulator.TaskOn) {
 	s.h.tell(Event{Kind: EventExpired, Place: m, Tasks: len(tasks)})
 }
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 	"aspenstall/internal/wire"
 )
 
@@ -86,7 +86,7 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	next   int
-	known  map[string]*standin.Spec
+	known  map[string]*simulator.Spec
 	begun  map[string]time.Time // urgent jobs, first attempt to submit
 
 	submission *latencies // until it was accepted
@@ -100,7 +100,7 @@
 
 func newUsers(r *Run) *users {
 	return &users{
-		run: r, random: rand.New(rand.NewPCG(uint64(r.settings.Seed), 3)), known: map[string]*standin.Spec{}, begun: map[string]time.Time{},
+		run: r, random: rand.New(rand.NewPCG(uint64(r.settings.Seed), 3)), known: map[string]*simulator.Spec{}, begun: map[string]time.Time{},
 		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
 		submission: newLatencies(), started: newLatencies(), submitted: map[string]int{},
 	}
@@ -132,9 +132,9 @@
 	return d
 }
 
-func (u *users) spec(d drawn, class string) *standin.Spec {
+func (u *users) spec(d drawn, class string) *simulator.Spec {
 	s := &u.run.settings
-	j := &standin.Spec{
+	j := &simulator.Spec{
 		ID: d.id, Class: class, Team: d.team, Shape: "batch", Urgency: "standard", Tasks: d.tasks, CPUs: s.TaskCPUs, MemGB: taskMemGB,
 		Image: d.image, ImageGB: imageGB, EstimateS: s.arrayRunS(), RunS: s.arrayRunS() * d.times,
 	}
@@ -180,7 +180,7 @@
 }
 
 // live submits a job and asks about it until it is over.
-func (u *users) live(ctx context.Context, j *standin.Spec) {
+func (u *users) live(ctx context.Context, j *simulator.Spec) {
 	u.mu.Lock()
 	u.known[j.ID] = j
 	u.submitted[j.Class]++
@@ -198,7 +198,7 @@
 	}
 }
 
-func (u *users) submit(ctx context.Context, j *standin.Spec) bool {
+func (u *users) submit(ctx context.Context, j *simulator.Spec) bool {
 	body, err := wire.Marshal(j)
 	if err != nil {
 		return false
@@ -232,7 +232,7 @@
 
 // ask asks about a job and reports whether it is over.
 func (u *users) ask(ctx context.Context, id string) (over bool) {
-	var before standin.Asked
+	var before simulator.Asked
 	u.run.happens(func() { before = u.run.rules.Asks(id) })
 	status, body := u.request(ctx, http.MethodGet, path.Join(wire.JobsPath, id), nil, 2*time.Second)
 	u.mu.Lock()
@@ -295,7 +295,7 @@
 }
 
 // job is a job's description.
-func (u *users) job(id string) *standin.Spec {
+func (u *users) job(id string) *simulator.Spec {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.known[id]
--- a/internal/scale/processes.go
+++ b/internal/scale/processes.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"aspenstall/internal/config"
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 // Addresses on loopback, all of them 127.0.0.0/8.
@@ -220,7 +220,7 @@
 // remoteWorker is a worker in another process.
 type remoteWorker struct {
 	host *hostProcess
-	at   standin.Place
+	at   simulator.Place
 }
 
 // Die ends the machine.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 	"aspenstall/internal/wire"
 )
 
@@ -25,9 +25,9 @@
 	settings Settings
 	teams    []Team
 	links    *Links
-	state    *standin.State
-	cloud    *standin.Cloud
-	rules    *standin.Rules
+	state    *simulator.State
+	cloud    *simulator.Cloud
+	rules    *simulator.Rules
 	users    *users
 	operator *operator
 	counts   *counts
@@ -62,24 +62,24 @@
 func New(s Settings, progress io.Writer) *Run {
 	r := &Run{settings: s, teams: makeTeams(&s), log: progress, counts: newCounts(), random: rand.New(rand.NewPCG(uint64(s.Seed), 4))}
 	r.links = NewLinks(&r.settings)
-	r.state = standin.NewState(s.StateTxnOps)
+	r.state = simulator.NewState(s.StateTxnOps)
 	r.users = newUsers(r)
-	r.rules = standin.NewRules()
+	r.rules = simulator.NewRules()
 	r.rules.Log = func() *slog.Logger {
 		return slog.New(slog.NewTextHandler(progress, &slog.HandlerOptions{Level: slog.LevelWarn}))
 	}
 	r.rules.Job = r.users.job
 	r.rules.CancelIn = seconds(s.CancelS)
-	limits := map[string]standin.Limit{}
+	limits := map[string]simulator.Limit{}
 	for _, t := range r.teams {
-		limits[t.Name] = standin.Limit{CPUs: t.CPUsMax}
+		limits[t.Name] = simulator.Limit{CPUs: t.CPUsMax}
 	}
-	r.rules.Limit = func(team string) standin.Limit { return limits[team] }
+	r.rules.Limit = func(team string) simulator.Limit { return limits[team] }
 	return r
 }
 
-func (r *Run) machine() standin.MachineType {
-	return standin.MachineType{
+func (r *Run) machine() simulator.MachineType {
+	return simulator.MachineType{
 		Name: machineType, CPUs: r.settings.MachineCPUs, MemGB: 16 * r.settings.MachineCPUs, CacheGB: 100, FetchGBps: 1,
 		Price: 1, SpotPrice: 0.5, BootS: 20, Zones: r.settings.Zones,
 	}
@@ -149,7 +149,7 @@
 			number: i, name: fmt.Sprintf("controller-%d", i), zone: s.Zones[i%len(s.Zones)], binary: programs.of(i, s.Controllers), log: r.logs, group: &r.processes,
 		})
 	}
-	r.cloud = standin.NewCloud([]standin.MachineType{r.machine()}, s.Workers, r.workerAddress, r.startWorker)
+	r.cloud = simulator.NewCloud([]simulator.MachineType{r.machine()}, s.Workers, r.workerAddress, r.startWorker)
 	r.cloud.Boots(func(n int) float64 { // the first ones come up during ten seconds
 		if n <= s.Workers {
 			return 0.05 + 0.45*float64(n)/float64(s.Workers)
@@ -243,7 +243,7 @@
 }
 
 // startWorker starts a worker in the first process that takes it: real ones first.
-func (r *Run) startWorker(m standin.Place, at string, _ *standin.MachineType) standin.Running {
+func (r *Run) startWorker(m simulator.Place, at string, _ *simulator.MachineType) simulator.Running {
 	for _, h := range r.hosts {
 		if h.takes() {
 			h.do(Command{Kind: CommandStart, Place: m, Address: at})
@@ -259,7 +259,7 @@
 // told takes what a process of workers tells.
 func (r *Run) told(h *hostProcess, e Event) {
 	at := time.Unix(0, e.AtNS)
-	on := standin.TaskOn{Task: e.Task, Attempt: e.Attempt, Why: e.Why, At: e.Place}
+	on := simulator.TaskOn{Task: e.Task, Attempt: e.Attempt, Why: e.Why, At: e.Place}
 	if e.Task != "" {
 		job, _, _ := strings.Cut(e.Task, "/")
 		on.Of = r.users.job(job)
--- a/internal/standin/config_test.go
+++ b/internal/simulator/config_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 	"aspenstall/internal/config"
 	"aspenstall/internal/configclient"
 	"aspenstall/internal/core"
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 	"aspenstall/internal/statestore"
 	"aspenstall/internal/wire"
 )
@@ -28,7 +28,7 @@
 // operator changes the configuration of a world and remembers what was in force when.
 type operator struct {
 	t      *testing.T
-	w      *standin.World
+	w      *simulator.World
 	client *configclient.Client
 	base   clusterconfig.Base
 
@@ -51,7 +51,7 @@
 
 // newOperator follows a world from its beginning: a team's limit is the highest of the
 // versions that a start which is seen now can have been decided by.
-func newOperator(t *testing.T, w *standin.World, p config.Platform) *operator {
+func newOperator(t *testing.T, w *simulator.World, p config.Platform) *operator {
 	o := &operator{t: t, w: w, base: config.ConfigBase(&p, w.Settings)}
 	o.client = o.newClient("operator", p)
 	o.history = []inForce{{config: &clusterconfig.Config{}}}
@@ -66,10 +66,10 @@
 	}
 }
 
-func (o *operator) limit(team string) standin.Limit {
+func (o *operator) limit(team string) simulator.Limit {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	most := standin.Limit{CPUs: -1, GPUs: -1}
+	most := simulator.Limit{CPUs: -1, GPUs: -1}
 	unlimited := func(l, v float64) float64 {
 		if v == 0 || l == 0 {
 			return 0
@@ -152,7 +152,7 @@
 	var o *operator
 	setup := d.setup
 	d.ends = true
-	d.setup = func(w *standin.World) {
+	d.setup = func(w *simulator.World) {
 		o = newOperator(t, w, p)
 		if setup != nil {
 			setup(w)
@@ -167,7 +167,7 @@
 // TestConfigMeaning: what each kind of change does to running and waiting work.
 func TestConfigMeaning(t *testing.T) {
 	const s = time.Second
-	on := func(w *standin.World, id string) int { return w.On(id) }
+	on := func(w *simulator.World, id string) int { return w.On(id) }
 	for _, c := range []struct {
 		name string
 		act  func(t *testing.T, o *operator, u *users)
@@ -338,7 +338,7 @@
 			{"the answer is lost after the write", func(t *testing.T, o *operator, u *users) {
 				must(t, o, "first", lower(o, 50))
 				unanswered := 0
-				o.w.StateFaults.Set(func(f *standin.Faults) {
+				o.w.StateFaults.Set(func(f *simulator.Faults) {
 					f.NoAnswer, f.LateOnly = 1, wire.CommitPath
 					f.Unanswered = func(_ string, status int, body []byte) {
 						if status == http.StatusOK && strings.Contains(string(body), clusterconfig.HeadKey) && strings.Contains(string(body), "lost") {
@@ -347,7 +347,7 @@
 					}
 				})
 				time.AfterFunc(1200*time.Millisecond, func() {
-					o.w.StateFaults.Set(func(f *standin.Faults) { f.NoAnswer = 0 })
+					o.w.StateFaults.Set(func(f *simulator.Faults) { f.NoAnswer = 0 })
 				})
 				if _, err := o.change("lost", 20*s, lower(o, 30)); err != nil {
 					t.Error(err)
@@ -359,7 +359,7 @@
 			{"the write is carried out late", func(t *testing.T, o *operator, u *users) {
 				must(t, o, "first", lower(o, 50))
 				var refused int
-				o.w.StateFaults.Set(func(f *standin.Faults) {
+				o.w.StateFaults.Set(func(f *simulator.Faults) {
 					f.Late, f.LateBy, f.LateOnly = 1, 8*s, wire.CommitPath
 					f.Repeated = func(_ string, status int) {
 						if status == http.StatusConflict {
@@ -368,7 +368,7 @@
 					}
 				})
 				time.AfterFunc(1200*time.Millisecond, func() {
-					o.w.StateFaults.Set(func(f *standin.Faults) { f.Late = 0 })
+					o.w.StateFaults.Set(func(f *simulator.Faults) { f.Late = 0 })
 				})
 				if _, err := o.change("late", 20*s, lower(o, 30)); err != nil {
 					t.Error(err)
@@ -435,7 +435,7 @@
 				time.Sleep(60 * s)
 				leader := max(o.w.Leader(), 0)
 				refuseReads := func(on bool) {
-					o.w.StateFaults.Set(func(f *standin.Faults) { f.RefuseReads[o.w.NodeAddr(leader)] = on })
+					o.w.StateFaults.Set(func(f *simulator.Faults) { f.RefuseReads[o.w.NodeAddr(leader)] = on })
 				}
 				refuseReads(true)
 				f, err := o.change("unread", 4*s, lower(o, 10))
@@ -459,7 +459,7 @@
 				must(t, o, "first", lower(o, 50))
 				other := (max(o.w.Leader(), 0) + 1) % 3
 				refuseReads := func(on bool) {
-					o.w.StateFaults.Set(func(f *standin.Faults) { f.RefuseReads[o.w.NodeAddr(other)] = on })
+					o.w.StateFaults.Set(func(f *simulator.Faults) { f.RefuseReads[o.w.NodeAddr(other)] = on })
 				}
 				refuseReads(true)
 				ctx, cancel := context.WithTimeout(context.Background(), 4*s)
@@ -500,11 +500,11 @@
 				}
 				refuseOne(o.w, one, false)
 				time.Sleep(8 * s)
-				o.w.StateFaults.Set(func(f *standin.Faults) { f.Down = true })
+				o.w.StateFaults.Set(func(f *simulator.Faults) { f.Down = true })
 				if _, err := o.change("out", 4*s, lower(o, 30)); err == nil {
 					t.Error("a change is made while the state service is out")
 				}
-				o.w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+				o.w.StateFaults.Set(func(f *simulator.Faults) { f.Down = false })
 				o.w.State.Renewed()
 				time.Sleep(8 * s)
 				must(t, o, "out", lower(o, 30))
@@ -668,7 +668,7 @@
 // one order, nothing starts over a limit that is in force, no rule is broken. The long form,
 // outside CI:
 //
-//	go test ./internal/standin -run TestConfigDrawn -drawn-config 500
+//	go test ./internal/simulator -run TestConfigDrawn -drawn-config 500
 func TestConfigDrawn(t *testing.T) {
 	for seed := range *drawnConfig {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/internal/standin/cut_test.go
+++ b/internal/simulator/cut_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"flag"
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 var drawnDays = flag.Int("drawn", 12, "how many drawn days of cuts TestDrawnCuts plays")
@@ -44,26 +44,26 @@
 // between.
 type cuts struct {
 	zone   string // of the node that led when the cut began, or another's
-	hung   []*standin.Worker
+	hung   []*simulator.Worker
 	frozen int
 	ended  int
 }
 
-func cutZone(zone string, on bool) func(*standin.World) {
-	return func(w *standin.World) { w.Net.CutZone(zone, on) }
+func cutZone(zone string, on bool) func(*simulator.World) {
+	return func(w *simulator.World) { w.Net.CutZone(zone, on) }
 }
 
 // cutOff cuts off the zone of the node that comes so many after the leader.
-func (c *cuts) cutOff(after int) func(*standin.World) {
-	return func(w *standin.World) {
+func (c *cuts) cutOff(after int) func(*simulator.World) {
+	return func(w *simulator.World) {
 		c.zone = w.Nodes[(max(w.Leader(), 0)+after)%3].Zone
 		w.Net.CutZone(c.zone, true)
 	}
 }
 
-func (c *cuts) mend(w *standin.World) { w.Net.CutZone(c.zone, false) }
+func (c *cuts) mend(w *simulator.World) { w.Net.CutZone(c.zone, false) }
 
-func (c *cuts) hang(w *standin.World) {
+func (c *cuts) hang(w *simulator.World) {
 	for i, k := range w.Cloud.Workers() {
 		if i%3 == 0 {
 			k.Hang(true)
@@ -72,45 +72,47 @@
 	}
 }
 
-func (c *cuts) goOn(*standin.World) {
+func (c *cuts) goOn(*simulator.World) {
 	for _, k := range c.hung {
 		k.Hang(false)
 	}
 	c.hung = nil
 }
 
-func (c *cuts) freeze(w *standin.World) {
+func (c *cuts) freeze(w *simulator.World) {
 	c.frozen = max(w.Leader(), 0)
 	w.Freeze(c.frozen, true)
 }
 
-func (c *cuts) thaw(w *standin.World) { w.Freeze(c.frozen, false) }
+func (c *cuts) thaw(w *simulator.World) { w.Freeze(c.frozen, false) }
 
-func stateDown(on bool) func(*standin.World) {
-	return func(w *standin.World) {
-		w.StateFaults.Set(func(f *standin.Faults) { f.Down = on })
+func stateDown(on bool) func(*simulator.World) {
+	return func(w *simulator.World) {
+		w.StateFaults.Set(func(f *simulator.Faults) { f.Down = on })
 		if !on {
 			w.State.Renewed()
 		}
 	}
 }
 
-func blindLeader(w *standin.World) {
-	w.StateFaults.Set(func(f *standin.Faults) { f.RefuseReads[w.NodeAddr(max(w.Leader(), 0))] = true })
+func blindLeader(w *simulator.World) {
+	w.StateFaults.Set(func(f *simulator.Faults) { f.RefuseReads[w.NodeAddr(max(w.Leader(), 0))] = true })
 }
 
 // fill submits more than there is room for.
-func fill(w *standin.World) {
+func fill(w *simulator.World) {
 	for i := range 3 {
 		w.Submit(array(700+i, 40, 40))
 	}
 }
 
-func refuseText(text string) func(*standin.World) {
-	return func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.RefuseText = text }) }
+func refuseText(text string) func(*simulator.World) {
+	return func(w *simulator.World) { w.StateFaults.Set(func(f *simulator.Faults) { f.RefuseText = text }) }
 }
 
-func sighted(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { clear(f.RefuseReads) }) }
+func sighted(w *simulator.World) {
+	w.StateFaults.Set(func(f *simulator.Faults) { clear(f.RefuseReads) })
+}
 
 func playCut(t *testing.T, d day) {
 	p := platform()
@@ -145,11 +147,11 @@
 		{name: "many machines hang and go on", seed: 39, acts: []act{{45 * s, c.hang}, {70 * s, c.goOn}, {80 * s, c.hang}, {88 * s, c.goOn}}},
 		{name: "the leader stands still for half a minute", seed: 40, acts: []act{{45 * s, c.freeze}, {75 * s, c.thaw}, {78 * s, c.freeze}, {108 * s, c.thaw}}},
 		{name: "a leader ends before the record of a cut that is over does", seed: 43, acts: []act{
-			{50 * s, c.cutOff(1)}, {58 * s, refuseText("b/kept/")}, {60 * s, c.mend}, {66 * s, fill}, {75 * s, func(w *standin.World) {
+			{50 * s, c.cutOff(1)}, {58 * s, refuseText("b/kept/")}, {60 * s, c.mend}, {66 * s, fill}, {75 * s, func(w *simulator.World) {
 				w.Net.CutZone(c.zone, true)
 				c.ended = max(w.Leader(), 0)
 				w.Kill(c.ended)
-			}}, {95 * s, c.mend}, {96 * s, refuseText("")}, {96 * s, func(w *standin.World) { w.StartNode(c.ended) }},
+			}}, {95 * s, c.mend}, {96 * s, refuseText("")}, {96 * s, func(w *simulator.World) { w.StartNode(c.ended) }},
 		}},
 		{name: "the leader reads nothing from the state service", seed: 42, acts: []act{{50 * s, blindLeader}, {130 * s, sighted}}},
 		{name: "all controllers end in an outage of the state service", seed: 41, acts: []act{
@@ -167,13 +169,13 @@
 func TestLeaseEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := platform()
-		w := standin.NewWorld(61, p, machineTypes[:1])
+		w := simulator.NewWorld(61, p, machineTypes[:1])
 		defer w.Close()
 		startAll(w)
 		time.Sleep(10 * time.Second)
 		w.Submit(service(1, 1))
 		time.Sleep(60*time.Second + 137*time.Millisecond)
-		var k *standin.Worker
+		var k *simulator.Worker
 		for _, o := range w.Cloud.Workers() {
 			if len(o.Running()) > 0 {
 				k = o
@@ -228,8 +230,8 @@
 	}},
 	{"leader ends", func(r *rand.Rand, at time.Duration) []act {
 		ended := 0
-		return []act{{at, func(w *standin.World) { ended = max(w.Leader(), 0); w.Kill(ended) }},
-			{at + between(r, 2, 10), func(w *standin.World) { w.StartNode(ended) }}}
+		return []act{{at, func(w *simulator.World) { ended = max(w.Leader(), 0); w.Kill(ended) }},
+			{at + between(r, 2, 10), func(w *simulator.World) { w.StartNode(ended) }}}
 	}},
 	{"all end", func(r *rand.Rand, at time.Duration) []act {
 		return []act{{at, killAll}, {at + between(r, 2, 10), startAll}}
@@ -239,16 +241,16 @@
 	}},
 	{"state out for one", func(r *rand.Rand, at time.Duration) []act {
 		i := r.IntN(3)
-		refuse := func(on bool) func(*standin.World) {
-			return func(w *standin.World) {
-				w.StateFaults.Set(func(f *standin.Faults) { f.Refuse[w.NodeAddr(i)] = on })
+		refuse := func(on bool) func(*simulator.World) {
+			return func(w *simulator.World) {
+				w.StateFaults.Set(func(f *simulator.Faults) { f.Refuse[w.NodeAddr(i)] = on })
 			}
 		}
 		return []act{{at, refuse(true)}, {at + between(r, 4, 40), refuse(false)}}
 	}},
 	{"peers refused", func(r *rand.Rand, at time.Duration) []act {
-		refuse := func(on bool) func(*standin.World) {
-			return func(w *standin.World) { w.CutPeers(on) }
+		refuse := func(on bool) func(*simulator.World) {
+			return func(w *simulator.World) { w.CutPeers(on) }
 		}
 		return []act{{at, refuse(true)}, {at + between(r, 5, 40), refuse(false)}}
 	}},
@@ -261,7 +263,7 @@
 // TestDrawnCuts plays days on which a zone is cut off and one to three other
 // troubles fall into the same half minute, drawn by seed. The long form, outside CI:
 //
-//	go test ./internal/standin -run TestDrawnCuts -drawn 500
+//	go test ./internal/simulator -run TestDrawnCuts -drawn 500
 func TestDrawnCuts(t *testing.T) {
 	for seed := range *drawnDays {
 		r := rand.New(rand.NewPCG(uint64(seed), 22))
--- a/internal/standin/ends_test.go
+++ b/internal/simulator/ends_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 var drawnEnds = flag.Int("ends", 8, "how many drawn days of ends TestEndedAnywhere plays")
@@ -53,34 +53,34 @@
 	r     *rand.Rand
 	step  int // that the next process ends with; negative: none
 	again int // so many ends follow at whatever the process does next
-	with  standin.Ending
+	with  simulator.Ending
 	late  time.Duration
 	hit   map[string]int
 }
 
 // arm has the next process end that comes to a step.
-func (e *ends) arm(w *standin.World) {
+func (e *ends) arm(w *simulator.World) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.step, e.again = e.r.IntN(len(steps)), max(e.r.IntN(5)-1, 0)
-	e.with = standin.Ending(1 + e.r.IntN(3))
+	e.with = simulator.Ending(1 + e.r.IntN(3))
 	w.BackIn = []time.Duration{time.Millisecond, 20 * time.Millisecond, 300 * time.Millisecond}[e.r.IntN(3)]
 	e.late = time.Duration(1+e.r.IntN(20)) * time.Second
-	for _, f := range []*standin.Faults{w.StateFaults, w.CloudFaults, w.WorkerFaults} {
-		f.Set(func(f *standin.Faults) { f.LateBy = e.late })
+	for _, f := range []*simulator.Faults{w.StateFaults, w.CloudFaults, w.WorkerFaults} {
+		f.Set(func(f *simulator.Faults) { f.LateBy = e.late })
 	}
 }
 
-func (e *ends) end(at string) func(r *http.Request, body []byte) standin.Ending {
-	return func(r *http.Request, body []byte) standin.Ending {
+func (e *ends) end(at string) func(r *http.Request, body []byte) simulator.Ending {
+	return func(r *http.Request, body []byte) simulator.Ending {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.step < 0 || !strings.HasPrefix(r.RemoteAddr, "10.0.0.") && at != "node" {
-			return standin.GoesOn
+			return simulator.GoesOn
 		}
 		s := steps[e.step]
 		if s.at != at || !s.match(r, body) {
-			return standin.GoesOn
+			return simulator.GoesOn
 		}
 		e.hit[s.name]++
 		with := e.with
@@ -88,7 +88,7 @@
 			e.step = -1
 		} else {
 			// What it does first when it is back, or soon.
-			e.step, e.with = e.r.IntN(len(steps)), standin.Ending(1+e.r.IntN(3))
+			e.step, e.with = e.r.IntN(len(steps)), simulator.Ending(1+e.r.IntN(3))
 		}
 		return with
 	}
@@ -99,13 +99,13 @@
 // of the answer sent, or so that it is executed many seconds later; and are back after
 // a millisecond to 0.3 s, to end again. The long form, outside CI:
 //
-//	go test ./internal/standin -run TestEndedAnywhere -ends 300
+//	go test ./internal/simulator -run TestEndedAnywhere -ends 300
 func TestEndedAnywhere(t *testing.T) {
 	hit := map[string]int{}
 	for seed := range *drawnEnds {
 		r := rand.New(rand.NewPCG(uint64(seed), 30))
 		e := &ends{r: r, step: -1, hit: hit}
-		d := day{name: fmt.Sprint(seed), seed: uint64(3000 + seed), setup: func(w *standin.World) {
+		d := day{name: fmt.Sprint(seed), seed: uint64(3000 + seed), setup: func(w *simulator.World) {
 			w.StateFaults.End, w.CloudFaults.End, w.WorkerFaults.End = e.end("state"), e.end("cloud"), e.end("worker")
 			for _, f := range w.NodeFaults {
 				f.End = e.end("node")
--- a/internal/standin/further_test.go
+++ b/internal/simulator/further_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"fmt"
@@ -7,20 +7,20 @@
 	"testing"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 	"aspenstall/internal/wire"
 )
 
 // atTheEnd are users who call a job off, ask about it and submit it again as its last task
 // ends.
 type atTheEnd struct {
-	w      *standin.World
-	random *standin.Streams // by job
+	w      *simulator.World
+	random *simulator.Streams // by job
 	mu     sync.Mutex
 	final  map[string]string
 }
 
-func (e *atTheEnd) at(w *standin.World) {
+func (e *atTheEnd) at(w *simulator.World) {
 	e.w, e.final = w, map[string]string{}
 	w.Last(e.last)
 }
@@ -89,16 +89,16 @@
 		jobs  func(*testing.T, *users)
 		lacks func() string
 	}
-	leader := func() (end, back func(*standin.World)) {
+	leader := func() (end, back func(*simulator.World)) {
 		lead := 0
-		return func(w *standin.World) { lead = max(w.Leader(), 0); w.Kill(lead) }, func(w *standin.World) { w.StartNode(lead) }
+		return func(w *simulator.World) { lead = max(w.Leader(), 0); w.Kill(lead) }, func(w *simulator.World) { w.StartNode(lead) }
 	}
 	for _, c := range []struct {
 		name  string
 		build func(seed uint64) meeting
 	}{
 		{"a cancellation, a question and a submission at the end of a job's last task", func(seed uint64) meeting {
-			e := &atTheEnd{random: standin.NewStreams(seed)}
+			e := &atTheEnd{random: simulator.NewStreams(seed)}
 			return meeting{day{setup: e.at, ends: true}, func(_ *testing.T, u *users) { short(u, 10*s, 100*s, 500*ms) }, func() string {
 				n := map[string]int{}
 				for _, f := range e.final {
@@ -113,15 +113,15 @@
 		}},
 		{"more work than room, urgent and not, over slow links", func(seed uint64) meeting {
 			full := false
-			d := day{ends: true, setup: func(w *standin.World) {
+			d := day{ends: true, setup: func(w *simulator.World) {
 				w.Cloud.Capacity = 10
 				w.StateFaults.Delay, w.WorkerFaults.Delay = 300*ms, 1500*ms
 				for _, f := range w.NodeFaults {
 					f.Delay = 800 * ms
 				}
-			}, acts: []act{{50 * s, func(w *standin.World) { full = w.Cloud.Machines() >= 10 }}, {90 * s, func(w *standin.World) {
-				for _, f := range append([]*standin.Faults{w.StateFaults, w.WorkerFaults}, w.NodeFaults...) {
-					f.Set(func(f *standin.Faults) { f.Delay = 0 })
+			}, acts: []act{{50 * s, func(w *simulator.World) { full = w.Cloud.Machines() >= 10 }}, {90 * s, func(w *simulator.World) {
+				for _, f := range append([]*simulator.Faults{w.StateFaults, w.WorkerFaults}, w.NodeFaults...) {
+					f.Set(func(f *simulator.Faults) { f.Delay = 0 })
 				}
 			}}}}
 			return meeting{d, func(_ *testing.T, u *users) {
@@ -141,12 +141,12 @@
 			}}
 		}},
 		{"workers reach no controller while direct commands reach them", func(seed uint64) meeting {
-			mute := map[*standin.Worker]bool{}
+			mute := map[*simulator.Worker]bool{}
 			given := map[string]bool{} // tasks that such a machine was given after its first session ended
 			seen := map[string]bool{}
 			var begun time.Time // a new leader's first seconds: it can't know yet
-			was := map[*standin.Worker]uint64{}
-			watch := func(w *standin.World) {
+			was := map[*simulator.Worker]uint64{}
+			watch := func(w *simulator.World) {
 				for range 140 {
 					time.Sleep(500 * ms)
 					for k := range mute {
@@ -163,7 +163,7 @@
 				}
 			}
 			end, back := leader()
-			d := day{acts: []act{{40 * s, func(w *standin.World) {
+			d := day{acts: []act{{40 * s, func(w *simulator.World) {
 				for i, k := range w.Cloud.Workers() {
 					if i%3 == 0 {
 						k.Mute(true)
@@ -171,7 +171,7 @@
 						was[k], _ = k.Session()
 					}
 				}
-			}}, {41 * s, watch}, {70 * s, end}, {70 * s, func(*standin.World) { begun = time.Now() }}, {70*s + 300*ms, back}, {112 * s, func(*standin.World) {
+			}}, {41 * s, watch}, {70 * s, end}, {70 * s, func(*simulator.World) { begun = time.Now() }}, {70*s + 300*ms, back}, {112 * s, func(*simulator.World) {
 				for k := range mute {
 					k.Mute(false)
 				}
@@ -188,8 +188,8 @@
 			}}
 		}},
 		{"every controller and its zone are cut off for longer than a lease, and back", func(seed uint64) meeting {
-			cut := func(on bool) func(*standin.World) {
-				return func(w *standin.World) {
+			cut := func(on bool) func(*simulator.World) {
+				return func(w *simulator.World) {
 					for _, z := range []string{"a", "b", "c"} {
 						w.Net.CutZone(z, on)
 					}
@@ -205,7 +205,7 @@
 			lost := 0
 			end, back := leader()
 			h := &cuts{}
-			d := day{acts: []act{{40 * s, func(w *standin.World) {
+			d := day{acts: []act{{40 * s, func(w *simulator.World) {
 				for i, k := range w.Cloud.Workers() {
 					if len(k.Running()) > 0 && i%3 == int(seed)%3 {
 						lost++
@@ -226,7 +226,7 @@
 			for i := range 10 {
 				at := 30*s + time.Duration(i)*11*s
 				end, back := leader()
-				d.acts = append(d.acts, act{at, end}, act{at + 300*ms, back}, act{at + 10*s, func(w *standin.World) { terms[w.Leader()]++ }})
+				d.acts = append(d.acts, act{at, end}, act{at + 300*ms, back}, act{at + 10*s, func(w *simulator.World) { terms[w.Leader()]++ }})
 			}
 			d.acts = append(d.acts, act{72 * s, stateDown(true)}, act{100 * s, stateDown(false)})
 			return meeting{d, fewTasks, func() string {
@@ -242,7 +242,7 @@
 		{"a hang ends after a cancellation's time", func(seed uint64) meeting {
 			h := &cuts{}
 			var ids []string
-			d := day{acts: []act{{40 * s, h.hang}, {41 * s, func(w *standin.World) {
+			d := day{acts: []act{{40 * s, h.hang}, {41 * s, func(w *simulator.World) {
 				for _, k := range h.hung {
 					for _, task := range k.Running() {
 						job, _, _ := strings.Cut(task, "/")
@@ -271,7 +271,7 @@
 		{"a quarter of the reports arrive again after what the new leader did", func(seed uint64) meeting {
 			var reports late
 			end, back := leader()
-			d := day{ends: true, setup: func(w *standin.World) {
+			d := day{ends: true, setup: func(w *simulator.World) {
 				for _, n := range w.NodeFaults {
 					reports.of(n, wire.ReportPath)
 				}
--- a/internal/standin/meetings_days_test.go
+++ b/internal/simulator/meetings_days_test.go
@@ -1,17 +1,17 @@
-package standin_test
+package simulator_test
 
 import (
 	"testing"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 	"aspenstall/internal/wire"
 )
 
 // late counts what the stand-ins carried out late or again, by how it was answered.
 type late struct{ carried, refused int }
 
-func (l *late) of(f *standin.Faults, path string) {
+func (l *late) of(f *simulator.Faults, path string) {
 	f.Repeated = func(p string, status int) {
 		if p == path {
 			if status < 300 {
@@ -56,18 +56,18 @@
 	var other int
 	var cancelled string
 	var waited time.Duration
-	var deaf []*standin.Worker
+	var deaf []*simulator.Worker
 	leader := 0
-	endLeader := func(w *standin.World) { leader = max(w.Leader(), 0); w.Kill(leader) }
-	backLeader := func(w *standin.World) { w.StartNode(leader) }
+	endLeader := func(w *simulator.World) { leader = max(w.Leader(), 0); w.Kill(leader) }
+	backLeader := func(w *simulator.World) { w.StartNode(leader) }
 	terms := map[int]bool{}
-	who := func(w *standin.World) {
+	who := func(w *simulator.World) {
 		if i := w.Leader(); i >= 0 {
 			terms[i] = true
 		}
 	}
 	// Who leads after an end is chance: alone is a node that has not led yet, if there is one.
-	startAlone := func(w *standin.World) {
+	startAlone := func(w *simulator.World) {
 		for i := range w.Nodes {
 			if !terms[i] || i == len(w.Nodes)-1 {
 				w.StartNode(i)
@@ -80,7 +80,7 @@
 		happened func() string // what did not happen; "": it did
 	}{
 		{day{name: "a transaction without an answer is carried out late, after newer ones", seed: 90,
-			setup: func(w *standin.World) {
+			setup: func(w *simulator.World) {
 				writes.of(w.StateFaults, wire.CommitPath)
 				lateWrites(0.4)(w)
 			}, acts: []act{{150 * s, lateWrites(0)}}},
@@ -91,7 +91,7 @@
 				return ""
 			}},
 		{day{name: "controllers hand over and back, all end, and one returns within a second", seed: 91,
-			setup: func(w *standin.World) { lateWrites(0.1)(w) },
+			setup: func(w *simulator.World) { lateWrites(0.1)(w) },
 			acts: []act{{40 * s, endLeader}, {40*s + 300*ms, backLeader}, {47 * s, who}, {48 * s, endLeader}, {48*s + 300*ms, backLeader}, {56 * s, who},
 				{57 * s, killAll}, {57*s + 200*ms, startAlone}, {61 * s, who}, {63 * s, who}, {65 * s, who}, {66 * s, startAll},
 				{68 * s, kill(1)}, {68*s + 100*ms, start(1)}, {79 * s, lateWrites(0)}}},
@@ -102,19 +102,19 @@
 				return ""
 			}},
 		{day{name: "an old report arrives after newer ones, also of an earlier session", seed: 92,
-			setup: func(w *standin.World) {
+			setup: func(w *simulator.World) {
 				for _, n := range w.NodeFaults {
 					reports.of(n, wire.ReportPath)
 				}
 				lateReports(0.5)(w)
-			}, acts: []act{{50 * s, endLeader}, {51 * s, backLeader}, {55 * s, func(w *standin.World) {
+			}, acts: []act{{50 * s, endLeader}, {51 * s, backLeader}, {55 * s, func(w *simulator.World) {
 				for i, k := range w.Cloud.Workers() {
 					if i%3 == 0 {
 						isolate(w, k, true) // until a new session
 						deaf = append(deaf, k)
 					}
 				}
-			}}, {75 * s, func(w *standin.World) {
+			}}, {75 * s, func(w *simulator.World) {
 				for _, k := range deaf {
 					isolate(w, k, false)
 				}
@@ -127,7 +127,7 @@
 				return ""
 			}},
 		{day{name: "a leader is cut from the state service and the others, jobs are cancelled through the new one", seed: 93,
-			acts: []act{{20 * s, func(w *standin.World) { w.Submit(array(201, 6, 300)) }}, {50 * s, cut.begin}, {60 * s, func(w *standin.World) {
+			acts: []act{{20 * s, func(w *simulator.World) { w.Submit(array(201, 6, 300)) }}, {50 * s, cut.begin}, {60 * s, func(w *simulator.World) {
 				other = w.Leader()
 				begun := time.Now()
 				job := array(999, 1, 1)
@@ -150,7 +150,7 @@
 				return ""
 			}},
 		{day{name: "a leader ends while machines with long tasks can't be reached or don't hear the next one", seed: 94,
-			acts: []act{{45 * s, func(w *standin.World) {
+			acts: []act{{45 * s, func(w *simulator.World) {
 				for i, k := range w.Cloud.Workers() {
 					if len(k.Running()) > 0 && i%2 == 0 {
 						k.Deaf(true)
@@ -159,7 +159,7 @@
 						isolate(w, k, true)
 					}
 				}
-			}}, {46 * s, endLeader}, {49 * s, backLeader}, {100 * s, func(w *standin.World) {
+			}}, {46 * s, endLeader}, {49 * s, backLeader}, {100 * s, func(w *simulator.World) {
 				for _, k := range w.Cloud.Workers() {
 					isolate(w, k, false)
 				}
@@ -176,11 +176,11 @@
 		{day{name: "jobs of two or three tasks end far apart across changes of leader", seed: 95,
 			acts: []act{{45 * s, endLeader}, {47 * s, backLeader}, {60 * s, endLeader}, {63 * s, backLeader}, {75 * s, killAll}, {78 * s, startAll}}}, nil},
 		{day{name: "a command or its answer is held up for seconds, and the machine goes on", seed: 96,
-			setup: func(w *standin.World) {
+			setup: func(w *simulator.World) {
 				commands.of(w.WorkerFaults, wire.CommandsPath)
 				w.WorkerFaults.Late, w.WorkerFaults.LateBy, w.WorkerFaults.LateMore, w.WorkerFaults.LoseAnswer = 0.4, s, 30*s, 0.1
-			}, acts: []act{{50 * s, endLeader}, {51 * s, backLeader}, {90 * s, func(w *standin.World) {
-				w.WorkerFaults.Set(func(f *standin.Faults) { f.Late, f.LoseAnswer = 0, 0 })
+			}, acts: []act{{50 * s, endLeader}, {51 * s, backLeader}, {90 * s, func(w *simulator.World) {
+				w.WorkerFaults.Set(func(f *simulator.Faults) { f.Late, f.LoseAnswer = 0, 0 })
 			}}}},
 			func() string {
 				if commands.carried == 0 || commands.refused == 0 {
--- a/internal/standin/meetings_test.go
+++ b/internal/simulator/meetings_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"flag"
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 	"aspenstall/internal/wire"
 )
 
@@ -25,7 +25,7 @@
 	out     time.Duration // from the refusal to the outage
 	lasts   time.Duration // the outage; 0: longer than a cancellation may take
 	moved   bool          // another leads by then, and workers hear it
-	setup   func(w *standin.World)
+	setup   func(w *simulator.World)
 	with    []act // times count from the refusal
 	told    int   // cancellations that were told before the outage began
 	toldOut int   // and by the time it had lasted a second
@@ -34,8 +34,8 @@
 }
 
 // refuseOne refuses one node the state service, or serves it again.
-func refuseOne(w *standin.World, i int, on bool) {
-	w.StateFaults.Set(func(f *standin.Faults) { f.Refuse[w.NodeAddr(i)] = on })
+func refuseOne(w *simulator.World, i int, on bool) {
+	w.StateFaults.Set(func(f *simulator.Faults) { f.Refuse[w.NodeAddr(i)] = on })
 }
 
 // play plays the day: long tasks of every kind run by the minute, some jobs are
@@ -49,13 +49,13 @@
 	}
 	var outage time.Time
 	acts := []act{
-		{at, func(w *standin.World) {
+		{at, func(w *simulator.World) {
 			d.leader = max(w.Leader(), 0)
 			refuseOne(w, d.leader, true)
 		}},
 		{at + d.out, stateDown(true)},
-		{at + d.out, func(*standin.World) { outage = time.Now() }},
-		{at + d.out + 14*s, func(w *standin.World) {
+		{at + d.out, func(*simulator.World) { outage = time.Now() }},
+		{at + d.out + 14*s, func(w *simulator.World) {
 			for _, k := range w.Cloud.Workers() {
 				if len(k.Running()) > 0 && k.Answered().After(outage.Add(s)) {
 					d.stayed++
@@ -63,7 +63,7 @@
 			}
 		}},
 		{at + d.out + lasts, stateDown(false)},
-		{at + d.out + lasts + 10*s, func(w *standin.World) { refuseOne(w, d.leader, false) }},
+		{at + d.out + lasts + 10*s, func(w *simulator.World) { refuseOne(w, d.leader, false) }},
 	}
 	for _, a := range d.with {
 		acts = append(acts, act{at + a.at, a.do})
@@ -72,12 +72,12 @@
 	p.Params.Teams = p.Params.Teams[:0]
 	addTeam(&p, "blue", 40, 200, 0, 0)
 	addTeam(&p, "green", 40, 200, 0, 0)
-	var world *standin.World
+	var world *simulator.World
 	play(t, day{seed: seed, setup: d.setup, acts: acts}, p, machineTypes[:1], func(t *testing.T, u *users) {
 		w := u.w
 		world = w
 		for i := range 24 {
-			var job standin.Spec
+			var job simulator.Spec
 			switch i % 3 {
 			case 0:
 				job = service(300+i, 4)
@@ -132,7 +132,7 @@
 // has the term. Without the bound on what is answered unread, ran_cancelled is broken.
 func TestRefusedThenOut(t *testing.T) {
 	const s, ms = time.Second, time.Millisecond
-	peers := func(on bool) func(*standin.World) { return func(w *standin.World) { w.CutPeers(on) } }
+	peers := func(on bool) func(*simulator.World) { return func(w *simulator.World) { w.CutPeers(on) } }
 	for _, c := range []struct {
 		name string
 		day  refused
@@ -148,7 +148,7 @@
 		{"who confirmed ends in the outage and is back", refused{first: 500 * ms, out: 2 * s}},
 		{"the leader stands still for seconds", refused{first: 500 * ms, out: 2 * s}},
 		{"machines hang and go on", refused{first: 500 * ms, out: 2 * s}},
-		{"starts are under way", refused{first: 500 * ms, out: 2 * s, setup: func(w *standin.World) {
+		{"starts are under way", refused{first: 500 * ms, out: 2 * s, setup: func(w *simulator.World) {
 			w.WorkerFaults.Late, w.WorkerFaults.LateBy, w.WorkerFaults.LateMore, w.WorkerFaults.LateOnly = 0.5, 20*s, 50*s, wire.CommandsPath
 		}}},
 	} {
@@ -157,11 +157,11 @@
 		switch {
 		case strings.HasPrefix(c.name, "who confirmed"):
 			for i := range 2 {
-				other := func(w *standin.World) int { return (d.leader + 1 + i) % 3 }
-				d.with = append(d.with, act{5 * s, func(w *standin.World) { w.Kill(other(w)) }}, act{5*s + 300*ms, func(w *standin.World) { w.StartNode(other(w)) }})
+				other := func(w *simulator.World) int { return (d.leader + 1 + i) % 3 }
+				d.with = append(d.with, act{5 * s, func(w *simulator.World) { w.Kill(other(w)) }}, act{5*s + 300*ms, func(w *simulator.World) { w.StartNode(other(w)) }})
 			}
 		case strings.HasPrefix(c.name, "the leader stands"):
-			d.with = []act{{1500 * ms, func(w *standin.World) { w.Freeze(d.leader, true) }}, {9 * s, func(w *standin.World) { w.Freeze(d.leader, false) }}}
+			d.with = []act{{1500 * ms, func(w *simulator.World) { w.Freeze(d.leader, true) }}, {9 * s, func(w *simulator.World) { w.Freeze(d.leader, false) }}}
 		case strings.HasPrefix(c.name, "machines hang"):
 			d.with = []act{{s, h.hang}, {12 * s, h.goOn}, {30 * s, h.hang}, {40 * s, h.goOn}}
 		}
@@ -180,9 +180,9 @@
 		return []act{{at, lateReports(share)}, {at + between(r, 10, 60), lateReports(0)}}
 	}},
 	{"late commands", func(r *rand.Rand, at time.Duration) []act {
-		late := func(share float64) func(*standin.World) {
-			return func(w *standin.World) {
-				w.WorkerFaults.Set(func(f *standin.Faults) { f.Late, f.LateBy, f.LateMore = share, time.Second, 29*time.Second })
+		late := func(share float64) func(*simulator.World) {
+			return func(w *simulator.World) {
+				w.WorkerFaults.Set(func(f *simulator.Faults) { f.Late, f.LateBy, f.LateMore = share, time.Second, 29*time.Second })
 			}
 		}
 		return []act{{at, late(0.1 + 0.3*r.Float64())}, {at + between(r, 10, 40), late(0)}}
@@ -191,14 +191,14 @@
 		one, in := r.IntN(2) == 0, 2+r.IntN(4)
 		zone := []string{"a", "b", "c"}[r.IntN(3)]
 		deaf := map[string]bool{}
-		return []act{{at, func(w *standin.World) {
+		return []act{{at, func(w *simulator.World) {
 			for i, k := range w.Cloud.Workers() {
 				if one && k.Zone() == zone || !one && i%in == 0 {
 					k.Deaf(true)
 					deaf[k.Name()] = true
 				}
 			}
-		}}, {at + between(r, 5, 60), func(w *standin.World) {
+		}}, {at + between(r, 5, 60), func(w *simulator.World) {
 			for _, k := range w.Cloud.Workers() {
 				if deaf[k.Name()] {
 					k.Deaf(false)
@@ -213,15 +213,15 @@
 	{"leader refused, then all", func(r *rand.Rand, at time.Duration) []act {
 		lead, out := 0, at+time.Duration(r.IntN(8000))*time.Millisecond
 		over := out + between(r, 5, 60)
-		return []act{{at, func(w *standin.World) { lead = max(w.Leader(), 0); refuseOne(w, lead, true) }}, {out, stateDown(true)}, {over, stateDown(false)},
-			{over + between(r, 0, 20), func(w *standin.World) { refuseOne(w, lead, false) }}}
+		return []act{{at, func(w *simulator.World) { lead = max(w.Leader(), 0); refuseOne(w, lead, true) }}, {out, stateDown(true)}, {over, stateDown(false)},
+			{over + between(r, 0, 20), func(w *simulator.World) { refuseOne(w, lead, false) }}}
 	}},
 	{"all end, one is back at once", func(r *rand.Rand, at time.Duration) []act {
 		return []act{{at, killAll}, {at + time.Duration(1+r.IntN(900))*time.Millisecond, start(r.IntN(3))}, {at + between(r, 3, 12), startAll}}
 	}},
 	{"slow state", func(r *rand.Rand, at time.Duration) []act {
-		slow := func(d time.Duration) func(*standin.World) {
-			return func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Delay = d }) }
+		slow := func(d time.Duration) func(*simulator.World) {
+			return func(w *simulator.World) { w.StateFaults.Set(func(f *simulator.Faults) { f.Delay = d }) }
 		}
 		return []act{{at, slow(between(r, 0, 2) + 200*time.Millisecond)}, {at + between(r, 5, 30), slow(0)}}
 	}},
@@ -230,24 +230,24 @@
 // newKinds are the kinds of trouble that the operators named last.
 var newKinds = []trouble{
 	{"answers lost", func(r *rand.Rand, at time.Duration) []act {
-		lose := func(share float64) func(*standin.World) {
-			return func(w *standin.World) {
-				w.StateFaults.Set(func(f *standin.Faults) { f.NoAnswer, f.LateOnly = share, wire.CommitPath })
+		lose := func(share float64) func(*simulator.World) {
+			return func(w *simulator.World) {
+				w.StateFaults.Set(func(f *simulator.Faults) { f.NoAnswer, f.LateOnly = share, wire.CommitPath })
 			}
 		}
 		return []act{{at, lose(0.1 + 0.5*r.Float64())}, {at + between(r, 10, 40), lose(0)}}
 	}},
 	{"machines mute", func(r *rand.Rand, at time.Duration) []act {
 		in := 2 + r.IntN(4)
-		mute := map[*standin.Worker]bool{}
-		return []act{{at, func(w *standin.World) {
+		mute := map[*simulator.Worker]bool{}
+		return []act{{at, func(w *simulator.World) {
 			for i, k := range w.Cloud.Workers() {
 				if i%in == 0 {
 					k.Mute(true)
 					mute[k] = true
 				}
 			}
-		}}, {at + between(r, 5, 60), func(*standin.World) {
+		}}, {at + between(r, 5, 60), func(*simulator.World) {
 			for k := range mute {
 				k.Mute(false)
 			}
@@ -255,26 +255,26 @@
 	}},
 	{"old reports for the next leader", func(r *rand.Rand, at time.Duration) []act {
 		o := &oldReports{r: rand.New(rand.NewPCG(r.Uint64(), 1))}
-		keep := func(f func(string, []byte)) func(*standin.World) {
-			return func(w *standin.World) {
+		keep := func(f func(string, []byte)) func(*simulator.World) {
+			return func(w *simulator.World) {
 				for _, n := range w.NodeFaults {
-					n.Set(func(n *standin.Faults) { n.Kept = f })
+					n.Set(func(n *simulator.Faults) { n.Kept = f })
 				}
 			}
 		}
 		ended, end := 0, at+between(r, 5, 15)
-		return []act{{at, keep(o.keep)}, {end, func(w *standin.World) {
+		return []act{{at, keep(o.keep)}, {end, func(w *simulator.World) {
 			ended = max(w.Leader(), 0)
 			w.Kill(ended)
 			for range 30 {
 				time.Sleep(200 * time.Millisecond)
 				o.arrive(w, 8)
 			}
-		}}, {end + time.Duration(1+r.IntN(900))*time.Millisecond, func(w *standin.World) { w.StartNode(ended) }}, {end + 7*time.Second, keep(nil)}}
+		}}, {end + time.Duration(1+r.IntN(900))*time.Millisecond, func(w *simulator.World) { w.StartNode(ended) }}, {end + 7*time.Second, keep(nil)}}
 	}},
 	{"cancelled now, machines hang", func(r *rand.Rand, at time.Duration) []act {
 		many, h := 1+r.IntN(5), &cuts{}
-		return []act{{at, func(w *standin.World) {
+		return []act{{at, func(w *simulator.World) {
 			jobs := map[string]bool{}
 			for _, k := range w.Cloud.Workers() {
 				for _, task := range k.Running() {
@@ -295,24 +295,24 @@
 		}}, {at + between(r, 3, 50), h.goOn}}
 	}},
 	{"cancelled at the end", func(r *rand.Rand, at time.Duration) []act {
-		e := &atTheEnd{random: standin.NewStreams(r.Uint64())}
-		return []act{{at, e.at}, {at + between(r, 10, 40), func(w *standin.World) { w.Last(nil) }}}
+		e := &atTheEnd{random: simulator.NewStreams(r.Uint64())}
+		return []act{{at, e.at}, {at + between(r, 10, 40), func(w *simulator.World) { w.Last(nil) }}}
 	}},
 	{"close looks", func(r *rand.Rand, at time.Duration) []act {
-		l := &looks{random: standin.NewStreams(r.Uint64())}
-		return []act{{at, l.at}, {at + between(r, 10, 40), func(w *standin.World) { w.Looks(nil) }}}
+		l := &looks{random: simulator.NewStreams(r.Uint64())}
+		return []act{{at, l.at}, {at + between(r, 10, 40), func(w *simulator.World) { w.Looks(nil) }}}
 	}},
 	{"odd requests", func(r *rand.Rand, at time.Duration) []act {
 		o := rand.New(rand.NewPCG(r.Uint64(), 1))
 		lasts := between(r, 10, 40)
-		return []act{{at, func(w *standin.World) { oddRequests(w, o, lasts) }}, {at + lasts, func(*standin.World) {}}}
+		return []act{{at, func(w *simulator.World) { oddRequests(w, o, lasts) }}, {at + lasts, func(*simulator.World) {}}}
 	}},
 	{"leaders change", func(r *rand.Rand, at time.Duration) []act {
 		var out []act
 		for range 2 + r.IntN(4) {
 			ended := 0
-			out = append(out, act{at, func(w *standin.World) { ended = max(w.Leader(), 0); w.Kill(ended) }},
-				act{at + time.Duration(1+r.IntN(900))*time.Millisecond, func(w *standin.World) { w.StartNode(ended) }})
+			out = append(out, act{at, func(w *simulator.World) { ended = max(w.Leader(), 0); w.Kill(ended) }},
+				act{at + time.Duration(1+r.IntN(900))*time.Millisecond, func(w *simulator.World) { w.StartNode(ended) }})
 			at += between(r, 4, 12)
 		}
 		return out
@@ -324,7 +324,7 @@
 
 // oddRequests are users who submit again what is not over, cancel what is done, and send jobs
 // that fit no machine or lack a field: none of those is ever accepted, by any node.
-func oddRequests(w *standin.World, r *rand.Rand, lasts time.Duration) {
+func oddRequests(w *simulator.World, r *rand.Rand, lasts time.Duration) {
 	n := 0
 	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
 		known := w.Known()
@@ -362,9 +362,9 @@
 
 // lateWrites has a share of the transactions get no answer and be carried out 2 to 12 s
 // later, after newer ones.
-func lateWrites(share float64) func(*standin.World) {
-	return func(w *standin.World) {
-		w.StateFaults.Set(func(f *standin.Faults) {
+func lateWrites(share float64) func(*simulator.World) {
+	return func(w *simulator.World) {
+		w.StateFaults.Set(func(f *simulator.Faults) {
 			f.Late, f.LateBy, f.LateMore, f.LateOnly = share, 2*time.Second, 10*time.Second, wire.CommitPath
 		})
 	}
@@ -372,10 +372,10 @@
 
 // lateReports has a copy of a share of the workers' reports arrive again, from 2 s to
 // well over a lease later.
-func lateReports(share float64) func(*standin.World) {
-	return func(w *standin.World) {
+func lateReports(share float64) func(*simulator.World) {
+	return func(w *simulator.World) {
 		for _, n := range w.NodeFaults {
-			n.Set(func(f *standin.Faults) { f.Again, f.LateBy, f.LateMore = share, 2*time.Second, 28*time.Second })
+			n.Set(func(f *simulator.Faults) { f.Again, f.LateBy, f.LateMore = share, 2*time.Second, 28*time.Second })
 		}
 	}
 }
@@ -384,13 +384,13 @@
 // workers and users.
 type apart struct{ node int }
 
-func (a *apart) begin(w *standin.World) {
+func (a *apart) begin(w *simulator.World) {
 	a.node = max(w.Leader(), 0)
 	cutNode(w, a.node, w.StateAddr(), true)
 	w.CutPeersOf(a.node, true)
 }
 
-func (a *apart) end(w *standin.World) {
+func (a *apart) end(w *simulator.World) {
 	cutNode(w, a.node, w.StateAddr(), false)
 	w.CutPeersOf(a.node, false)
 }
@@ -400,7 +400,7 @@
 // every job that was not cancelled runs or is done once they are over. The long form,
 // outside CI:
 //
-//	go test ./internal/standin -run TestDrawnMeetings -meetings 500
+//	go test ./internal/simulator -run TestDrawnMeetings -meetings 500
 func TestDrawnMeetings(t *testing.T) {
 	ours := slices.Concat(meetingKinds, newKinds)
 	kinds := slices.Concat(ours, troubleKinds)
--- a/internal/standin/net.go
+++ b/internal/simulator/net.go
@@ -1,8 +1,8 @@
-// Package standin has stand-ins for everything round the controllers: the
+// Package simulator has stand-ins for everything round the controllers: the
 // network, the state service, the cloud, workers and users. They run in one
 // process and under fake time, can delay, lose, reorder and cut, and a checker
 // of its own watches the rules.
-package standin
+package simulator
 
 import (
 	"context"
--- a/internal/standin/nights_test.go
+++ b/internal/simulator/nights_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"flag"
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 var drawnNights = flag.Int("nights", 8, "how many drawn nights TestDrawnNights plays")
@@ -23,18 +23,18 @@
 }{
 	{name: "boots late or never", acts: func(r *rand.Rand, at time.Duration) []act {
 		never, factor := r.IntN(4), 1+4*r.Float64()
-		return []act{{at, func(w *standin.World) {
+		return []act{{at, func(w *simulator.World) {
 			w.Cloud.Boots(func(n int) float64 {
 				if n%4 < never {
 					return 0
 				}
 				return factor
 			})
-		}}, {at + between(r, 30, 90), func(w *standin.World) { w.Cloud.Boots(nil) }}}
+		}}, {at + between(r, 30, 90), func(w *simulator.World) { w.Cloud.Boots(nil) }}}
 	}},
 	{name: "silent for a minute", acts: func(r *rand.Rand, at time.Duration) []act {
 		many, silent := r.IntN(4), map[int]bool{} // of the nodes; all three, mostly
-		return []act{{at, func(w *standin.World) {
+		return []act{{at, func(w *simulator.World) {
 			silent[max(w.Leader(), 0)] = true
 			for i := range min(many, 3) {
 				silent[i] = true
@@ -42,7 +42,7 @@
 			for i := range silent {
 				w.Freeze(i, true)
 			}
-		}}, {at + between(r, 60, 90), func(w *standin.World) {
+		}}, {at + between(r, 60, 90), func(w *simulator.World) {
 			for i := range silent {
 				w.Freeze(i, false)
 			}
@@ -56,14 +56,14 @@
 		var out []act
 		for range 1 + r.IntN(6) {
 			ended := 0
-			out = append(out, act{at, func(w *standin.World) { ended = max(w.Leader(), 0); w.Kill(ended) }},
-				act{at + time.Duration(1+r.IntN(300))*time.Millisecond, func(w *standin.World) { w.StartNode(ended) }})
+			out = append(out, act{at, func(w *simulator.World) { ended = max(w.Leader(), 0); w.Kill(ended) }},
+				act{at + time.Duration(1+r.IntN(300))*time.Millisecond, func(w *simulator.World) { w.StartNode(ended) }})
 			at += time.Duration(301+r.IntN(4000)) * time.Millisecond
 		}
 		return out
 	}},
 	{name: "machines fail every task", acts: func(r *rand.Rand, at time.Duration) []act {
-		return []act{{at, func(w *standin.World) {
+		return []act{{at, func(w *simulator.World) {
 			for i, k := range w.Cloud.Workers() {
 				if i%4 == 0 {
 					k.SetSick()
@@ -121,7 +121,7 @@
 // into the same minute, drawn by seed: no rule is broken, and all work is done, guests'
 // too. The long form, outside CI:
 //
-//	go test ./internal/standin -run TestDrawnNights -nights 500
+//	go test ./internal/simulator -run TestDrawnNights -nights 500
 func TestDrawnNights(t *testing.T) {
 	for seed := range *drawnNights {
 		r := rand.New(rand.NewPCG(uint64(seed), 31))
--- a/internal/standin/nomad_bench_test.go
+++ b/internal/simulator/nomad_bench_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"bytes"
@@ -15,15 +15,15 @@
 	"aspenstall/internal/config"
 	nomadapi "aspenstall/internal/nomad/httpapi"
 	"aspenstall/internal/nomad/jobfile"
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 // benchSite is a world in real time; its limits are out of the way.
-func benchSite(b *testing.B) *standin.World {
+func benchSite(b *testing.B) *simulator.World {
 	p := platform()
 	p.Params.Zones = []string{"a", "b", "c"}
 	p.Params.State.RPS, p.Params.State.WriteRPS, p.Params.State.ValueKB = 1e6, 1e6, 16
-	w := standin.NewWorld(1, p, machineTypes)
+	w := simulator.NewWorld(1, p, machineTypes)
 	key := []byte("the key of the stand-ins' hashes")
 	n := config.DefaultNomad()
 	n.Key, n.Watchers, n.Conns, n.RequestsPerS = key, 10_000, 10_000, 1_000_000
@@ -176,7 +176,7 @@
 	}
 }
 
-func jobIndex(b *testing.B, w *standin.World) uint64 {
+func jobIndex(b *testing.B, w *simulator.World) uint64 {
 	req, _ := http.NewRequest(http.MethodGet, "http://"+w.NomadAddr(1)+"/v1/job/first", nil)
 	req.Header.Set("X-Nomad-Token", "token of blue")
 	resp, err := w.Net.Client("10.9.0.1:1").Do(req)
--- a/internal/standin/nomad_test.go
+++ b/internal/simulator/nomad_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"bytes"
@@ -20,13 +20,13 @@
 	"aspenstall/internal/config"
 	"aspenstall/internal/core"
 	nomadapi "aspenstall/internal/nomad/httpapi"
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 // nomadSite is a world whose controllers serve Nomad's clients.
 type nomadSite struct {
 	*testing.T
-	*standin.World
+	*simulator.World
 }
 
 // playNomad plays a day with three controllers, and holds it to the rules.
@@ -35,7 +35,7 @@
 		p := platform()
 		p.Params.Zones = []string{"a", "b", "c"}
 		addTeam(&p, "guests", 0, 8, 0, 0)
-		w := standin.NewWorld(seed, p, machineTypes)
+		w := simulator.NewWorld(seed, p, machineTypes)
 		defer w.Close()
 		key := []byte("the key of the stand-ins' hashes")
 		n := config.DefaultNomad()
@@ -43,7 +43,7 @@
 		for _, team := range []string{"blue", "green", "guests"} {
 			n.Tokens[team] = []config.Hash{nomadapi.HashToken(key, "token of "+team)}
 		}
-		n.AgentTokens = []config.Hash{nomadapi.HashToken(key, standin.AgentToken)}
+		n.AgentTokens = []config.Hash{nomadapi.HashToken(key, simulator.AgentToken)}
 		w.Settings.Nomad = &n
 		w.Settings.PriorityCaps = map[string]core.Priority{"guests": core.Normal}
 		startAll(w)
@@ -353,7 +353,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.StateFaults.Set(func(f *standin.Faults) { f.Delay = 300 * time.Millisecond })
+		s.StateFaults.Set(func(f *simulator.Faults) { f.Delay = 300 * time.Millisecond })
 		for _, enforce := range []bool{true, false} {
 			var wg sync.WaitGroup
 			errs := make([]error, 2)
@@ -645,7 +645,7 @@
 // not come back by them.
 func TestNomadOverlappingReads(t *testing.T) {
 	playNomad(t, 62, func(t *testing.T, s *nomadSite) {
-		s.StateFaults.Set(func(f *standin.Faults) { f.Delay = 400 * time.Millisecond })
+		s.StateFaults.Set(func(f *simulator.Faults) { f.Delay = 400 * time.Millisecond })
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		for range 3 {
@@ -774,13 +774,13 @@
 func TestNomadStateDown(t *testing.T) {
 	playNomad(t, 58, func(t *testing.T, s *nomadSite) {
 		job := s.simple("later", 1, 5)
-		s.StateFaults.Set(func(f *standin.Faults) { f.Down = true })
+		s.StateFaults.Set(func(f *simulator.Faults) { f.Down = true })
 		begun := time.Now()
 		status, body, h := s.raw("PUT", "blue", 0, "/v1/jobs", map[string]any{"Job": job})
 		if d := time.Since(begun); status != http.StatusServiceUnavailable || h.Get("Retry-After") != "1" || d > time.Second {
 			t.Errorf("%d %q after %v", status, body, d)
 		}
-		s.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+		s.StateFaults.Set(func(f *simulator.Faults) { f.Down = false })
 		s.State.Renewed()
 		time.Sleep(5 * time.Second)
 		if l, _, err := s.client("blue", 1).Jobs().List(nil); err != nil || len(l) != 0 {
@@ -845,14 +845,14 @@
 	const sec = time.Second
 	for i, day := range []struct {
 		name  string
-		setup func(w *standin.World)
+		setup func(w *simulator.World)
 		acts  []act
 	}{
-		{"answers lost", func(w *standin.World) {
+		{"answers lost", func(w *simulator.World) {
 			w.StateFaults.LoseAnswer, w.StateFaults.LoseRequest = 0.05, 0.05
 			w.WorkerFaults.LoseAnswer, w.WorkerFaults.LoseRequest = 0.1, 0.1
 		}, nil},
-		{"late transactions", func(w *standin.World) {
+		{"late transactions", func(w *simulator.World) {
 			w.StateFaults.Late, w.StateFaults.LateBy, w.StateFaults.Delay = 0.04, 9*sec, 300*time.Millisecond
 		}, nil},
 		{"controllers end", nil, []act{
@@ -860,20 +860,20 @@
 			{50 * sec, killAll}, {54 * sec, startAll},
 		}},
 		{"outages, and a watch that has to read again", nil, []act{
-			{12 * sec, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
-			{20 * sec, func(w *standin.World) {
-				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+			{12 * sec, func(w *simulator.World) { w.StateFaults.Set(func(f *simulator.Faults) { f.Down = true }) }},
+			{20 * sec, func(w *simulator.World) {
+				w.StateFaults.Set(func(f *simulator.Faults) { f.Down = false })
 				w.State.Renewed()
 			}},
-			{30 * sec, func(w *standin.World) { w.Net.Cut(w.NodeAddr(1), w.StateAddr(), true) }},
-			{38 * sec, func(w *standin.World) { w.State.Forget(); w.Net.Cut(w.NodeAddr(1), w.StateAddr(), false) }},
-			{45 * sec, func(w *standin.World) { w.State.Forget() }},
+			{30 * sec, func(w *simulator.World) { w.Net.Cut(w.NodeAddr(1), w.StateAddr(), true) }},
+			{38 * sec, func(w *simulator.World) { w.State.Forget(); w.Net.Cut(w.NodeAddr(1), w.StateAddr(), false) }},
+			{45 * sec, func(w *simulator.World) { w.State.Forget() }},
 		}},
 	} {
 		t.Run(day.name, func(t *testing.T) {
 			playNomad(t, 70+uint64(i), func(t *testing.T, s *nomadSite) {
 				if day.setup != nil {
-					s.StateFaults.Set(func(*standin.Faults) { day.setup(s.World) })
+					s.StateFaults.Set(func(*simulator.Faults) { day.setup(s.World) })
 				}
 				var wg sync.WaitGroup
 				for _, a := range day.acts {
--- a/internal/standin/notify_test.go
+++ b/internal/simulator/notify_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 	"aspenstall/internal/notify"
 	"aspenstall/internal/notify/control"
 	"aspenstall/internal/notify/deliver"
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 // TestNotifyDays plays days on which jobs are accepted, done and cancelled while
@@ -24,7 +24,7 @@
 	const s = time.Second
 	for i, day := range []struct {
 		name  string
-		setup func(w *standin.World)
+		setup func(w *simulator.World)
 		acts  []act
 	}{
 		{"receivers fail", nil, nil},
@@ -32,18 +32,18 @@
 			{20 * s, kill(0)}, {24 * s, start(0)}, {31 * s, kill(1)}, {32 * s, kill(2)}, {37 * s, start(1)}, {39 * s, start(2)},
 			{50 * s, killAll}, {54 * s, startAll}, {63 * s, killAll}, {66 * s, startAll}, {75 * s, killAll}, {77 * s, startAll},
 		}},
-		{"the state service is down, and loses answers", func(w *standin.World) {
+		{"the state service is down, and loses answers", func(w *simulator.World) {
 			w.StateFaults.LoseAnswer, w.StateFaults.LoseRequest, w.StateFaults.Late, w.StateFaults.LateBy = 0.05, 0.05, 0.03, 9*s
 		}, []act{
-			{30 * s, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
-			{45 * s, func(w *standin.World) {
-				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+			{30 * s, func(w *simulator.World) { w.StateFaults.Set(func(f *simulator.Faults) { f.Down = true }) }},
+			{45 * s, func(w *simulator.World) {
+				w.StateFaults.Set(func(f *simulator.Faults) { f.Down = false })
 				w.State.Renewed()
 			}},
-			{60 * s, func(w *standin.World) { w.State.Forget() }},
+			{60 * s, func(w *simulator.World) { w.State.Forget() }},
 		}},
 		{"a frozen leader wakes and sends", nil, []act{
-			{25 * s, func(w *standin.World) { w.Freeze(max(w.Leader(), 0), true) }}, {50 * s, func(w *standin.World) {
+			{25 * s, func(w *simulator.World) { w.Freeze(max(w.Leader(), 0), true) }}, {50 * s, func(w *simulator.World) {
 				for i := range 3 {
 					w.Freeze(i, false)
 				}
@@ -52,10 +52,10 @@
 	} {
 		t.Run(day.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := standin.NewWorld(80+uint64(i), platform(), machineTypes)
+				w := simulator.NewWorld(80+uint64(i), platform(), machineTypes)
 				defer w.Close()
 				all := []notify.Kind{notify.Accepted, notify.Done, notify.Cancelled}
-				hooks := map[string]*standin.Hook{"desk": standin.NewHook(uint64(i)), "billing": standin.NewHook(uint64(i) + 50)}
+				hooks := map[string]*simulator.Hook{"desk": simulator.NewHook(uint64(i)), "billing": simulator.NewHook(uint64(i) + 50)}
 				hooks["desk"].LoseReply, hooks["desk"].Refuse, hooks["desk"].Slow = 0.15, 0.1, 0.1
 				hooks["billing"].Refuse = 0.3
 				w.Settings.Notify = &config.Notify{Subs: []notify.Subscription{
@@ -70,7 +70,7 @@
 					})
 				}
 				if day.setup != nil {
-					w.StateFaults.Set(func(*standin.Faults) { day.setup(w) })
+					w.StateFaults.Set(func(*simulator.Faults) { day.setup(w) })
 				}
 				startAll(w)
 				time.Sleep(15 * s) // the subscriptions begin
@@ -142,9 +142,9 @@
 
 // refusing is a world with one subscription, to acceptances, whose receiver
 // refuses all until it is told to accept.
-func refusing(seed uint64, deadline core.Micros) (*standin.World, *standin.Hook) {
-	w := standin.NewWorld(seed, platform(), machineTypes)
-	hook := standin.NewHook(1)
+func refusing(seed uint64, deadline core.Micros) (*simulator.World, *simulator.Hook) {
+	w := simulator.NewWorld(seed, platform(), machineTypes)
+	hook := simulator.NewHook(1)
 	hook.Refuse = 1
 	w.Net.Serve("10.3.0.1:80", hook)
 	w.Settings.Notify = &config.Notify{
@@ -203,9 +203,9 @@
 	const jobs = 100
 	day := func(t *testing.T, subs, down int) (c cost) {
 		synctest.Test(t, func(t *testing.T) {
-			w := standin.NewWorld(95, platform(), machineTypes)
+			w := simulator.NewWorld(95, platform(), machineTypes)
 			defer w.Close()
-			hook := standin.NewHook(1)
+			hook := simulator.NewHook(1)
 			w.Net.Serve("10.3.0.1:80", hook)
 			w.Settings.Notify = &config.Notify{}
 			for i := range subs {
--- a/internal/standin/reads_test.go
+++ b/internal/simulator/reads_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"sync"
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 // TestReadsArePaced: however many users ask, all nodes together read for them with
@@ -16,7 +16,7 @@
 func TestReadsArePaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := platform()
-		w := standin.NewWorld(51, p, machineTypes)
+		w := simulator.NewWorld(51, p, machineTypes)
 		defer w.Close()
 		startAll(w)
 		time.Sleep(20 * time.Second)
--- a/internal/standin/seven_test.go
+++ b/internal/simulator/seven_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 	"time"
 
 	"aspenstall/internal/config"
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 	"aspenstall/internal/wire"
 )
 
@@ -62,18 +62,18 @@
 // looks asks all nodes again and again within milliseconds after a user was told something,
 // and repeats the submission, also with other bodies; some users cancel at once.
 type looks struct {
-	w       *standin.World
+	w       *simulator.World
 	mu      sync.Mutex
-	random  *standin.Streams // by job
-	cancels bool             // some jobs of short are cancelled at once
-	told    int              // what was looked at
+	random  *simulator.Streams // by job
+	cancels bool               // some jobs of short are cancelled at once
+	told    int                // what was looked at
 	answers [3]int
 	refused [3]int // questions without an answer, by node
 	repeats int    // repeated submissions that were answered 200
 	odd     int    // those of them with a body that would be refused for a new job
 }
 
-func (l *looks) at(w *standin.World) {
+func (l *looks) at(w *simulator.World) {
 	l.w = w
 	w.Looks(l.look)
 }
@@ -171,15 +171,15 @@
 func TestCloseLooks(t *testing.T) {
 	const s, ms = time.Second, time.Millisecond
 	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
-		l := &looks{random: standin.NewStreams(seed), cancels: true}
+		l := &looks{random: simulator.NewStreams(seed), cancels: true}
 		one := int(seed) % 3
 		other := (one + 1) % 3
 		at := func(d time.Duration) time.Duration { return d + time.Duration(seed%7)*150*ms }
 		d := day{setup: l.at, ends: true, acts: []act{
 			{at(30 * s), kill(one)}, {at(30*s + 300*ms), start(one)},
 			// Whether users are told something of themselves in these 0.3 s is chance.
-			{at(30*s + 100*ms), func(*standin.World) { l.look("job-001000") }},
-			{at(45 * s), func(w *standin.World) { refuseOne(w, other, true) }}, {at(62 * s), func(w *standin.World) { refuseOne(w, other, false) }},
+			{at(30*s + 100*ms), func(*simulator.World) { l.look("job-001000") }},
+			{at(45 * s), func(w *simulator.World) { refuseOne(w, other, true) }}, {at(62 * s), func(w *simulator.World) { refuseOne(w, other, false) }},
 			{at(70 * s), killAll}, {at(70*s + 200*ms), start(other)}, {at(72 * s), startAll},
 		}}
 		return d, func(_ *testing.T, u *users) { short(u, 20*s, 90*s, 400*ms) }, func() string {
@@ -233,15 +233,15 @@
 	const s, ms = time.Second, time.Millisecond
 	hit := map[string]int{}
 	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
-		l := &looks{random: standin.NewStreams(seed), cancels: true}
+		l := &looks{random: simulator.NewStreams(seed), cancels: true}
 		lost := 0
-		lose := func(share float64) func(*standin.World) {
-			return func(w *standin.World) {
-				w.StateFaults.Set(func(f *standin.Faults) { f.NoAnswer, f.LateOnly = share, wire.CommitPath })
+		lose := func(share float64) func(*simulator.World) {
+			return func(w *simulator.World) {
+				w.StateFaults.Set(func(f *simulator.Faults) { f.NoAnswer, f.LateOnly = share, wire.CommitPath })
 			}
 		}
 		h := &cuts{}
-		d := day{ends: true, setup: func(w *standin.World) {
+		d := day{ends: true, setup: func(w *simulator.World) {
 			l.at(w)
 			w.StateFaults.Unanswered = func(_ string, status int, body []byte) {
 				if status == http.StatusOK {
@@ -253,8 +253,8 @@
 			}
 			lose(0.4)(w)
 			w.WorkerFaults.Late, w.WorkerFaults.LateBy, w.WorkerFaults.LateMore, w.WorkerFaults.LateOnly = 0.2, s, 20*s, wire.CommandsPath
-		}, acts: []act{{45 * s, killAll}, {45*s + 300*ms, startAll}, {60 * s, h.hang}, {70 * s, h.goOn}, {75 * s, killAll}, {75*s + 300*ms, startAll}, {100 * s, lose(0)}, {100 * s, func(w *standin.World) {
-			w.WorkerFaults.Set(func(f *standin.Faults) { f.Late = 0 })
+		}, acts: []act{{45 * s, killAll}, {45*s + 300*ms, startAll}, {60 * s, h.hang}, {70 * s, h.goOn}, {75 * s, killAll}, {75*s + 300*ms, startAll}, {100 * s, lose(0)}, {100 * s, func(w *simulator.World) {
+			w.WorkerFaults.Set(func(f *simulator.Faults) { f.Late = 0 })
 		}}}}
 		jobs := func(t *testing.T, u *users) {
 			short(u, 5*s, 90*s, 700*ms)
@@ -282,11 +282,11 @@
 	const s, ms = time.Second, time.Millisecond
 	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
 		h := &cuts{}
-		var cut []*standin.Worker
+		var cut []*simulator.Worker
 		var lead int
 		var cancelled []string
 		left := 0 // tasks of cancelled jobs on machines out of reach as the leader ends
-		out := func(w *standin.World) {
+		out := func(w *simulator.World) {
 			for i, k := range w.Cloud.Workers() {
 				switch {
 				case len(k.Running()) == 0:
@@ -303,7 +303,7 @@
 		long := 8*s + time.Duration(seed%3)*8*s // shorter and longer than a lease
 		d := day{acts: []act{
 			{at, out},
-			{at + s, func(w *standin.World) {
+			{at + s, func(w *simulator.World) {
 				for i := range 6 {
 					id := fmt.Sprintf("job-%06d", 100+i)
 					if w.Cancel(id) == "aborted" {
@@ -311,7 +311,7 @@
 					}
 				}
 			}},
-			{at + 1500*ms, func(w *standin.World) {
+			{at + 1500*ms, func(w *simulator.World) {
 				for _, k := range append(slices.Clone(cut), h.hung...) {
 					for _, task := range k.Running() {
 						if job, _, _ := strings.Cut(task, "/"); slices.Contains(cancelled, job) {
@@ -322,9 +322,9 @@
 				lead = max(w.Leader(), 0)
 				w.Kill(lead)
 			}},
-			{at + 1800*ms, func(w *standin.World) { w.StartNode(lead) }},
+			{at + 1800*ms, func(w *simulator.World) { w.StartNode(lead) }},
 			{at + long, h.goOn},
-			{at + long, func(w *standin.World) {
+			{at + long, func(w *simulator.World) {
 				for _, k := range cut {
 					isolate(w, k, false)
 				}
@@ -361,15 +361,15 @@
 	// A confirmation reaches the leader by its watch, within this time.
 	const slow, known = 200 * ms, 400 * ms
 	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
-		var w *standin.World
+		var w *simulator.World
 		lead, next := 0, 0
 		var ended, begun time.Time
 		before, between, after := 0, 0, 0
 		at := 45 * s
-		var out *standin.Worker // the takeover does not settle before it is heard
-		d := day{ends: true, setup: func(w *standin.World) {
-			w.StateFaults.Set(func(f *standin.Faults) { f.Delay = slow })
-		}, acts: []act{{at, func(w *standin.World) {
+		var out *simulator.Worker // the takeover does not settle before it is heard
+		d := day{ends: true, setup: func(w *simulator.World) {
+			w.StateFaults.Set(func(f *simulator.Faults) { f.Delay = slow })
+		}, acts: []act{{at, func(w *simulator.World) {
 			for _, k := range w.Cloud.Workers() {
 				if len(k.Running()) > 0 {
 					out = k
@@ -391,11 +391,11 @@
 					return
 				}
 			}
-		}}, {at + 12*s, func(w *standin.World) {
+		}}, {at + 12*s, func(w *simulator.World) {
 			refuseOne(w, lead, false)
 			w.StartNode(lead)
 			isolate(w, out, false)
-			w.StateFaults.Set(func(f *standin.Faults) { f.Delay = 0 })
+			w.StateFaults.Set(func(f *simulator.Faults) { f.Delay = 0 })
 		}}}}
 		jobs := func(_ *testing.T, u *users) {
 			w = u.w
@@ -455,7 +455,7 @@
 		young := 0 // machines with tasks that were up for less than three seconds as a leader ended
 		// When a machine is up and has a task is chance: the leader ends as soon as one does,
 		// or as none does for half a minute.
-		end := func(w *standin.World) {
+		end := func(w *simulator.World) {
 			for wait := time.Duration(0); wait < 30*s; wait += 20 * ms {
 				if found := youngAtWork(w); found > 0 {
 					young += found
@@ -468,7 +468,7 @@
 			time.Sleep(4 * s)
 			w.StartNode(lead)
 		}
-		d := day{ends: true, setup: func(w *standin.World) {
+		d := day{ends: true, setup: func(w *simulator.World) {
 			writes.of(w.StateFaults, wire.CommitPath)
 			w.Cloud.Boots(func(n int) float64 { return 0.02 + 0.1*float64(n%2) }) // 0.3 s and 1.8 s
 			w.Settings.IdleReturnS = 2                                            // so that the next jobs need new machines
@@ -476,7 +476,7 @@
 		}}
 		for i := range rounds {
 			at := 30*s + time.Duration(i)*60*s
-			submit := func(w *standin.World) {
+			submit := func(w *simulator.World) {
 				for k := range 8 {
 					job := array(100+10*i+k, 4, 30)
 					if k%2 == 1 {
@@ -512,7 +512,7 @@
 }
 
 // youngAtWork counts the machines with tasks that have been up for less than three seconds.
-func youngAtWork(w *standin.World) int {
+func youngAtWork(w *simulator.World) int {
 	found := 0
 	for _, k := range w.Cloud.Workers() {
 		if k.Up() < 3*time.Second && k.Tasks() > 0 {
@@ -546,7 +546,7 @@
 }
 
 // arrive has copies of reports of up to half a minute ago arrive everywhere.
-func (o *oldReports) arrive(w *standin.World, many int) {
+func (o *oldReports) arrive(w *simulator.World, many int) {
 	o.mu.Lock()
 	var some []keptReport
 	for len(some) < many && len(o.kept) > 0 {
@@ -581,32 +581,32 @@
 	const s, ms = time.Second, time.Millisecond
 	met(t, func(seed uint64) (day, func(*testing.T, *users), func() string) {
 		o := &oldReports{r: rand.New(rand.NewPCG(seed, 38))}
-		var out []*standin.Worker
+		var out []*simulator.Worker
 		lead := 0
-		d := day{ends: true, setup: func(w *standin.World) {
+		d := day{ends: true, setup: func(w *simulator.World) {
 			for _, f := range w.NodeFaults {
 				f.Kept = o.keep
 			}
 		}}
 		for i := range 4 {
 			at := 35*s + time.Duration(i)*25*s
-			d.acts = append(d.acts, act{at - 3*s, func(w *standin.World) {
+			d.acts = append(d.acts, act{at - 3*s, func(w *simulator.World) {
 				for n, k := range w.Cloud.Workers() {
 					if (n+i)%4 == 0 {
 						isolate(w, k, true) // its old reports are all that comes
 						out = append(out, k)
 					}
 				}
-			}}, act{at, func(w *standin.World) {
+			}}, act{at, func(w *simulator.World) {
 				lead = max(w.Leader(), 0)
 				w.Kill(lead)
 				for range 40 { // the next one begins some three seconds later
 					time.Sleep(150 * ms)
 					o.arrive(w, 12)
 				}
-			}}, act{at + 300*ms, func(w *standin.World) { w.StartNode(lead) }},
-				act{at + 8500*ms, func(w *standin.World) { o.arrive(w, 40) }}, // it has started, stopped and reaped by then
-				act{at + 9*s + time.Duration(i%2)*10*s, func(w *standin.World) {
+			}}, act{at + 300*ms, func(w *simulator.World) { w.StartNode(lead) }},
+				act{at + 8500*ms, func(w *simulator.World) { o.arrive(w, 40) }}, // it has started, stopped and reaped by then
+				act{at + 9*s + time.Duration(i%2)*10*s, func(w *simulator.World) {
 					for _, k := range out {
 						isolate(w, k, false)
 					}
@@ -637,7 +637,7 @@
 		var mu sync.Mutex
 		var accepted, confirmed, ended []time.Duration
 		before, after := 0, 0
-		var w *standin.World
+		var w *simulator.World
 		r := rand.New(rand.NewPCG(seed, 39))
 		jobs := func(_ *testing.T, u *users) {
 			w = u.w
--- a/internal/standin/streams.go
+++ b/internal/simulator/streams.go
@@ -1,4 +1,4 @@
-package standin
+package simulator
 
 import (
 	"hash/fnv"
--- a/internal/standin/world_test.go
+++ b/internal/simulator/world_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"bytes"
@@ -19,7 +19,7 @@
 	"time"
 
 	"aspenstall/internal/config"
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 // addTeam adds a team with its guarantees and limits, in CPUs and in GPUs.
@@ -39,27 +39,27 @@
 	return p
 }
 
-var machineTypes = []standin.MachineType{
+var machineTypes = []simulator.MachineType{
 	{Name: "s4", CPUs: 4, MemGB: 16, CacheGB: 40, FetchGBps: 0.5, Price: 0.2, SpotPrice: 0.07, BootS: 15, Zones: []string{"a", "b", "c"}},
 	{Name: "g16", CPUs: 16, GPUs: 2, MemGB: 64, CacheGB: 40, FetchGBps: 1, Price: 0.9, SpotPrice: 0.3, BootS: 20, Zones: []string{"a", "b"}},
 }
 
-func array(id, tasks int, run float64) standin.Spec {
-	return standin.Spec{
+func array(id, tasks int, run float64) simulator.Spec {
+	return simulator.Spec{
 		ID: fmt.Sprintf("job-%06d", id), Class: "sweep", Team: "blue", Shape: "batch", Urgency: "standard",
 		Tasks: tasks, CPUs: 2, MemGB: 2, Image: "im1", ImageGB: 1, Spot: true, EstimateS: run, DueS: 120.0, RunS: run,
 	}
 }
 
-func service(id, tasks int) standin.Spec {
-	return standin.Spec{
+func service(id, tasks int) simulator.Spec {
+	return simulator.Spec{
 		ID: fmt.Sprintf("job-%06d", id), Class: "web", Team: "green", Shape: "standing", Urgency: "production",
 		Tasks: tasks, CPUs: 2, MemGB: 4, Image: "im2", ImageGB: 0.5, Spread: true,
 	}
 }
 
-func gang(id, tasks int, run float64) standin.Spec {
-	return standin.Spec{
+func gang(id, tasks int, run float64) simulator.Spec {
+	return simulator.Spec{
 		ID: fmt.Sprintf("job-%06d", id), Class: "train", Team: "blue", Shape: "ensemble", Urgency: "high",
 		Tasks: tasks, CPUs: 4, MemGB: 4, Image: "im3", ImageGB: 1, OneZone: true, Spot: true,
 		EstimateS: run, CheckpointS: 5, SaveS: 1, RunS: run,
@@ -72,17 +72,17 @@
 	s := time.Second
 	for _, day := range []day{
 		{name: "quiet", seed: 1},
-		{name: "answers lost", seed: 2, setup: func(w *standin.World) {
+		{name: "answers lost", seed: 2, setup: func(w *simulator.World) {
 			w.StateFaults.LoseAnswer, w.StateFaults.LoseRequest = 0.05, 0.05
 			w.WorkerFaults.LoseAnswer, w.WorkerFaults.LoseRequest = 0.2, 0.1
 			w.CloudFaults.LoseAnswer = 0.2
 		}},
-		{name: "late commands and transactions", seed: 3, setup: func(w *standin.World) {
+		{name: "late commands and transactions", seed: 3, setup: func(w *simulator.World) {
 			w.StateFaults.Late, w.StateFaults.LateBy = 0.03, 9*time.Second
 			w.WorkerFaults.Late, w.WorkerFaults.LateBy = 0.3, 20*time.Second
 			w.CloudFaults.Late, w.CloudFaults.LateBy = 0.2, 30*time.Second
 		}},
-		{name: "slow services", seed: 4, setup: func(w *standin.World) {
+		{name: "slow services", seed: 4, setup: func(w *simulator.World) {
 			w.StateFaults.Delay, w.WorkerFaults.Delay = 300*time.Millisecond, time.Second
 		}},
 		{name: "controllers crash", seed: 5, acts: []act{
@@ -90,61 +90,61 @@
 			{80 * s, killAll}, {85 * s, startAll},
 		}},
 		{name: "machines die", seed: 6, acts: []act{
-			{40 * s, func(w *standin.World) { w.Cloud.Workers()[0].Die() }},
-			{55 * s, func(w *standin.World) { w.Cloud.Workers()[1].Die() }},
-			{70 * s, func(w *standin.World) { w.Cloud.Workers()[0].SetNotice(5) }},
+			{40 * s, func(w *simulator.World) { w.Cloud.Workers()[0].Die() }},
+			{55 * s, func(w *simulator.World) { w.Cloud.Workers()[1].Die() }},
+			{70 * s, func(w *simulator.World) { w.Cloud.Workers()[0].SetNotice(5) }},
 		}},
 		{name: "state outages", seed: 7, acts: []act{
-			{40 * s, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
-			{52 * s, func(w *standin.World) {
-				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+			{40 * s, func(w *simulator.World) { w.StateFaults.Set(func(f *simulator.Faults) { f.Down = true }) }},
+			{52 * s, func(w *simulator.World) {
+				w.StateFaults.Set(func(f *simulator.Faults) { f.Down = false })
 				w.State.Renewed()
 			}},
-			{70 * s, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
+			{70 * s, func(w *simulator.World) { w.StateFaults.Set(func(f *simulator.Faults) { f.Down = true }) }},
 			{75 * s, killAll}, {78 * s, startAll},
-			{100 * s, func(w *standin.World) {
-				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+			{100 * s, func(w *simulator.World) {
+				w.StateFaults.Set(func(f *simulator.Faults) { f.Down = false })
 				w.State.Renewed()
 			}},
 		}},
 		{name: "a state outage longer than leader's and workers' leases", seed: 12, kept: true, acts: []act{
-			{40 * s, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
-			{80 * s, func(w *standin.World) {
-				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+			{40 * s, func(w *simulator.World) { w.StateFaults.Set(func(f *simulator.Faults) { f.Down = true }) }},
+			{80 * s, func(w *simulator.World) {
+				w.StateFaults.Set(func(f *simulator.Faults) { f.Down = false })
 				w.State.Renewed()
 			}},
 		}},
 		{name: "all controllers crash at the end of an outage", seed: 13, kept: true, acts: []act{
-			{40 * s, func(w *standin.World) { w.StateFaults.Set(func(f *standin.Faults) { f.Down = true }) }},
+			{40 * s, func(w *simulator.World) { w.StateFaults.Set(func(f *simulator.Faults) { f.Down = true }) }},
 			{60 * s, killAll}, {63 * s, startAll},
-			{65 * s, func(w *standin.World) {
-				w.StateFaults.Set(func(f *standin.Faults) { f.Down = false })
+			{65 * s, func(w *simulator.World) {
+				w.StateFaults.Set(func(f *simulator.Faults) { f.Down = false })
 				w.State.Renewed()
 			}},
 		}},
 		{name: "cut from the state service and from workers", seed: 8, acts: []act{
-			{40 * s, func(w *standin.World) { cutNode(w, 0, w.StateAddr(), true) }},
-			{60 * s, func(w *standin.World) { cutNode(w, 0, w.StateAddr(), false); cutNode(w, 1, w.StateAddr(), true) }},
-			{75 * s, func(w *standin.World) { cutNode(w, 1, w.StateAddr(), false) }},
-			{80 * s, func(w *standin.World) { cutWorkers(w, 2, true) }},
-			{110 * s, func(w *standin.World) { cutWorkers(w, 2, false) }},
+			{40 * s, func(w *simulator.World) { cutNode(w, 0, w.StateAddr(), true) }},
+			{60 * s, func(w *simulator.World) { cutNode(w, 0, w.StateAddr(), false); cutNode(w, 1, w.StateAddr(), true) }},
+			{75 * s, func(w *simulator.World) { cutNode(w, 1, w.StateAddr(), false) }},
+			{80 * s, func(w *simulator.World) { cutWorkers(w, 2, true) }},
+			{110 * s, func(w *simulator.World) { cutWorkers(w, 2, false) }},
 		}},
 		{name: "partitioned machines", seed: 9, acts: []act{
-			{40 * s, func(w *standin.World) { isolate(w, w.Cloud.Workers()[0], true) }},
-			{52 * s, func(w *standin.World) {
+			{40 * s, func(w *simulator.World) { isolate(w, w.Cloud.Workers()[0], true) }},
+			{52 * s, func(w *simulator.World) {
 				if ks := w.Cloud.Workers(); len(ks) > 0 {
 					isolate(w, ks[0], false)
 				}
 			}},
 		}},
 		{name: "a faulty machine", seed: 10, acts: []act{
-			{30 * s, func(w *standin.World) { w.Cloud.Workers()[0].SetSick() }},
+			{30 * s, func(w *simulator.World) { w.Cloud.Workers()[0].SetSick() }},
 		}},
-		{name: "all at once", seed: 11, setup: func(w *standin.World) {
+		{name: "all at once", seed: 11, setup: func(w *simulator.World) {
 			w.StateFaults.LoseAnswer, w.StateFaults.Late, w.StateFaults.LateBy = 0.02, 0.02, 8*time.Second
 			w.WorkerFaults.LoseAnswer, w.WorkerFaults.Late, w.WorkerFaults.LateBy = 0.1, 0.1, 25*time.Second
 		}, acts: []act{
-			{35 * s, kill(0)}, {45 * s, start(0)}, {47 * s, func(w *standin.World) { w.Cloud.Workers()[0].Die() }},
+			{35 * s, kill(0)}, {45 * s, start(0)}, {47 * s, func(w *simulator.World) { w.Cloud.Workers()[0].Die() }},
 			{60 * s, killAll}, {63 * s, startAll}, {90 * s, kill(1)}, {91 * s, start(1)},
 		}},
 	} {
@@ -155,14 +155,14 @@
 // act is something that happens at a time of a day.
 type act struct {
 	at time.Duration
-	do func(w *standin.World)
+	do func(w *simulator.World)
 }
 
 // day is a day to be played.
 type day struct {
 	name  string
 	seed  uint64
-	setup func(w *standin.World)
+	setup func(w *simulator.World)
 	acts  []act
 	kept  bool // no worker's lease may run out
 	ends  bool // with its last act, what setup began is over too
@@ -182,7 +182,7 @@
 
 // users is who submits jobs on a day.
 type users struct {
-	w      *standin.World
+	w      *simulator.World
 	begun  time.Time // when the day began
 	r      *rand.Rand
 	group  sync.WaitGroup
@@ -208,7 +208,7 @@
 	}
 }
 
-func (u *users) run(job standin.Spec) {
+func (u *users) run(job simulator.Spec) {
 	if u.w.Submit(job) {
 		u.must(job.ID, "done")
 	}
@@ -234,9 +234,9 @@
 }
 
 // play plays a day under fake time.
-func play(t *testing.T, day day, p config.Platform, types []standin.MachineType, jobs func(t *testing.T, u *users)) {
+func play(t *testing.T, day day, p config.Platform, types []simulator.MachineType, jobs func(t *testing.T, u *users)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := standin.NewWorld(day.seed, p, types)
+		w := simulator.NewWorld(day.seed, p, types)
 		if *logDir != "" {
 			var log bytes.Buffer
 			w.LogTo(slog.NewTextHandler(&locked{w: &log}, &slog.HandlerOptions{Level: slog.LevelDebug}))
@@ -331,7 +331,7 @@
 
 // wholeMachines is a platform of machines with eight GPUs, for which three teams
 // have guarantees and limits, in GPUs alone.
-func wholeMachines() (config.Platform, []standin.MachineType) {
+func wholeMachines() (config.Platform, []simulator.MachineType) {
 	p := platform()
 	p.Params.Teams = p.Params.Teams[:0]
 	addTeam(&p, "river", 0, 0, 16, 48)
@@ -341,7 +341,7 @@
 	p.Params.Workers.GangWaitS, p.Params.Workers.GangPeerS, p.Params.Workers.CancelS = 12, 4, 64
 	p.Params.State.ValueKB, p.Params.State.TxnOps = 8, 24
 	p.Params.Cloud.RPS = 10
-	return p, []standin.MachineType{{Name: "h8", CPUs: 64, GPUs: 8, MemGB: 512, CacheGB: 60, FetchGBps: 0.5,
+	return p, []simulator.MachineType{{Name: "h8", CPUs: 64, GPUs: 8, MemGB: 512, CacheGB: 60, FetchGBps: 0.5,
 		Price: 18, SpotPrice: 8, BootS: 20, Zones: []string{"a", "b"}}}
 }
 
@@ -379,7 +379,7 @@
 		})
 	}
 	u.after(30*time.Second, func() {
-		for want, job := range map[string]standin.Spec{
+		for want, job := range map[string]simulator.Spec{
 			"more than its team's limit": {Tasks: 9, GPUs: 8}, "more than any machine": {Tasks: 1, GPUs: 9},
 		} {
 			bad := gang(299, job.Tasks, 5)
@@ -394,8 +394,8 @@
 // TestGangDays plays days of whole machines, gangs and borrowed GPUs.
 func TestGangDays(t *testing.T) {
 	const s = time.Second
-	few := func(w *standin.World) { w.Cloud.Capacity = 9 }
-	wave := func(w *standin.World) {
+	few := func(w *simulator.World) { w.Cloud.Capacity = 9 }
+	wave := func(w *simulator.World) {
 		for i, k := range w.Cloud.Workers() {
 			switch i % 3 {
 			case 0:
@@ -412,7 +412,7 @@
 			{41 * s, kill(0)}, {47 * s, start(0)}, {60 * s, kill(1)}, {66 * s, start(1)}, {80 * s, killAll}, {86 * s, startAll},
 		}},
 		{name: "machines are taken in a wave", seed: 24, acts: []act{{50 * s, wave}, {75 * s, wave}}},
-		{name: "late and lost commands", seed: 25, setup: func(w *standin.World) {
+		{name: "late and lost commands", seed: 25, setup: func(w *simulator.World) {
 			w.WorkerFaults.LoseAnswer, w.WorkerFaults.Late, w.WorkerFaults.LateBy = 0.1, 0.1, 25*time.Second
 		}, acts: []act{{45 * s, kill(0)}, {51 * s, start(0)}, {60 * s, wave}}},
 	} {
@@ -423,30 +423,30 @@
 	}
 }
 
-func kill(i int) func(*standin.World)  { return func(w *standin.World) { w.Kill(i) } }
-func start(i int) func(*standin.World) { return func(w *standin.World) { w.StartNode(i) } }
+func kill(i int) func(*simulator.World)  { return func(w *simulator.World) { w.Kill(i) } }
+func start(i int) func(*simulator.World) { return func(w *simulator.World) { w.StartNode(i) } }
 
-func killAll(w *standin.World) {
+func killAll(w *simulator.World) {
 	for i := range 3 {
 		w.Kill(i)
 	}
 }
 
-func startAll(w *standin.World) {
+func startAll(w *simulator.World) {
 	for i := range 3 {
 		w.StartNode(i)
 	}
 }
 
-func cutNode(w *standin.World, i int, other string, cut bool) { w.Net.Cut(w.NodeAddr(i), other, cut) }
+func cutNode(w *simulator.World, i int, other string, cut bool) { w.Net.Cut(w.NodeAddr(i), other, cut) }
 
-func cutWorkers(w *standin.World, i int, cut bool) {
+func cutWorkers(w *simulator.World, i int, cut bool) {
 	for _, k := range w.Cloud.Workers() {
 		w.Net.Cut(w.NodeAddr(i), k.Addr(), cut)
 	}
 }
 
-func isolate(w *standin.World, k *standin.Worker, cut bool) {
+func isolate(w *simulator.World, k *simulator.Worker, cut bool) {
 	for i := range 3 {
 		w.Net.Cut(w.NodeAddr(i), k.Addr(), cut)
 	}
@@ -456,7 +456,7 @@
 // job waits beside room for it, once troubles are over.
 func TestLivenessIsChecked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := standin.NewWorld(62, platform(), machineTypes[:1])
+		w := simulator.NewWorld(62, platform(), machineTypes[:1])
 		defer w.Close()
 		startAll(w)
 		time.Sleep(10 * time.Second)
--- a/internal/standin/writes_test.go
+++ b/internal/simulator/writes_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simulator_test
 
 import (
 	"net/http"
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"aspenstall/internal/standin"
+	"aspenstall/internal/simulator"
 )
 
 // TestUsersWriteFirst: a leader that opens hundreds of jobs at once has a part of its
@@ -18,7 +18,7 @@
 		p.Params.State.WriteRPS = 30
 		p.Params.Teams = nil
 		addTeam(&p, "blue", 0, 0, 0, 0)
-		w := standin.NewWorld(71, p, machineTypes)
+		w := simulator.NewWorld(71, p, machineTypes)
 		defer w.Close()
 		w.Cloud.Boots(func(int) float64 { return 3 })
 		startAll(w)
