--- a/internal/simulator/config_test.go
+++ b/internal/simulator/config_test.go
@@ -275,6 +275,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			playConfig(t, day{seed: 500}, twoTeams(), func(t *testing.T, o *operator, u *users) {
 				time.Sleep(10 * s)
 				c.act(t, o, u)
@@ -620,6 +621,7 @@
 			}},
 		} {
 			t.Run(size.name+"/"+c.name, func(t *testing.T) {
+				t.Parallel()
 				playConfig(t, day{seed: 510}, size.of(), func(t *testing.T, o *operator, u *users) {
 					busy(u)
 					time.Sleep(30 * s)
@@ -672,6 +674,7 @@
 func TestConfigDrawn(t *testing.T) {
 	for seed := range *drawnConfig {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			r := rand.New(rand.NewPCG(uint64(seed), 50))
 			kinds := slices.Concat(meetingKinds, newKinds, troubleKinds)
 			var troubles []trouble
