--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -5,11 +5,10 @@
 import (
 	"bufio"
 	"context"
+	"debug/buildinfo"
 	"fmt"
 	"os"
-	"os/exec"
 	"os/signal"
-	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -69,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	res.Version = revision()
+	res.Version = revision(c.Binary)
 	if err := res.Write(c.Out); err != nil {
 		return err
 	}
@@ -80,13 +79,22 @@
 	return nil
 }
 
-// revision names the sources that are here, "" if they can't be told.
-func revision() string {
-	out, err := exec.Command("git", "describe", "--always", "--dirty").Output()
+// revision names the sources that a program was built from, "" if it does not say.
+func revision(binary string) string {
+	info, err := buildinfo.ReadFile(binary)
 	if err != nil {
 		return ""
 	}
-	return strings.TrimSpace(string(out))
+	name, changed := "", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			name = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = ", changed"
+		}
+	}
+	return name + changed
 }
 
 type reportCmd struct {
