A controller that is cut off or down holds no change of configuration up

Change: that it knows configuration is said once for good; a peer's status tells whether it is of an earlier version now; by time it decides nothing by an older version.

--- a/internal/clusterconfig/record.go
+++ b/internal/clusterconfig/record.go
@@ -15,9 +15,11 @@
 	Prefix     = "c/config/" // every controller watches it
 	HeadKey    = Prefix + "head"
 	PagePrefix = Prefix + "page/"
-	// AckPrefix is where controllers say which version they act by, under their leases.
-	// Nobody watches it.
-	AckPrefix = "d/config/"
+	// AckPrefix is where controllers say which version they act by, under their leases, and
+	// KnownPrefix where they have said that they know configuration at all, for good. Nobody
+	// watches these.
+	AckPrefix   = "d/config/"
+	KnownPrefix = "d/known/"
 )
 
 // Format is that of the records that this version writes and reads.
@@ -63,6 +65,8 @@
 	Number uint64
 	Peers  []string // the other controllers that it knows
 	Error  string   // why it can't act by the version that there is
+	// Earlier are the peers whose last word was one of an earlier version of the program.
+	Earlier []string
 }
 
 // Records are what is stored: the head with its version in the state service, and its pages.
--- a/internal/node/clusterconfig.go
+++ b/internal/node/clusterconfig.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -24,9 +25,9 @@
 	stamp     atomic.Uint64                           // of the head acted by, for answers that are about to be written
 	freshTill atomic.Int64                            // micros: tasks may be started on what was read until then
 
-	ackLease uint64 // 0: none
-	acked    uint64 // stamp that this node has said it acts by
-	ackError string // that it has said
+	ackLease uint64            // 0: none
+	said     clusterconfig.Ack // last
+	known    bool              // it has said for good that it knows configuration
 	acking   bool
 	ackAt    core.Micros // not before this
 	renewAt  core.Micros
@@ -154,13 +155,13 @@
 		return
 	}
 	number, stamp := c.follower.Acted()
-	text := ""
+	a := clusterconfig.Ack{Format: clusterconfig.Format, Stamp: stamp, Number: number, Peers: n.peerNames(), Earlier: n.earlierPeers()}
 	if !c.follower.Current() {
-		text = "it can't act by the latest version"
+		a.Error = "it can't act by the latest version"
 	}
 	switch {
-	case c.ackLease == 0 || stamp != c.acked || text != c.ackError:
-		n.writeAck(clusterconfig.Ack{Format: clusterconfig.Format, Stamp: stamp, Number: number, Peers: n.peerNames(), Error: text})
+	case c.ackLease == 0 || !reflect.DeepEqual(a, c.said):
+		n.writeAck(a)
 	case n.now() >= c.renewAt:
 		n.renewAck()
 	}
@@ -174,6 +175,17 @@
 	return names
 }
 
+// earlierPeers are those whose last word was one of an earlier version of the program.
+func (n *Node) earlierPeers() []string {
+	var names []string
+	for _, p := range n.cfg.Peers {
+		if n.peers[p.Member].earlier {
+			names = append(names, p.Member)
+		}
+	}
+	return names
+}
+
 // writeAck writes an acknowledgement, within what users leave of the budget.
 func (n *Node) writeAck(a clusterconfig.Ack) {
 	if !n.store.Soon(1) {
@@ -186,7 +198,7 @@
 	}
 	c := &n.config
 	c.acking = true
-	lease := c.ackLease
+	lease, known := c.ackLease, c.known
 	go func() {
 		ctx, cancel := context.WithTimeout(n.ctx, ackTimeout)
 		defer cancel()
@@ -195,8 +207,11 @@
 			lease, err = n.store.Grant(ctx, ackTTL)
 		}
 		if err == nil {
-			put := wire.Write{Put: clusterconfig.AckPrefix + n.cfg.Member, Value: value, Lease: lease}
-			_, err = n.store.Commit(ctx, &wire.Txn{If: []wire.Cond{}, Then: []wire.Write{put}})
+			puts := []wire.Write{{Put: clusterconfig.AckPrefix + n.cfg.Member, Value: value, Lease: lease}}
+			if !known {
+				puts = append(puts, wire.Write{Put: clusterconfig.KnownPrefix + n.cfg.Member, Value: value})
+			}
+			_, err = n.store.Commit(ctx, &wire.Txn{If: []wire.Cond{}, Then: puts})
 		}
 		n.post(func() {
 			c.acking, c.ackAt = false, n.now()+ackRetry
@@ -207,7 +222,7 @@
 				}
 				return
 			}
-			c.ackLease, c.acked, c.ackError, c.ackAt = lease, a.Stamp, a.Error, 0
+			c.ackLease, c.said, c.known, c.ackAt = lease, a, true, 0
 			c.renewAt = n.now() + ackRenew
 			n.acknowledge() // of what came meanwhile
 		})
@@ -232,9 +247,11 @@
 // noticeVersion says once of each process that it acts by its files alone: one of an earlier
 // version of the program that is back.
 func (n *Node) noticeVersion(k *peerState, s *peer.Status) {
-	if s.ConfigFormat >= clusterconfig.Format || !n.config.follower.Enabled() || k.noConfig == s.Life {
+	k.earlier = s.ConfigFormat < clusterconfig.Format
+	if !k.earlier || !n.config.follower.Enabled() || k.noConfig == s.Life {
 		return
 	}
 	k.noConfig = s.Life
+	n.acknowledge()
 	n.log.Warn("a controller does not act by the configuration: what is in force there is its platform file", "peer", s.Node, "leads", s.Token != 0)
 }
--- a/internal/node/clusterconfig_test.go
+++ b/internal/node/clusterconfig_test.go
@@ -6,8 +6,10 @@
 	"testing"
 
 	"aspenstall/internal/clusterconfig"
+	"aspenstall/internal/config"
 	"aspenstall/internal/core"
 	"aspenstall/internal/httpapi"
+	"aspenstall/internal/peer"
 )
 
 // TestMayStart: a command that starts a task goes out only if the configuration by which it
@@ -89,3 +91,20 @@
 		})
 	}
 }
+
+// TestEarlierPeers: a peer whose last word says nothing of configuration is of an earlier
+// version, until one that does is heard.
+func TestEarlierPeers(t *testing.T) {
+	n := quietNode()
+	n.cfg.Peers = []config.Peer{{Member: "n-1"}}
+	n.peers["n-1"] = &peerState{}
+	for i, c := range []struct {
+		format int
+		want   int
+	}{{clusterconfig.Format, 0}, {0, 1}, {0, 1}, {clusterconfig.Format, 0}} {
+		n.heardPeer(&peer.Status{Node: "n-1", Life: uint64(i), ConfigFormat: c.format})
+		if got := n.earlierPeers(); len(got) != c.want {
+			t.Errorf("after word %d: %q", i, got)
+		}
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -34,6 +34,7 @@
 	// agreed: asked then, it told every cancellation that users can have from it.
 	agreed   core.Micros
 	deputy   core.Deputy // what it may have answered in this node's place
+	earlier  bool        // its last word was one of an earlier version of the program
 	noConfig uint64      // life of its process that is known not to act by the configuration
 }
 
--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -78,8 +78,6 @@
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	begun := time.Now()
-	// A controller that is down is known to be by those who end it here.
-	o.client.Absent = o.run.down()
 	v, err := o.client.Ready(ctx)
 	if err != nil {
 		return nil, err
@@ -99,14 +97,3 @@
 	}
 	return o.client.Await(ctx, v, m, begun)
 }
-
-// down lists the controllers whose process does not run.
-func (r *Run) down() []string {
-	var out []string
-	for _, c := range r.controllers {
-		if c.running() == 0 {
-			out = append(out, c.name)
-		}
-	}
-	return out
-}
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -55,6 +55,8 @@
 	Number uint64   `msgpack:"n"`
 	Peers  []string `msgpack:"p"`
 	Error  string   `msgpack:"e,omitempty"`
+
+	Earlier []string `msgpack:"o,omitempty"`
 }
 
 // ConfigCodec encodes the configuration's records.
@@ -156,12 +158,12 @@
 
 // EncodeConfigAck encodes what a controller says of the configuration that it acts by.
 func EncodeConfigAck(a *clusterconfig.Ack) ([]byte, error) {
-	return Marshal(&configAck{Format: a.Format, Stamp: a.Stamp, Number: a.Number, Peers: a.Peers, Error: a.Error})
+	return Marshal(&configAck{Format: a.Format, Stamp: a.Stamp, Number: a.Number, Peers: a.Peers, Error: a.Error, Earlier: a.Earlier})
 }
 
 // DecodeConfigAck decodes it.
 func DecodeConfigAck(b []byte) (clusterconfig.Ack, error) {
 	var w configAck
 	err := Unmarshal(b, &w)
-	return clusterconfig.Ack{Format: w.Format, Stamp: w.Stamp, Number: w.Number, Peers: w.Peers, Error: w.Error}, err
+	return clusterconfig.Ack{Format: w.Format, Stamp: w.Stamp, Number: w.Number, Peers: w.Peers, Error: w.Error, Earlier: w.Earlier}, err
 }
