--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math"
-	"math/rand/v2"
 	"net/http"
 	"path"
 	"sync"
@@ -84,7 +83,7 @@
 	http   *http.Client
 	group  sync.WaitGroup
 	mu     sync.Mutex
-	random *rand.Rand
+	random *simulator.Streams // by class, so that the load of a seed is the same in each run
 	next   int
 	known  map[string]*simulator.Spec
 	begun  map[string]time.Time // urgent jobs, first attempt to submit
@@ -100,7 +99,7 @@
 
 func newUsers(r *Run) *users {
 	return &users{
-		run: r, random: rand.New(rand.NewPCG(uint64(r.settings.Seed), 3)), known: map[string]*simulator.Spec{}, begun: map[string]time.Time{},
+		run: r, random: simulator.NewStreams(uint64(r.settings.Seed)), known: map[string]*simulator.Spec{}, begun: map[string]time.Time{},
 		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
 		submission: newLatencies(), started: newLatencies(), submitted: map[string]int{},
 	}
@@ -115,14 +114,15 @@
 	tasks int
 }
 
-func (u *users) draw() drawn {
+func (u *users) draw(class string) drawn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.next++
-	d := drawn{id: fmt.Sprintf("job-%06d", u.next), image: fmt.Sprintf("image-%d", u.random.IntN(images)), times: 0.5 + u.random.Float64()}
+	random := u.random.Of(class)
+	d := drawn{id: fmt.Sprintf("job-%06d", u.next), image: fmt.Sprintf("image-%d", random.IntN(images)), times: 0.5 + random.Float64()}
 	mean := float64(u.run.settings.ArrayTasks)
-	d.tasks = max(1, int(mean*(0.5+u.random.Float64())))
-	at := u.random.Float64()
+	d.tasks = max(1, int(mean*(0.5+random.Float64())))
+	at := random.Float64()
 	for _, t := range u.run.teams {
 		d.team = t.Name
 		if at -= t.weight; at < 0 {
@@ -153,9 +153,10 @@
 	services := int(float64(s.RunningTasks) * s.ServiceShare / serviceTasks)
 	for i := range services {
 		at := serviceFrom + time.Duration(float64(serviceFor)*float64(i)/float64(services))
+		j := u.spec(u.draw(classService), classService)
 		u.group.Go(func() {
 			if pause(ctx, at) {
-				u.live(ctx, u.spec(u.draw(), classService))
+				u.live(ctx, j)
 			}
 		})
 	}
@@ -170,12 +171,13 @@
 	}
 	for {
 		u.mu.Lock()
-		gap := u.random.ExpFloat64() / perS
+		gap := u.random.Of(class).ExpFloat64() / perS
 		u.mu.Unlock()
 		if !pause(ctx, seconds(gap)) {
 			return
 		}
-		u.group.Go(func() { u.live(ctx, u.spec(u.draw(), class)) })
+		j := u.spec(u.draw(class), class)
+		u.group.Go(func() { u.live(ctx, j) })
 	}
 }
 
