Waiting and copying a configuration stand once; the scale run's first workers come up by number

Cause: the same lines stood in node, configclient and scale; in a small run workers came up ten seconds late, and what processes tell was judged after 2 s, which a busy machine can pass. Change: internal/wait, Config.Clone; 300 workers a second at the beginning, 5 s to settle.

--- a/internal/clusterconfig/clusterconfig.go
+++ b/internal/clusterconfig/clusterconfig.go
@@ -37,6 +37,15 @@
 	Tuning Tuning
 }
 
+// Clone is a copy that can be changed.
+func (c *Config) Clone() *Config {
+	out := &Config{Teams: maps.Clone(c.Teams), Tuning: c.Tuning}
+	if out.Teams == nil {
+		out.Teams = map[string]Team{}
+	}
+	return out
+}
+
 // Base is what the controllers were started with.
 type Base struct {
 	Teams  map[string]Team
--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -13,6 +13,7 @@
 	"aspenstall/internal/clusterconfig"
 	"aspenstall/internal/core"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/wait"
 	"aspenstall/internal/wire"
 )
 
@@ -186,7 +187,7 @@
 		default:
 			last = v
 		}
-		if !pause(ctx, pollEvery) {
+		if !wait.For(ctx, pollEvery) {
 			break
 		}
 	}
@@ -296,7 +297,7 @@
 		if err == nil || errors.Is(err, statestore.ErrConflict) || errors.Is(err, statestore.ErrInvalid) {
 			return stamp, err
 		}
-		if !pause(ctx, pollEvery) {
+		if !wait.For(ctx, pollEvery) {
 			return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
 		}
 	}
@@ -312,7 +313,7 @@
 			}
 			return nil, fmt.Errorf("%w: it is version %d now", ErrConflict, v.Records.Head.Number)
 		}
-		if !pause(ctx, pollEvery) {
+		if !wait.For(ctx, pollEvery) {
 			return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
 		}
 	}
@@ -369,7 +370,7 @@
 				}
 			}
 		}
-		if !pause(ctx, pollEvery) {
+		if !wait.For(ctx, pollEvery) {
 			return out, late
 		}
 	}
@@ -409,14 +410,3 @@
 	}
 	return true
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -17,6 +17,7 @@
 	"aspenstall/internal/notify"
 	"aspenstall/internal/notify/control"
 	"aspenstall/internal/notify/deliver"
+	"aspenstall/internal/wait"
 	"aspenstall/internal/wire"
 )
 
@@ -77,7 +78,7 @@
 			return
 		}
 		n.log.Info("notifications cannot begin yet", "err", err)
-		sleep(ctx, time.Second)
+		wait.For(ctx, time.Second)
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -9,6 +9,7 @@
 	"aspenstall/internal/clusterconfig"
 	"aspenstall/internal/core"
 	"aspenstall/internal/peer"
+	"aspenstall/internal/wait"
 )
 
 // Peers tell each other their status: the leader every tellEvery, others only
@@ -48,7 +49,7 @@
 	sent := map[string]peer.Counts{}
 	var term uint64
 	for ctx.Err() == nil {
-		sleep(ctx, tellEvery)
+		wait.For(ctx, tellEvery)
 		var asked core.Micros
 		s, ok := call(ctx, n, func(reply func(*peer.Status)) {
 			s := n.status()
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -9,6 +9,7 @@
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/wait"
 	"aspenstall/internal/wire"
 )
 
@@ -167,7 +168,7 @@
 	pause := ttl / 4
 	quiet := false // the failure has been logged
 	for ctx.Err() == nil {
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 		sent := n.now()
 		err := n.store.Renew(ctx, t.lease)
 		switch {
@@ -216,7 +217,7 @@
 			return
 		}
 		n.log.Info("term cannot begin yet", "err", err)
-		sleep(ctx, 200*time.Millisecond)
+		wait.For(ctx, 200*time.Millisecond)
 	}
 }
 
@@ -331,7 +332,7 @@
 		} else {
 			n.log.Info("machine list", "err", err)
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -11,6 +11,7 @@
 	"aspenstall/internal/nomad/registry"
 	"aspenstall/internal/peer"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/wait"
 	"aspenstall/internal/wire"
 )
 
@@ -29,7 +30,7 @@
 
 // watch keeps the view up to date.
 func (n *Node) watch(ctx context.Context) {
-	const wait = time.Second // silence beyond it shows that the service is not reached
+	const longest = time.Second // silence beyond it shows that the service is not reached
 	pause := 100 * time.Millisecond
 	relist := true
 	var since uint64
@@ -46,7 +47,7 @@
 			}
 		} else {
 			var ch *wire.Changes
-			ch, err = n.store.Changes(ctx, controlPrefix, since, wait)
+			ch, err = n.store.Changes(ctx, controlPrefix, since, longest)
 			if err == nil {
 				n.post(func() { n.apply(ch, asked) })
 				since = ch.Revision
@@ -58,20 +59,11 @@
 			continue
 		}
 		n.log.Debug("watch", "err", err)
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 		pause = min(2*pause, 500*time.Millisecond)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // applyList takes over a whole list that was asked for at a time. Jobs are never
 // deleted, and the leader's key may have been: its absence in the list counts.
 func (n *Node) applyList(entries []wire.Entry, rev uint64, asked core.Micros) {
--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -12,6 +11,7 @@
 	"aspenstall/internal/core"
 	"aspenstall/internal/netdial"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/wait"
 )
 
 // operatorNumber is where the operator reaches the state service, beside the controllers.
@@ -51,7 +51,7 @@
 
 // change makes changes at a rate until ctx ends.
 func (o *operator) change(ctx context.Context, perS float64) {
-	for n := 0; pause(ctx, seconds(o.random.ExpFloat64()/perS)); n++ {
+	for n := 0; wait.For(ctx, seconds(o.random.ExpFloat64()/perS)); n++ {
 		begun := time.Now()
 		forced, err := o.one(ctx, fmt.Sprint("change-", n))
 		if ctx.Err() != nil {
@@ -82,10 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	to := &clusterconfig.Config{Teams: maps.Clone(v.Config.Teams), Tuning: v.Config.Tuning}
-	if to.Teams == nil {
-		to.Teams = map[string]clusterconfig.Team{}
-	}
+	to := v.Config.Clone()
 	name := o.run.teams[o.random.IntN(len(o.run.teams)-1)].Name // not the urgent work's
 	t := o.client.Base.Teams[name]
 	t.Max.CPU = int64(float64(t.Max.CPU) * (0.7 + 0.3*o.random.Float64()))
--- a/internal/scale/events.go
+++ b/internal/scale/events.go
@@ -67,7 +67,7 @@
 
 // settleFor is how long what happened is held back, so that what several processes tell is
 // judged in the order in which it happened.
-const settleFor = 2 * time.Second
+const settleFor = 5 * time.Second
 
 // timeline hands on what happened in its order, some time later.
 type timeline struct {
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"aspenstall/internal/simulator"
+	"aspenstall/internal/wait"
 	"aspenstall/internal/wire"
 )
 
@@ -155,7 +156,7 @@
 		at := serviceFrom + time.Duration(float64(serviceFor)*float64(i)/float64(services))
 		j := u.spec(u.draw(classService), classService)
 		u.group.Go(func() {
-			if pause(ctx, at) {
+			if wait.For(ctx, at) {
 				u.live(ctx, j)
 			}
 		})
@@ -166,14 +167,14 @@
 
 // arrive has jobs of a class come by a Poisson process.
 func (u *users) arrive(ctx context.Context, class string, perS float64) {
-	if perS <= 0 || !pause(ctx, arraysFrom) {
+	if perS <= 0 || !wait.For(ctx, arraysFrom) {
 		return
 	}
 	for {
 		u.mu.Lock()
 		gap := u.random.Of(class).ExpFloat64() / perS
 		u.mu.Unlock()
-		if !pause(ctx, seconds(gap)) {
+		if !wait.For(ctx, seconds(gap)) {
 			return
 		}
 		j := u.spec(u.draw(class), class)
@@ -193,7 +194,7 @@
 	if !u.submit(ctx, j) {
 		return
 	}
-	for pause(ctx, askEvery) {
+	for wait.For(ctx, askEvery) {
 		if u.ask(ctx, j.ID) {
 			return
 		}
@@ -218,7 +219,7 @@
 			u.giveUp()
 			return false
 		}
-		if !pause(ctx, retryAfter) {
+		if !wait.For(ctx, retryAfter) {
 			return false
 		}
 	}
--- a/internal/scale/processes.go
+++ b/internal/scale/processes.go
@@ -16,6 +16,7 @@
 
 	"aspenstall/internal/config"
 	"aspenstall/internal/simulator"
+	"aspenstall/internal/wait"
 )
 
 // Addresses on loopback, all of them 127.0.0.0/8.
@@ -86,7 +87,7 @@
 		}
 		c.pid = 0
 		c.mu.Unlock()
-		if alone && pause(ctx, restartAfter) {
+		if alone && wait.For(ctx, restartAfter) {
 			_ = c.start(outer)
 		}
 	})
@@ -241,15 +242,3 @@
 	}
 	return cfg, json.Unmarshal(line, &cfg)
 }
-
-// pause waits, and reports whether the whole time passed.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"aspenstall/internal/simulator"
+	"aspenstall/internal/wait"
 	"aspenstall/internal/wire"
 )
 
@@ -55,8 +56,14 @@
 	peakMB     float64
 }
 
-// machineType is the only one of the run's cloud.
-const machineType = "scale"
+// The run's cloud has one type of machine, which takes so long to boot; those that are there
+// at the beginning come up one after the other.
+const (
+	machineType    = "scale"
+	bootS          = 20.0
+	firstBootS     = 1.0
+	firstBootsPerS = 300.0
+)
 
 // New returns a run that is not started.
 func New(s Settings, progress io.Writer) *Run {
@@ -81,7 +88,7 @@
 func (r *Run) machine() simulator.MachineType {
 	return simulator.MachineType{
 		Name: machineType, CPUs: r.settings.MachineCPUs, MemGB: 16 * r.settings.MachineCPUs, CacheGB: 100, FetchGBps: 1,
-		Price: 1, SpotPrice: 0.5, BootS: 20, Zones: r.settings.Zones,
+		Price: 1, SpotPrice: 0.5, BootS: bootS, Zones: r.settings.Zones,
 	}
 }
 
@@ -150,9 +157,9 @@
 		})
 	}
 	r.cloud = simulator.NewCloud([]simulator.MachineType{r.machine()}, s.Workers, r.workerAddress, r.startWorker)
-	r.cloud.Boots(func(n int) float64 { // the first ones come up during ten seconds
+	r.cloud.Boots(func(n int) float64 {
 		if n <= s.Workers {
-			return 0.05 + 0.45*float64(n)/float64(s.Workers)
+			return (firstBootS + float64(n)/firstBootsPerS) / bootS
 		}
 		return 1
 	})
@@ -304,7 +311,7 @@
 // judge has the rules told what happened, in its order.
 func (r *Run) judge(ctx context.Context) {
 	now := func(t time.Time) { r.rules.Now = func() time.Time { return t } }
-	for pause(ctx, 100*time.Millisecond) {
+	for wait.For(ctx, 100*time.Millisecond) {
 		r.timeline.drain(time.Now().Add(-settleFor), now)
 	}
 }
@@ -328,7 +335,7 @@
 func (r *Run) follow(ctx context.Context) {
 	client := &http.Client{Timeout: probeEvery}
 	go func() {
-		for pause(ctx, probeEvery/2) {
+		for wait.For(ctx, probeEvery/2) {
 			var up []string
 			for _, c := range r.controllers {
 				if resp, err := client.Get("http://" + controllerAddress(c.number) + wire.HealthPath); err == nil {
@@ -343,7 +350,7 @@
 			r.mu.Unlock()
 		}
 	}()
-	for pause(ctx, leaderEvery) {
+	for wait.For(ctx, leaderEvery) {
 		r.lookForLeader()
 	}
 }
@@ -382,7 +389,7 @@
 func (r *Run) progress(ctx context.Context, what string, d time.Duration) bool {
 	const every = 10 * time.Second
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		if !pause(ctx, min(every, time.Until(end))) {
+		if !wait.For(ctx, min(every, time.Until(end))) {
 			return false
 		}
 		r.mu.Lock()
@@ -489,7 +496,7 @@
 		r.mu.Lock()
 		running, n = running+r.running, n+1
 		r.mu.Unlock()
-		if !pause(ctx, sampleEvery) {
+		if !wait.For(ctx, sampleEvery) {
 			return nil, fmt.Errorf("ended early: %w", context.Cause(ctx))
 		}
 		if time.Since(said) >= 10*time.Second {
--- a/internal/scale/trouble.go
+++ b/internal/scale/trouble.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"aspenstall/internal/wait"
 )
 
 // cause brings about the run's troubles in their order and says what was seen of each.
@@ -14,7 +16,7 @@
 	list := slices.Clone(r.settings.Troubles)
 	slices.SortStableFunc(list, func(a, b Trouble) int { return int(a.AtS*1e6) - int(b.AtS*1e6) })
 	for _, t := range list {
-		if !pause(ctx, time.Until(begun.Add(seconds(t.AtS)))) {
+		if !wait.For(ctx, time.Until(begun.Add(seconds(t.AtS)))) {
 			break
 		}
 		r.mu.Lock()
@@ -32,7 +34,7 @@
 		}
 		seen = append(seen, s)
 	}
-	pause(ctx, time.Until(begun.Add(seconds(r.settings.MeasureS))))
+	wait.For(ctx, time.Until(begun.Add(seconds(r.settings.MeasureS))))
 	r.mu.Lock()
 	if n := len(seen); n > 0 {
 		seen[n-1].LeasesLost = r.lapsed - seen[n-1].LeasesLost
@@ -61,7 +63,7 @@
 			}
 		})
 	}
-	for end := ended.Add(takeoverWatched); time.Now().Before(end) && pause(ctx, leaderEvery); {
+	for end := ended.Add(takeoverWatched); time.Now().Before(end) && wait.For(ctx, leaderEvery); {
 		r.mu.Lock()
 		leaderAt, firstStart := r.leaderAt, r.firstStart
 		r.mu.Unlock()
@@ -84,7 +86,7 @@
 		go func() {
 			for _, m := range machines {
 				r.cloud.Fail(m)
-				if !pause(ctx, seconds(t.ForS/float64(len(machines)))) {
+				if !wait.For(ctx, seconds(t.ForS/float64(len(machines)))) {
 					return
 				}
 			}
@@ -106,7 +108,7 @@
 func (r *Run) during(ctx context.Context, t Trouble, set func(on bool)) {
 	set(true)
 	go func() {
-		pause(ctx, seconds(t.ForS))
+		wait.For(ctx, seconds(t.ForS))
 		set(false)
 	}()
 }
--- a/internal/simulator/config_test.go
+++ b/internal/simulator/config_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -96,10 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	to := &clusterconfig.Config{Teams: maps.Clone(v.Config.Teams), Tuning: v.Config.Tuning}
-	if to.Teams == nil {
-		to.Teams = map[string]clusterconfig.Team{}
-	}
+	to := v.Config.Clone()
 	edit(to)
 	// From here on it may be made, whatever is answered.
 	o.mu.Lock()
@@ -407,7 +403,7 @@
 					t.Fatal(err)
 				}
 				begun := time.Now()
-				to := &clusterconfig.Config{Teams: maps.Clone(v.Config.Teams)}
+				to := v.Config.Clone()
 				lower(o, 20)(to)
 				o.mu.Lock()
 				o.history = append(o.history, inForce{config: to})
@@ -469,7 +465,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				to := &clusterconfig.Config{Teams: maps.Clone(v.Config.Teams)}
+				to := v.Config.Clone()
 				o.team("blue", func(t *clusterconfig.Team) { t.Draining = true })(to)
 				if _, err := o.client.Apply(ctx, v, to, "drain"); err != nil {
 					t.Fatal(err)
