--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -120,14 +120,16 @@
 // NotReady lists the controllers that can't be taken to go by the configuration: those that
 // have never said that they know it, and those of which a peer says that they are of an
 // earlier version. One that once knew it and is not heard now is down or cut off, and
-// decides nothing by it after a while (clusterconfig.InForceAfter).
+// decides nothing by it after a while (clusterconfig.InForceAfter). One that is said to be
+// down for good counts where it leads or a peer has heard it.
 func (c *Client) NotReady(v *View) []string {
 	var out []string
-	for _, name := range c.members(v) {
+	for _, name := range c.all(v) {
 		a, heard := v.Acks[name]
+		known := v.Known[name] || slices.Contains(c.Absent, name)
 		switch {
 		case heard && a.Format >= clusterconfig.Format:
-		case !v.Known[name], heard, earlier(v, name):
+		case heard, !known, earlier(v, name), name == v.Leader && !v.Known[name]:
 			out = append(out, name)
 		}
 	}
@@ -152,16 +154,19 @@
 	})
 }
 
-// members are all controllers that the caller or a controller knows, but for those that are
-// known to be down.
-func (c *Client) members(v *View) []string {
+// all are the controllers that the caller or a controller knows.
+func (c *Client) all(v *View) []string {
 	all := slices.Clone(c.Controllers)
 	for name, a := range v.Acks {
 		all = append(append(all, name), a.Peers...)
 	}
 	slices.Sort(all)
-	all = slices.Compact(all)
-	return slices.DeleteFunc(all, func(name string) bool { return slices.Contains(c.Absent, name) })
+	return slices.Compact(all)
+}
+
+// members are all controllers but for those that are known to be down.
+func (c *Client) members(v *View) []string {
+	return slices.DeleteFunc(c.all(v), func(name string) bool { return slices.Contains(c.Absent, name) })
 }
 
 // Ready makes sure that every controller knows configuration records: the first time it
--- a/internal/node/clusterconfig.go
+++ b/internal/node/clusterconfig.go
@@ -175,11 +175,14 @@
 	return names
 }
 
+// earlierFor is how long a peer's word counts: one that is silent for longer may be down.
+const earlierFor = 10 * time.Second
+
 // earlierPeers are those whose last word was one of an earlier version of the program.
 func (n *Node) earlierPeers() []string {
 	var names []string
 	for _, p := range n.cfg.Peers {
-		if n.peers[p.Member].earlier {
+		if k := n.peers[p.Member]; k.earlier && time.Since(k.at) < earlierFor {
 			names = append(names, p.Member)
 		}
 	}
--- a/internal/simulator/config_test.go
+++ b/internal/simulator/config_test.go
@@ -608,6 +608,13 @@
 				if got := o.client.NotReady(v); !slices.Equal(got, a.Earlier) {
 					t.Errorf("of an earlier version: not ready %q", got)
 				}
+				// And where it leads, whoever says that it is down, if it never knew configuration.
+				v.Acks, v.Leader, v.Known[a.Earlier[0]] = map[string]clusterconfig.Ack{}, a.Earlier[0], false
+				o.client.Absent = a.Earlier
+				if got := o.client.NotReady(v); !slices.Equal(got, a.Earlier) {
+					t.Errorf("an earlier version leads: not ready %q", got)
+				}
+				o.client.Absent = nil
 				o.w.StartNode(other)
 				time.Sleep(5 * s)
 				must(t, o, "back", lower(o, 30))
