--- a/internal/simulator/config_test.go
+++ b/internal/simulator/config_test.go
@@ -510,6 +510,38 @@
 					t.Errorf("version %d after three changes, %v", v.Records.Head.Number, err)
 				}
 			}},
+			{"the state service is slow", func(t *testing.T, o *operator, u *users) {
+				must(t, o, "first", lower(o, 50))
+				o.w.StateFaults.Set(func(f *simulator.Faults) { f.Delay = 400 * time.Millisecond })
+				for i := range 8 { // the command itself reads three times before it writes
+					if _, err := o.change(fmt.Sprint("slow-", i), 10*s, lower(o, int64(20+i))); err != nil {
+						t.Error(err)
+					}
+				}
+				if o.longest > 4*s {
+					t.Errorf("in force %v after the write", o.longest)
+				}
+				o.w.StateFaults.Set(func(f *simulator.Faults) { f.Delay = 0 })
+			}},
+			{"quotas change as a gang is placed and room is taken back for it", func(t *testing.T, o *operator, u *users) {
+				u.w.Cloud.Capacity = 8 // 32 CPUs
+				filler := array(700, 60, 25)
+				filler.DueS = nil
+				u.w.Submit(filler)
+				time.Sleep(50 * s)
+				for i := range 4 {
+					g := gang(710+i, 3, 6)
+					g.Team = "green"
+					u.group.Go(func() { u.run(g) })
+				}
+				for i := range 20 {
+					least := int64(i%2) * 24
+					must(t, o, fmt.Sprint("gang-", i), o.team("green", func(t *clusterconfig.Team) { t.Min.CPU = least * 1000 }))
+					time.Sleep(700 * time.Millisecond)
+				}
+				must(t, o, "last", o.team("green", func(t *clusterconfig.Team) { t.Min.CPU = 24_000 }))
+				u.must(filler.ID, "done")
+			}},
 			{"jobs of a team as it is added", func(t *testing.T, o *operator, u *users) {
 				must(t, o, "first", lower(o, 50))
 				type refusal struct {
