--- a/internal/node/clusterconfig.go
+++ b/internal/node/clusterconfig.go
@@ -38,7 +38,7 @@
 const (
 	ackTTL     = 6 * time.Second
 	ackRenew   = 2 * core.Second
-	ackRetry   = core.Second
+	ackRetry   = 300 * core.Millisecond
 	ackTimeout = 3 * time.Second
 )
 
@@ -243,6 +243,7 @@
 			if errors.Is(err, statestore.ErrNotFound) {
 				c.ackLease = 0
 			}
+			n.acknowledge() // of what came meanwhile
 		})
 	}()
 }
