--- a/internal/clusterconfig/clusterconfig.go
+++ b/internal/clusterconfig/clusterconfig.go
@@ -152,9 +152,9 @@
 		case r.min < 0 || r.max < 0:
 			return problem(name, r.field, "negative")
 		case r.max > 0 && r.min > r.max:
-			return problem(name, r.field, "the guarantee %v is over the limit %v", amount(r.min), amount(r.max))
+			return problem(name, r.field, "the guarantee %v is over the limit %v", Amount(r.min), Amount(r.max))
 		case known && r.outer > 0 && (r.max == 0 || r.max > r.outer):
-			return problem(name, r.field+"-max", "the limit is over the platform's, %v", amount(r.outer))
+			return problem(name, r.field+"-max", "the limit is over the platform's, %v", Amount(r.outer))
 		}
 	}
 	if known && t.Cap > outer.Cap {
@@ -163,7 +163,8 @@
 	return nil
 }
 
-func amount(thousandths int64) float64 { return float64(thousandths) / 1000 }
+// Amount is what thousandths of a resource make.
+func Amount(thousandths int64) float64 { return float64(thousandths) / 1000 }
 
 // Warnings say what is allowed and may not be meant: room is what the fleet can have.
 func (c *Config) Warnings(b *Base, room core.Res) []string {
@@ -173,10 +174,10 @@
 	}
 	var out []string
 	if room.CPU > 0 && sum.CPU > room.CPU {
-		out = append(out, fmt.Sprintf("the guarantees add up to %v CPUs, the fleet has %v", amount(sum.CPU), amount(room.CPU)))
+		out = append(out, fmt.Sprintf("the guarantees add up to %v CPUs, the fleet has %v", Amount(sum.CPU), Amount(room.CPU)))
 	}
 	if room.GPU > 0 && sum.GPU > room.GPU {
-		out = append(out, fmt.Sprintf("the guarantees add up to %v GPUs, the fleet has %v", amount(sum.GPU), amount(room.GPU)))
+		out = append(out, fmt.Sprintf("the guarantees add up to %v GPUs, the fleet has %v", Amount(sum.GPU), Amount(room.GPU)))
 	}
 	return out
 }
@@ -239,8 +240,8 @@
 
 func fieldsOf(t Team, known bool) []field {
 	f := []field{
-		{":cpus", fmt.Sprint(amount(t.Min.CPU))}, {":cpus-max", limitText(t.Max.CPU)},
-		{":gpus", fmt.Sprint(amount(t.Min.GPU))}, {":gpus-max", limitText(t.Max.GPU)},
+		{":cpus", fmt.Sprint(Amount(t.Min.CPU))}, {":cpus-max", limitText(t.Max.CPU)},
+		{":gpus", fmt.Sprint(Amount(t.Min.GPU))}, {":gpus-max", limitText(t.Max.GPU)},
 		{":cap", ":" + t.Cap.String()}, {":draining", fmt.Sprint(t.Draining)},
 	}
 	if !known {
@@ -255,7 +256,7 @@
 	if thousandths == 0 {
 		return "unlimited"
 	}
-	return fmt.Sprint(amount(thousandths))
+	return fmt.Sprint(Amount(thousandths))
 }
 
 func tuningFields(t core.Tuning) []field {
--- a/internal/clusterconfig/follower.go
+++ b/internal/clusterconfig/follower.go
@@ -121,8 +121,17 @@
 // nothing may be decided by it.
 func (f *Follower) Current() bool { return f.records.Stamp == f.acted }
 
-// MayDecide reports whether something may be decided by the configuration now, by what was
-// asked of the state service at a time and has been answered since.
-func (f *Follower) MayDecide(now, asked core.Micros) bool {
-	return !f.Enabled() || f.Current() && now < asked+FreshFor
+// FreshUntil is until when something may be decided by the configuration, by what was asked of
+// the state service at a time and has been answered since.
+func (f *Follower) FreshUntil(asked core.Micros) core.Micros {
+	switch {
+	case !f.Enabled():
+		return core.MaxMicros
+	case !f.Current():
+		return 0
+	}
+	return asked + FreshFor
 }
+
+// MayDecide reports whether something may be decided by the configuration now.
+func (f *Follower) MayDecide(now, asked core.Micros) bool { return now < f.FreshUntil(asked) }
--- a/internal/clusterconfig/record.go
+++ b/internal/clusterconfig/record.go
@@ -194,9 +194,6 @@
 	}
 	for i := range changed {
 		w := Write{Page: &changed[i]}
-		if err := fits(w, limits, codec); err != nil {
-			return nil, nil, fmt.Errorf("a page: %w", err)
-		}
 		b, err := codec.Encode(w)
 		if err != nil {
 			return nil, nil, err
--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -99,11 +99,9 @@
 	return func(b edn.RawMessage) error {
 		var word edn.Keyword
 		if edn.Unmarshal(b, &word) == nil {
-			for p := core.Low; p <= core.Production; p++ {
-				if p.String() == string(word) {
-					*to = p
-					return nil
-				}
+			if p, ok := priorityOf(word); ok {
+				*to = p
+				return nil
 			}
 		}
 		return errors.New("want :low, :normal, :high or :production")
@@ -144,7 +142,7 @@
 		}
 		t := c.Teams[name]
 		fmt.Fprintf(w, "%q {:cpus %v :cpus-max %v :gpus %v :gpus-max %v :cap :%v :draining %v}", name,
-			units(t.Min.CPU), units(t.Max.CPU), units(t.Min.GPU), units(t.Max.GPU), t.Cap, t.Draining)
+			clusterconfig.Amount(t.Min.CPU), clusterconfig.Amount(t.Max.CPU), clusterconfig.Amount(t.Min.GPU), clusterconfig.Amount(t.Max.GPU), t.Cap, t.Draining)
 	}
 	fmt.Fprint(w, "}\n :settings {")
 	sep := ""
@@ -164,5 +162,3 @@
 	}
 	fmt.Fprintln(w, "}}")
 }
-
-func units(thousandths int64) float64 { return float64(thousandths) / 1000 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -205,12 +205,12 @@
 		// A third of the calls or so.
 		ReturnPause: core.Seconds(4 / max(p.Params.Cloud.RPS, 1)),
 		ListLag:     core.Seconds(p.Params.Cloud.ListLagS),
-		ValueBytes:  int(p.Params.State.ValueKB*1024 - 200),
+		ValueBytes:  int(p.Params.State.ValueKB*1024 - valueMargin),
 		// Five words of a machine take about as many letters, as JSON.
-		MachinesPerRecord: max(int(p.Params.State.ValueKB*1024-200)/100, 1),
+		MachinesPerRecord: max(int(p.Params.State.ValueKB*1024-valueMargin)/100, 1),
 		// Every second task finished is the worst case: two numbers with their
 		// commas for two tasks.
-		ChunkSize: max(int(p.Params.State.ValueKB*1024-200)/8, 16),
+		ChunkSize: max(int(p.Params.State.ValueKB*1024-valueMargin)/8, 16),
 		Tuning:    tuning(s),
 	}
 	c.StartWithin = map[string][]core.Micros{}
@@ -221,8 +221,7 @@
 		}
 		c.LateTimes = max(c.LateTimes, o.Times)
 	}
-	base := ConfigBase(p, s)
-	c.Teams = CoreTeams(&clusterconfig.Effective{Teams: base.Teams})
+	c.Teams = CoreTeams(ConfigBase(p, s).Teams)
 	return c
 }
 
@@ -241,10 +240,10 @@
 }
 
 // CoreTeams are the teams as the core has them, by name.
-func CoreTeams(e *clusterconfig.Effective) []core.Team {
+func CoreTeams(teams map[string]clusterconfig.Team) []core.Team {
 	var out []core.Team
-	for _, name := range slices.Sorted(maps.Keys(e.Teams)) {
-		t := e.Teams[name]
+	for _, name := range slices.Sorted(maps.Keys(teams)) {
+		t := teams[name]
 		out = append(out, core.Team{Name: name, Min: t.Min, Max: t.Max})
 	}
 	return out
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -195,20 +195,26 @@
 		}
 		*to = map[string]core.Priority{}
 		for team, word := range given {
-			found := false
-			for p := core.Low; p <= core.Production; p++ {
-				if p.String() == string(word) {
-					(*to)[team], found = p, true
-				}
-			}
-			if !found {
+			p, ok := priorityOf(word)
+			if !ok {
 				return fmt.Errorf("%q: want :low, :normal, :high or :production, not %v", team, word)
 			}
+			(*to)[team] = p
 		}
 		return nil
 	}
 }
 
+// priorityOf is the priority of a word in the settings.
+func priorityOf(word edn.Keyword) (p core.Priority, ok bool) {
+	for p = core.Low; p <= core.Production; p++ {
+		if p.String() == string(word) {
+			return p, true
+		}
+	}
+	return 0, false
+}
+
 func decodeHashes(given []string) ([]Hash, error) {
 	var out []Hash
 	for _, g := range given {
--- a/internal/configclient/await.go
+++ b/internal/configclient/await.go
@@ -33,7 +33,7 @@
 			return fmt.Errorf("%s: %w", e.Key, err)
 		}
 	}
-	e, err := c.Store.Get(ctx, "c/leader")
+	e, err := c.Store.Get(ctx, wire.LeaderKey)
 	if errors.Is(err, statestore.ErrNotFound) {
 		return nil
 	}
--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -157,13 +157,12 @@
 	if !c.inForce(v, v.Records.Stamp) {
 		return fmt.Errorf("%w: that team %q is draining", ErrNotInForce, gone[0])
 	}
-	const jobPrefix = "c/job/"
-	entries, _, err := c.Store.List(ctx, jobPrefix)
+	entries, _, err := c.Store.List(ctx, wire.JobPrefix)
 	if err != nil {
 		return err
 	}
 	for _, e := range entries {
-		rec, err := wire.DecodeJob(strings.TrimPrefix(e.Key, jobPrefix), e.Value, e.Version)
+		rec, err := wire.DecodeJob(strings.TrimPrefix(e.Key, wire.JobPrefix), e.Value, e.Version)
 		if err != nil {
 			return err
 		}
--- a/internal/node/clusterconfig.go
+++ b/internal/node/clusterconfig.go
@@ -19,6 +19,7 @@
 // node follows it. What it decides by that is bounded in time: docs/design/configuration.md.
 type clusterConfig struct {
 	base      clusterconfig.Base
+	peers     []string // the other controllers
 	follower  *clusterconfig.Follower
 	effective clusterconfig.Effective
 	shared    atomic.Pointer[clusterconfig.Effective] // the same, for other goroutines
@@ -45,7 +46,11 @@
 func (c *clusterConfig) init(p *config.Platform, s config.Settings) {
 	c.base, c.follower = config.ConfigBase(p, s), clusterconfig.NewFollower()
 	c.use(c.follower.Config().Over(&c.base))
-	c.freshTill.Store(int64(core.MaxMicros))
+	c.freshTill.Store(int64(c.follower.FreshUntil(0)))
+	c.peers = []string{}
+	for _, k := range p.Peers {
+		c.peers = append(c.peers, k.Member)
+	}
 }
 
 func (c *clusterConfig) use(e clusterconfig.Effective) {
@@ -95,26 +100,12 @@
 	}
 	if changed {
 		c.use(c.follower.Config().Over(&c.base))
-		n.core.Configure(config.CoreTeams(&c.effective), c.effective.Tuning)
+		n.core.Configure(config.CoreTeams(c.effective.Teams), c.effective.Tuning)
 		number, stamp := c.follower.Acted()
 		c.stamp.Store(stamp)
 		n.log.Info("configuration", "version", number, "revision", stamp)
 	}
-	n.stampFresh()
-}
-
-// stampFresh notes until when tasks may be started on what was read.
-func (n *Node) stampFresh() {
-	c := &n.config
-	until := core.MaxMicros
-	switch {
-	case !c.follower.Enabled():
-	case !c.follower.Current():
-		until = 0
-	default:
-		until = n.knownAt + clusterconfig.FreshFor
-	}
-	c.freshTill.Store(int64(until))
+	c.freshTill.Store(int64(c.follower.FreshUntil(n.knownAt)))
 }
 
 // mayDecide reports whether this node knows the configuration in force well enough to place
@@ -155,7 +146,7 @@
 		return
 	}
 	number, stamp := c.follower.Acted()
-	a := clusterconfig.Ack{Format: clusterconfig.Format, Stamp: stamp, Number: number, Peers: n.peerNames(), Earlier: n.earlierPeers()}
+	a := clusterconfig.Ack{Format: clusterconfig.Format, Stamp: stamp, Number: number, Peers: c.peers, Earlier: n.earlierPeers()}
 	if !c.follower.Current() {
 		a.Error = "it can't act by the latest version"
 	}
@@ -167,14 +158,6 @@
 	}
 }
 
-func (n *Node) peerNames() []string {
-	names := []string{}
-	for _, p := range n.cfg.Peers {
-		names = append(names, p.Member)
-	}
-	return names
-}
-
 // earlierFor is how long a peer's word counts: one that is silent for longer may be down.
 const earlierFor = 10 * time.Second
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,9 +23,9 @@
 // Keys that every node watches.
 const (
 	controlPrefix = "c/"
-	leaderKey     = "c/leader"
+	leaderKey     = wire.LeaderKey
 	catalogKey    = "c/catalog"
-	jobPrefix     = "c/job/"
+	jobPrefix     = wire.JobPrefix
 )
 
 // Node is a controller. All fields below the line belong to the goroutine that
--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -6,9 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"aspenstall/internal/clusterconfig"
+	"aspenstall/internal/config"
 	"aspenstall/internal/configclient"
-	"aspenstall/internal/core"
 	"aspenstall/internal/netdial"
 	"aspenstall/internal/statestore"
 	"aspenstall/internal/wait"
@@ -28,17 +27,11 @@
 	byTime int // of those made: in force by time, as a controller said nothing
 }
 
-func newOperator(r *Run) *operator {
-	base := clusterconfig.Base{Teams: map[string]clusterconfig.Team{}}
-	for _, t := range r.teams {
-		base.Teams[t.Name] = clusterconfig.Team{
-			Min: core.Res{CPU: int64(t.CPUs * 1000)}, Max: core.Res{CPU: int64(t.CPUsMax * 1000)}, Cap: core.Production,
-		}
-	}
-	const valueMargin, connections = 200, 2
+func newOperator(r *Run, p *config.Platform) *operator {
+	const connections = 2
 	c := &configclient.Client{
-		Store: statestore.New(stateAddress(operatorNumber), 0, 0, connections, netdial.TCP(time.Second)), Base: base,
-		Limits: clusterconfig.Limits{ValueBytes: int(r.settings.StateValueKB*1024) - valueMargin, TxnOps: r.settings.StateTxnOps},
+		Store: statestore.New(stateAddress(operatorNumber), 0, 0, connections, netdial.TCP(time.Second)),
+		Base:  config.ConfigBase(p, config.DefaultSettings()), Limits: p.ConfigLimits(),
 	}
 	for _, k := range r.controllers {
 		c.Controllers = append(c.Controllers, k.name)
--- a/internal/scale/follow.go
+++ b/internal/scale/follow.go
@@ -52,7 +52,7 @@
 
 func (r *Run) lookForLeader() {
 	var l wire.Leader
-	if e, ok := r.state.Get("c/leader"); !ok || wire.Unmarshal(e.Value, &l) != nil {
+	if e, ok := r.state.Get(wire.LeaderKey); !ok || wire.Unmarshal(e.Value, &l) != nil {
 		l.Node = ""
 	}
 	r.mu.Lock()
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"path"
@@ -267,17 +266,11 @@
 	if err != nil {
 		return 0, nil
 	}
-	resp, err := u.http.Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, nil
+	status, b := simulator.Exchange(u.http, req)
+	if status != 0 {
+		u.run.counts.add("users "+method+" "+wire.JobsPath, len(body), len(b))
 	}
-	u.run.counts.add("users "+method+" "+wire.JobsPath, len(body), len(b))
-	return resp.StatusCode, b
+	return status, b
 }
 
 // began notes that a task is on a machine.
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -36,6 +36,13 @@
 	l.mu.Unlock()
 }
 
+// reset forgets what was collected.
+func (l *latencies) reset() {
+	l.mu.Lock()
+	l.hist.Reset()
+	l.mu.Unlock()
+}
+
 func (l *latencies) result() Latency {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -89,11 +96,7 @@
 
 // sample reads a process once; a process that is gone is left out.
 func (s *sampler) sample(pid int, role Role, name string, workers int) {
-	p, err := procfs.NewProc(pid)
-	if err != nil {
-		return
-	}
-	stat, err := p.Stat()
+	p, stat, err := statOf(pid)
 	if err != nil {
 		return
 	}
@@ -110,7 +113,7 @@
 		u.Cores = (cpu - k.firstCPU) / now.Sub(k.firstAt).Seconds()
 	}
 	k.cpu, k.at = cpu, now
-	mb := float64(stat.ResidentMemory()) / (1 << 20)
+	mb := megabytes(stat)
 	k.samples++
 	k.memory += mb
 	u.MemMB, u.PeakMemMB = k.memory/float64(k.samples), max(u.PeakMemMB, mb)
@@ -135,17 +138,25 @@
 
 // residentMB is what a process holds now.
 func residentMB(pid int) float64 {
-	p, err := procfs.NewProc(pid)
+	_, stat, err := statOf(pid)
 	if err != nil {
 		return 0
 	}
-	stat, err := p.Stat()
+	return megabytes(stat)
+}
+
+// statOf reads how a process stands.
+func statOf(pid int) (procfs.Proc, procfs.ProcStat, error) {
+	p, err := procfs.NewProc(pid)
 	if err != nil {
-		return 0
+		return p, procfs.ProcStat{}, err
 	}
-	return float64(stat.ResidentMemory()) / (1 << 20)
+	stat, err := p.Stat()
+	return p, stat, err
 }
 
+func megabytes(stat procfs.ProcStat) float64 { return float64(stat.ResidentMemory()) / (1 << 20) }
+
 // machineMemoryMB is the memory of the machine that this runs on.
 func machineMemoryMB() float64 {
 	fs, err := procfs.NewDefaultFS()
--- a/internal/scale/processes.go
+++ b/internal/scale/processes.go
@@ -113,9 +113,9 @@
 	return c.pid
 }
 
-// writeFiles writes the platform's file and the operators' settings of a controller.
-func (c *controller) writeFiles(dir string, s *Settings, all []*controller, teams []Team) error {
-	var p config.Platform
+// platformFile is what the platform's file says to a controller.
+func (c *controller) platformFile(s *Settings, all []*controller, teams []Team) *config.Platform {
+	p := &config.Platform{}
 	p.Member, p.Zone = c.name, c.zone
 	p.Listen, p.ClusterListen = controllerAddress(c.number), clusterAddress(c.number)
 	for _, o := range all {
@@ -135,7 +135,12 @@
 	q.State.RPS, q.State.WriteRPS, q.State.ValueKB, q.State.TxnOps = s.StateRPS, s.StateWriteRPS, s.StateValueKB, s.StateTxnOps
 	q.Cloud.RPS, q.Cloud.ListLagS = s.CloudRPS, s.CloudListLagS
 	q.Limits.CPU, q.Limits.MemMB, q.Limits.MaxConnections = 1, s.ControllerMemMB, s.ControllerConnections
-	b, err := json.MarshalIndent(&p, "", " ")
+	return p
+}
+
+// writeFiles writes the platform's file and the operators' settings of a controller.
+func (c *controller) writeFiles(dir string, p *config.Platform) error {
+	b, err := json.MarshalIndent(p, "", " ")
 	if err != nil {
 		return err
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -46,7 +46,6 @@
 	leaderAt   time.Time // since when
 	running    int
 	starts     int
-	lastStart  time.Time
 	firstStart time.Time // after the last change of the leader
 	stopped    int
 	lapsed     int
@@ -123,7 +122,11 @@
 		return nil, err
 	}
 	go r.follow(ctx)
-	go r.judge(ctx)
+	judged := make(chan struct{})
+	go func() {
+		defer close(judged)
+		r.judge(ctx)
+	}()
 	for n := range s.Workers {
 		r.cloud.Boot(machineType, s.Zones[n%len(s.Zones)], false)
 	}
@@ -140,7 +143,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r.timeline.drain(time.Now().Add(time.Hour), func(t time.Time) { r.rules.Now = func() time.Time { return t } })
+	<-judged
+	r.judgeUntil(time.Now().Add(time.Hour))
 	r.finish(res)
 	return res, nil
 }
@@ -161,7 +165,7 @@
 		return 1
 	})
 	for _, c := range r.controllers {
-		if err := c.writeFiles(dir, s, r.controllers, r.teams); err != nil {
+		if err := c.writeFiles(dir, c.platformFile(s, r.controllers, r.teams)); err != nil {
 			return err
 		}
 		zone := func() string { return c.zone }
@@ -183,12 +187,12 @@
 			go r.links.Forward(in, c.zone, o.zone, clusterAddress(o.number), &r.traffic.peers)
 		}
 	}
-	r.operator = newOperator(r)
+	r.operator = newOperator(r, r.controllers[0].platformFile(s, r.controllers, r.teams))
 	regional := func() string { return "" }
 	if err := r.listen(stateAddress(operatorNumber), regional, r.counts.count("operator", r.state), &Traffic{}); err != nil {
 		return err
 	}
-	return r.listen(descriptionsAddress, func() string { return "" }, r.users, &Traffic{})
+	return r.listen(descriptionsAddress, regional, r.users, &Traffic{})
 }
 
 // descriptionsAddress is where workers read jobs' descriptions.
@@ -278,7 +282,6 @@
 		r.mu.Lock()
 		r.running++
 		r.starts++
-		r.lastStart = at
 		if r.firstStart.IsZero() && at.After(r.leaderAt) {
 			r.firstStart = at
 		}
@@ -307,8 +310,11 @@
 
 // judge has the rules told what happened, in its order.
 func (r *Run) judge(ctx context.Context) {
-	now := func(t time.Time) { r.rules.Now = func() time.Time { return t } }
 	for wait.For(ctx, 100*time.Millisecond) {
-		r.timeline.drain(time.Now().Add(-settleFor), now)
+		r.judgeUntil(time.Now().Add(-settleFor))
 	}
 }
+
+func (r *Run) judgeUntil(before time.Time) {
+	r.timeline.drain(before, func(t time.Time) { r.rules.Now = func() time.Time { return t } })
+}
--- a/internal/scale/window.go
+++ b/internal/scale/window.go
@@ -57,12 +57,14 @@
 func (r *Run) measure(ctx context.Context) (*Result, error) {
 	s := &r.settings
 	res := &Result{Settings: *s, Date: time.Now().UTC().Format(time.RFC3339), Cores: runtime.NumCPU(), Processes: s.processes() + 1}
-	r.users.submission, r.users.started = newLatencies(), newLatencies()
+	r.users.submission.reset()
+	r.users.started.reset()
+	r.operator.forced.reset()
 	r.users.mu.Lock()
 	r.users.late = 0
 	r.users.mu.Unlock()
 	r.mu.Lock()
-	r.operator.forced, r.operator.made, r.operator.failed, r.operator.byTime = newLatencies(), 0, 0, 0
+	r.operator.made, r.operator.failed, r.operator.byTime = 0, 0, 0
 	r.mu.Unlock()
 	before := r.snapshot()
 	samples := newSampler()
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -379,6 +379,16 @@
 	if err != nil {
 		return 0, nil
 	}
+	status, b := Exchange(c, req)
+	if status != 0 && k.isDeaf() {
+		<-ctx.Done()
+		return 0, nil
+	}
+	return status, b
+}
+
+// Exchange sends a request and reads the whole answer; the status is 0 if there is none.
+func Exchange(c *http.Client, req *http.Request) (status int, body []byte) {
 	resp, err := c.Do(req)
 	if err != nil {
 		return 0, nil
@@ -388,10 +398,6 @@
 	if err != nil {
 		return 0, nil
 	}
-	if k.isDeaf() {
-		<-ctx.Done()
-		return 0, nil
-	}
 	return resp.StatusCode, b
 }
 
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -409,16 +409,7 @@
 		return 0, nil
 	}
 	req.Close = true
-	resp, err := w.Net.Client("user").Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, b
+	return Exchange(w.Net.Client("user"), req)
 }
 
 // next is the node that the load balancer chooses.
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -8,6 +8,12 @@
 	"aspenstall/internal/core"
 )
 
+// Keys of records that others than the controllers read, too.
+const (
+	LeaderKey = "c/leader"
+	JobPrefix = "c/job/"
+)
+
 // Our own records in the state service. Fields have short names: a record is
 // written for every job.
 
