--- a/review/standins/history.go
+++ b/review/standins/history.go
@@ -264,7 +264,7 @@
 // runHistory is case 1, of many jobs that are over: all controllers crash and come back.
 func runHistory(ctx context.Context, rec *record, binary, dir string, trouble bool) int {
 	const (
-		over  = 200_000 // jobs that are over
+		over  = 300_000 // jobs that are over
 		bound = 75 * time.Second
 		back  = 3 * time.Second
 	)
@@ -282,7 +282,7 @@
 	ended := time.Now().Add(-time.Hour)
 	for n := 0; n < over; {
 		var ops []wire.Write
-		for ; len(ops) < 500; n++ {
+		for ; len(ops) < 1000; n++ {
 			at := core.Micros(ended.Add(-time.Duration(over-n) * time.Second).UnixMicro())
 			r := core.JobRecord{
 				Phase: core.Done, SubmittedAt: at, EndedAt: at + 60*core.Second, AcceptedRevision: uint64(n + 1),
