Notifications: the HTTP transport must not repeat a POST by itself

What callers saw: a receiver that applied a notification and whose response was lost got the same POST again about 1 ms later, on a new connection, without being asked in between. If the receiver took no second connection, the attempt counted as not delivered although it had taken effect.

Cause: http.Transport repeats a request when a reused connection ends before the response, if it has an Idempotency-Key and its body can be had again (GetBody). The key lookup before the POST always leaves a connection that is reused.

The controller logs one attempt, and an httptrace on one client.Do showed two connections and two written requests, so it is not the outbox that repeats.

Change: post sets GetBody to nil, the documented way to keep the transport from repeating. A lost response is then an unknown outcome, and the outbox waits and asks as the receiver's contract says. "No connection" can only be the first one's.

--- a/internal/notify/deliver/deliver.go
+++ b/internal/notify/deliver/deliver.go
@@ -177,7 +177,7 @@
 	return false, &result{notify.NotDelivered, parseRetryAfter(resp)}
 }
 
-// post sends a notification and returns the result.
+// post sends a notification in at most one request and returns the result.
 func (s *Sender) post(ctx context.Context, send notify.Send, token uint64) result {
 	body, contentType, err := s.body(send)
 	if err != nil {
@@ -187,6 +187,10 @@
 	if err != nil {
 		return result{outcome: notify.NotDelivered}
 	}
+	// http.Transport repeats a request with an Idempotency-Key by itself when a reused connection
+	// ends before the response, unless it can't get the body again (net/http, type Transport). Only
+	// the outbox may repeat a notification: it asks the receiver first where that is needed.
+	req.GetBody = nil
 	timestamp := strconv.FormatInt(time.Now().Unix(), 10)
 	req.Header.Set("Content-Type", contentType)
 	req.Header.Set(HeaderIdempotencyKey, send.Key)
--- a/internal/simulator/notify_test.go
+++ b/internal/simulator/notify_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,8 +20,9 @@
 )
 
 // TestNotifyFaultScenarios accepts, completes and cancels jobs while controllers crash, services
-// fail and receivers fail. It checks that a receiver that keeps idempotency keys applies each event
-// of each job exactly once and in order, and no other event.
+// fail and receivers fail. It checks that a receiver that keeps idempotency keys, and one that answers
+// key lookups, apply each event of each job exactly once and in order, and no other event, and that
+// a receiver that does neither applies none twice if the subscription promises at most once.
 func TestNotifyFaultScenarios(t *testing.T) {
 	const s = time.Second
 	for i, sc := range []struct {
@@ -55,19 +58,35 @@
 				w := simulator.NewWorld(80+uint64(i), platform(), machineTypes)
 				defer w.Close()
 				all := []notify.Kind{notify.Accepted, notify.Done, notify.Cancelled}
-				receivers := map[string]*simulator.Receiver{"desk": simulator.NewReceiver(uint64(i)), "billing": simulator.NewReceiver(uint64(i) + 50)}
-				receivers["desk"].LoseResponse, receivers["desk"].Refuse, receivers["desk"].Slow = 0.15, 0.1, 0.1
+				receivers := map[string]*simulator.Receiver{}
+				for n, name := range []string{"desk", "billing", "archive", "pager"} {
+					receivers[name] = simulator.NewReceiver(uint64(i + 50*n))
+				}
+				for _, name := range []string{"desk", "archive", "pager"} {
+					receivers[name].LoseResponse, receivers[name].Refuse, receivers[name].Slow = 0.15, 0.1, 0.1
+				}
 				receivers["billing"].Refuse = 0.3
+				const maxAge = 5 * s
+				receivers["archive"].Contract, receivers["archive"].MaxAge = simulator.AnswersLookups, maxAge
+				receivers["pager"].Contract = simulator.AppliesRepeats
 				w.Settings.Notify = &config.Notify{Subscriptions: []notify.Subscription{
 					{Name: "all", Receiver: "desk", Kinds: all, Deadline: 3600 * core.Second},
 					{Name: "blue-done", Receiver: "billing", Kinds: []notify.Kind{notify.Done}, Team: "blue", Deadline: 3600 * core.Second},
+					{Name: "all-archived", Receiver: "archive", Kinds: all, Deadline: 3600 * core.Second},
+					{Name: "all-paged", Receiver: "pager", Kinds: all, Deadline: 3600 * core.Second, DeliveryGuarantee: notify.AtMostOnce},
 				}}
-				for n, name := range []string{"billing", "desk"} {
+				for n, name := range slices.Sorted(maps.Keys(receivers)) {
 					at := fmt.Sprintf("10.3.0.%d:80", n+1)
 					w.Net.Serve(at, receivers[name])
-					w.Settings.Notify.Receivers = append(w.Settings.Notify.Receivers, config.NotifyReceiver{
-						Limits: notify.Receiver{Name: name, MaxInFlight: 4}, Delivery: deliver.Receiver{Name: name, URL: "http://" + at + "/hook"}, KeepsKeys: true,
-					})
+					r := config.NotifyReceiver{
+						Limits: notify.Receiver{Name: name, MaxInFlight: 4}, Delivery: deliver.Receiver{Name: name, URL: "http://" + at + "/hook"},
+						KeepsKeys: receivers[name].Contract == simulator.DeduplicatesKeys,
+					}
+					if receivers[name].Contract == simulator.AnswersLookups {
+						r.Delivery.LookupURL = "http://" + at + "/seen"
+						r.Limits.MaxMessageAge = core.Micros(maxAge / time.Microsecond)
+					}
+					w.Settings.Notify.Receivers = append(w.Settings.Notify.Receivers, r)
 				}
 				if sc.setup != nil {
 					w.StateFaults.Update(func(*simulator.Faults) { sc.setup(w) })
@@ -113,12 +132,19 @@
 						if kind == "accepted" || kind == last {
 							want = 1
 						}
-						if n, _ := receivers["desk"].EffectCounts(kind, id); n != want {
-							t.Errorf("%s %s: receiver desk applied %d events, want %d", id, kind, n, want)
+						for _, name := range []string{"desk", "archive"} {
+							if n, _ := receivers[name].EffectCounts(kind, id); n != want {
+								t.Errorf("%s %s: receiver %s applied %d events, want %d", id, kind, name, n, want)
+							}
+						}
+						if n, _ := receivers["pager"].EffectCounts(kind, id); n > want {
+							t.Errorf("%s %s: receiver pager applied %d events, want at most %d", id, kind, n, want)
 						}
 					}
-					if order, _ := receivers["desk"].EventOrder(id); len(order) == 2 && !strings.HasSuffix(order[0], "accepted") {
-						t.Errorf("%s: events applied in the order %v", id, order)
+					for _, name := range []string{"desk", "archive"} {
+						if order, _ := receivers[name].EventOrder(id); len(order) == 2 && !strings.HasSuffix(order[0], "accepted") {
+							t.Errorf("%s: receiver %s applied events in the order %v", id, name, order)
+						}
 					}
 					blue := int(id[len(id)-1]-'0')%2 == 0
 					want := 0
@@ -129,8 +155,10 @@
 						t.Errorf("%s: receiver billing applied %d events, want %d", id, n, want)
 					}
 				}
-				if _, n := receivers["desk"].EffectCounts("", ""); n != 80 {
-					t.Errorf("receiver desk applied %d distinct events, want 80", n)
+				for _, name := range []string{"desk", "archive"} {
+					if _, n := receivers[name].EffectCounts("", ""); n != 80 {
+						t.Errorf("receiver %s applied %d distinct events, want 80", name, n)
+					}
 				}
 				for _, b := range w.Violations() {
 					t.Error(b)
--- a/internal/simulator/receiver.go
+++ b/internal/simulator/receiver.go
@@ -7,16 +7,30 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"aspenstall/internal/notify/control"
 )
 
-// Receiver is a simulated receiver of notifications. It deduplicates them by idempotency key,
-// counts their effects, and fails and delays requests at random.
+// ReceiverContract says how a receiver handles repeated notifications; docs/NOTIFICATIONS.md
+// describes the contracts.
+type ReceiverContract int
+
+// The contracts.
+const (
+	DeduplicatesKeys ReceiverContract = iota // a repeated key has no effect
+	AnswersLookups                           // tells whether a key had its effect, rejects messages older than MaxAge
+	AppliesRepeats                           // does neither
+)
+
+// Receiver is a simulated receiver of notifications. It counts their effects, and fails and delays
+// requests at random.
 type Receiver struct {
 	LoseResponse, Refuse, Slow float64 // probabilities; Slow delays effect and response by less than 20 s
+	Contract                   ReceiverContract
+	MaxAge                     time.Duration // of a message, for AnswersLookups
 
 	mu           sync.Mutex
 	streams      *Streams // by notification ID
@@ -34,11 +48,12 @@
 
 // ServeHTTP receives a notification, subject to the configured faults.
 func (recv *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(r.Body)
-	var e struct {
-		ID, Type, Subject string
-		Time              time.Time
+	if r.Method == http.MethodGet {
+		recv.answerLookup(w, r.URL.Query().Get("key"))
+		return
 	}
+	b, err := io.ReadAll(r.Body)
+	var e receivedEvent
 	if err != nil || json.Unmarshal(b, &e) != nil || e.ID != r.Header.Get("Idempotency-Key") {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -56,26 +71,50 @@
 		return
 	case p < refuse+slow:
 		time.Sleep(pause)
-		recv.applyOnce(e.ID, e.Type, e.Subject, e.Time)
+		w.WriteHeader(recv.apply(e, r.Header))
 		return
 	}
-	recv.applyOnce(e.ID, e.Type, e.Subject, e.Time)
+	status := recv.apply(e, r.Header)
 	if p < refuse+slow+loseResponse {
 		panic(http.ErrAbortHandler)
 	}
+	w.WriteHeader(status)
 }
 
-// applyOnce applies a notification's effect unless one with its key was applied before.
-func (recv *Receiver) applyOnce(key, kind, job string, at time.Time) {
+// answerLookup tells whether a key had its effect.
+func (recv *Receiver) answerLookup(w http.ResponseWriter, key string) {
 	recv.mu.Lock()
 	defer recv.mu.Unlock()
-	if recv.seenKeys[key] {
-		return
+	if !recv.seenKeys[key] {
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// receivedEvent is the part of a notification's body that a Receiver reads.
+type receivedEvent struct {
+	ID, Type, Subject string
+	Time              time.Time
+}
+
+// apply applies a notification's effect, as far as the contract permits, and returns the status of
+// the response.
+func (recv *Receiver) apply(e receivedEvent, header http.Header) int {
+	recv.mu.Lock()
+	defer recv.mu.Unlock()
+	if recv.Contract == DeduplicatesKeys && recv.seenKeys[e.ID] {
+		return http.StatusOK
+	}
+	if recv.Contract == AnswersLookups {
+		sentAt, err := strconv.ParseInt(header.Get("Aspenstall-Timestamp"), 10, 64)
+		if err != nil || time.Since(time.Unix(sentAt, 0)) > recv.MaxAge {
+			return http.StatusRequestTimeout
+		}
 	}
-	recv.seenKeys[key] = true
-	recv.effects[kind+" "+job]++
-	recv.eventsByJob[job] = append(recv.eventsByJob[job], kind)
-	recv.latencies = append(recv.latencies, time.Since(at))
+	recv.seenKeys[e.ID] = true
+	recv.effects[e.Type+" "+e.Subject]++
+	recv.eventsByJob[e.Subject] = append(recv.eventsByJob[e.Subject], e.Type)
+	recv.latencies = append(recv.latencies, time.Since(e.Time))
+	return http.StatusOK
 }
 
 // StopFaults makes the receiver accept all notifications at once from now on.
