Lists: a refused page is read again by itself, and pages share the service's rate

Cause: one refused page made a whole list fail and begin again at its first page. Pages were refused by the state service, as each of three controllers read as fast as answers came, and by the client's own budget: a list of more pages than its burst never ended, also for a single controller that the service refused nothing.

Change: List requests a page again that was refused, lost or late, and drops nothing. Pages have 1,000 keys, and are paced by a share of the service's rate that follows from the peers' statuses (sent at once after the start now), within it by additive increase and multiplicative decrease.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,6 +97,7 @@
 		core:         core.New(config.CoreConfig(p, s)),
 		electorWake:  make(chan struct{}, 1),
 	}
+	n.stateClient.ObserveLists(n.logListProgress)
 	n.answerGrace = core.Seconds(s.AnswerGraceS)
 	n.view.jobs = map[string]core.JobRecord{}
 	n.committer.n = n
@@ -107,10 +108,11 @@
 	n.peers = map[string]*peerState{}
 	zones := map[string][]*core.Delegate{}
 	for _, k := range p.Peers {
-		s := &peerState{}
+		s := &peerState{mayList: true}
 		n.peers[k.Member] = s
 		zones[k.Zone] = append(zones[k.Zone], &s.delegate)
 	}
+	n.shareLists()
 	n.peerClients = map[string]*peer.Client{}
 	for _, k := range p.Peers {
 		c, err := peer.Dial(k.Endpoint, dial)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -31,6 +31,7 @@
 type peerState struct {
 	lastStatus time.Time
 	stateOK    bool
+	mayList    bool   // it may be reading the watched records for the first time
 	replyNonce uint64 // of the peer's last reply to this node as the leader
 	lastReply  core.Micros
 	// cancellationsAsOf is when the last request was sent whose reply held every cancellation that
@@ -50,8 +51,7 @@
 	defer c.Close()
 	sent := map[string]peer.Counts{}
 	var sentToken uint64
-	for ctx.Err() == nil {
-		wait.For(ctx, statusInterval)
+	for ; ctx.Err() == nil; wait.For(ctx, statusInterval) {
 		var sentAt core.Micros
 		s, ok := call(ctx, n, func(reply func(*peer.Status)) {
 			s := n.status()
@@ -81,6 +81,7 @@
 		if err != nil {
 			n.log.Debug("peer", "peer", member, "err", err)
 			clear(sent) // the peer may have missed these
+			n.post(func() { n.noteListing(member, false) })
 			continue
 		}
 		n.post(func() { n.handleStatusReply(member, s, reply, sentAt) })
@@ -103,6 +104,24 @@
 	n.applyPeerStatus(reply)
 }
 
+// noteListing records whether a peer is reading the watched records for the first time, as far as
+// this node knows, and takes its share of the rate of lists. A peer counts until it is heard of or
+// can't be reached: all nodes may have started at once.
+func (n *Node) noteListing(member string, listing bool) {
+	n.peers[member].mayList = listing
+	n.shareLists()
+}
+
+func (n *Node) shareLists() {
+	clients := 1
+	for _, p := range n.peers {
+		if p.mayList {
+			clients++
+		}
+	}
+	n.stateClient.ShareLists(clients)
+}
+
 // changedCounts lists at most 500 jobs whose counts differ from those in sent, and adds them to
 // sent.
 func (n *Node) changedCounts(sent map[string]peer.Counts) []peer.Counts {
@@ -179,6 +198,7 @@
 		return // not a peer of the settings
 	}
 	state.lastStatus, state.stateOK = time.Now(), s.StateOK
+	n.noteListing(s.Node, s.Revision == 0)
 	state.delegate.NoteMessage(n.now())
 	n.checkPeerVersion(state, s)
 	if n.term == nil {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"strings"
 	"time"
 
@@ -64,6 +65,16 @@
 	}
 }
 
+// logListProgress logs how far a list of the state service's keys has been read.
+func (n *Node) logListProgress(p statestore.ListProgress) {
+	message := "reading records"
+	if p.Complete {
+		message = "records read"
+	}
+	n.log.Info(message, "prefix", p.Prefix, "pages", p.Pages, "keys", p.Keys, "refused", p.Refused, "failed", p.Failed,
+		"pages_per_s", math.Round(p.PagesPerSecond), "elapsed_ms", p.Elapsed.Milliseconds(), "last_err", p.LastErr)
+}
+
 // applyList applies a complete list of the watched records that was requested at requestedAt. Jobs
 // are never deleted. The leader's key may have been: its absence from the list counts.
 func (n *Node) applyList(entries []wire.Entry, rev uint64, requestedAt core.Micros) {
--- a/internal/simulator/state.go
+++ b/internal/simulator/state.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
 
 	"aspenstall/internal/wire"
 )
@@ -39,14 +41,23 @@
 	compactedRevision uint64 // changes up to this revision are no longer available
 	requestCount      int
 	writeCount        int // puts and deletes
+	refusedCount      int // requests answered with 429
 	keys              map[string]wire.Entry
+	sortedKeys        []string
 	changeLog         []wire.Change
 	leases            map[uint64]*stateLease
 	lastLeaseID       uint64
 	changed           chan struct{} // closed and replaced at each change
 	MaxTxnOps         int           // most writes in a transaction; conditions: four times as many
+	requests, writes  *rate.Limiter // nil: no limit
 }
 
+// Limits of a page of keys.
+const (
+	maxPageItems = 1000
+	maxPageBytes = 512 << 10
+)
+
 // stateLease is a lease; the keys that are attached to it are deleted when it ends.
 type stateLease struct {
 	ttl       time.Duration
@@ -58,6 +69,39 @@
 	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), MaxTxnOps: txnOps}
 }
 
+// LimitRates makes the service answer 429 above the given requests and writes per second. Both
+// limits allow bursts of one second's worth.
+func (s *State) LimitRates(requestsPerSecond, writesPerSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = rate.NewLimiter(rate.Limit(requestsPerSecond), int(requestsPerSecond))
+	s.writes = rate.NewLimiter(rate.Limit(writesPerSecond), int(writesPerSecond))
+}
+
+// withinRates reports whether a request with the given number of writes is within the rates, and
+// counts it; s.mu is held.
+func (s *State) withinRates(writes int) bool {
+	if s.requests == nil {
+		return true
+	}
+	now := time.Now()
+	return s.requests.AllowN(now, 1) && s.writes.AllowN(now, writes)
+}
+
+// Load writes keys in one revision, without requests: the records of an earlier time.
+func (s *State) Load(writes []wire.Write) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyWrites(writes)
+}
+
+// RefusedCount returns the number of requests that were answered with 429.
+func (s *State) RefusedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedCount
+}
+
 // expireLeases ends the leases whose TTL is over; s.mu is held.
 func (s *State) expireLeases() {
 	for id, l := range s.leases {
@@ -82,7 +126,7 @@
 	}
 	s.revision++
 	for _, k := range gone {
-		delete(s.keys, k)
+		s.deleteKey(k)
 		s.changeLog = append(s.changeLog, wire.Change{Delete: k, ModRevision: s.revision})
 	}
 	s.notifyWatchers()
@@ -154,25 +198,20 @@
 	s.expireLeases()
 	s.requestCount++
 	q := r.URL.Query()
+	var txn wire.Txn
+	txnErr := error(nil)
+	if r.URL.Path == wire.CommitPath {
+		txnErr = wire.Unmarshal(b, &txn)
+	}
+	if !s.withinRates(len(txn.Then)) {
+		s.refusedCount++
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	switch p := r.URL.Path; {
 	case p == wire.KeysPath:
 		limit, _ := strconv.Atoi(q.Get("limit"))
-		var names []string
-		for k := range s.keys {
-			if strings.HasPrefix(k, q.Get("starts")) && k > q.Get("since") {
-				names = append(names, k)
-			}
-		}
-		sort.Strings(names)
-		out := wire.Entries{Revision: s.revision, Items: []wire.Entry{}}
-		for i, k := range names {
-			if limit > 0 && i == limit {
-				out.More = true
-				break
-			}
-			out.Items = append(out.Items, s.keys[k])
-		}
-		respond(w, http.StatusOK, &out)
+		respond(w, http.StatusOK, s.page(q.Get("starts"), q.Get("since"), limit))
 	case strings.HasPrefix(p, wire.KeysPath+"/"):
 		if e, ok := s.keys[strings.TrimPrefix(p, wire.KeysPath+"/")]; ok {
 			respond(w, http.StatusOK, &e)
@@ -180,12 +219,11 @@
 		}
 		w.WriteHeader(http.StatusNotFound)
 	case p == wire.CommitPath:
-		var t wire.Txn
-		if wire.Unmarshal(b, &t) != nil || len(t.Then) > s.MaxTxnOps || len(t.If) > 4*s.MaxTxnOps {
+		if txnErr != nil || len(txn.Then) > s.MaxTxnOps || len(txn.If) > 4*s.MaxTxnOps {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		s.commit(w, &t)
+		s.commit(w, &txn)
 	case p == wire.LeasesPath:
 		var l wire.LeaseRequest
 		_ = wire.Unmarshal(b, &l)
@@ -215,6 +253,63 @@
 	}
 }
 
+// page returns the keys with a prefix that come after since, as far as they fit into one page; s.mu
+// is held.
+func (s *State) page(prefix, since string, limit int) *wire.Entries {
+	if limit <= 0 || limit > maxPageItems {
+		limit = maxPageItems
+	}
+	out := &wire.Entries{Revision: s.revision, Items: []wire.Entry{}}
+	first := sort.Search(len(s.sortedKeys), func(i int) bool { return s.sortedKeys[i] >= prefix && s.sortedKeys[i] > since })
+	size := 0
+	for _, k := range s.sortedKeys[first:] {
+		if !strings.HasPrefix(k, prefix) {
+			break
+		}
+		e := s.keys[k]
+		size += len(k) + len(e.Value)
+		if len(out.Items) == limit || size > maxPageBytes {
+			out.More = true
+			break
+		}
+		out.Items = append(out.Items, e)
+	}
+	return out
+}
+
+// putKey sets a key's entry; s.mu is held.
+func (s *State) putKey(e wire.Entry) {
+	if _, known := s.keys[e.Key]; !known {
+		i, _ := slices.BinarySearch(s.sortedKeys, e.Key)
+		s.sortedKeys = slices.Insert(s.sortedKeys, i, e.Key)
+	}
+	s.keys[e.Key] = e
+}
+
+// deleteKey deletes a key; s.mu is held.
+func (s *State) deleteKey(key string) {
+	delete(s.keys, key)
+	if i, found := slices.BinarySearch(s.sortedKeys, key); found {
+		s.sortedKeys = slices.Delete(s.sortedKeys, i, i+1)
+	}
+}
+
+// applyWrites executes writes in one revision; s.mu is held.
+func (s *State) applyWrites(writes []wire.Write) {
+	s.revision++
+	for _, op := range writes {
+		if op.Put != "" {
+			v := append(msgpack.RawMessage(nil), op.Value...)
+			s.putKey(wire.Entry{Key: op.Put, Value: v, ModRevision: s.revision, Lease: op.Lease})
+			s.changeLog = append(s.changeLog, wire.Change{Put: op.Put, Value: v, ModRevision: s.revision})
+		} else if _, ok := s.keys[op.Delete]; ok {
+			s.deleteKey(op.Delete)
+			s.changeLog = append(s.changeLog, wire.Change{Delete: op.Delete, ModRevision: s.revision})
+		}
+	}
+	s.notifyWatchers()
+}
+
 // commit executes a transaction and writes its response; s.mu is held.
 func (s *State) commit(w http.ResponseWriter, t *wire.Txn) {
 	for _, op := range t.Then {
@@ -234,19 +329,8 @@
 		return
 	}
 	if len(t.Then) > 0 {
-		s.revision++
 		s.writeCount += len(t.Then)
-		for _, op := range t.Then {
-			if op.Put != "" {
-				v := append(msgpack.RawMessage(nil), op.Value...)
-				s.keys[op.Put] = wire.Entry{Key: op.Put, Value: v, ModRevision: s.revision, Lease: op.Lease}
-				s.changeLog = append(s.changeLog, wire.Change{Put: op.Put, Value: v, ModRevision: s.revision})
-			} else if _, ok := s.keys[op.Delete]; ok {
-				delete(s.keys, op.Delete)
-				s.changeLog = append(s.changeLog, wire.Change{Delete: op.Delete, ModRevision: s.revision})
-			}
-		}
-		s.notifyWatchers()
+		s.applyWrites(t.Then)
 	}
 	respond(w, http.StatusOK, &wire.TxnResult{Revision: s.revision})
 }
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -204,6 +204,14 @@
 	w.Net.Freeze(n.peerAddr, frozen)
 }
 
+// Healthy reports whether a node's process can take requests.
+func (w *World) Healthy(i int) bool {
+	w.nodesMu.Lock()
+	defer w.nodesMu.Unlock()
+	n := w.Nodes[i]
+	return n.cancel != nil && n.node.Healthy()
+}
+
 // Leader returns the index of the leader according to the state service's record, or -1 if there is
 // none.
 func (w *World) Leader() int {
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -37,7 +36,6 @@
 // Limits of a request. A response usually takes less than 10 ms, sometimes a few hundred.
 const (
 	requestTimeout   = 1500 * time.Millisecond
-	pageSize         = 500
 	maxResponseBytes = 64 << 20
 )
 
@@ -47,6 +45,9 @@
 	http   *http.Client
 	reads  *rate.Limiter
 	writes *rate.Limiter
+	pages  *pagePacer
+
+	observeList func(ListProgress) // nil for none
 }
 
 // New returns a client for the service at addr. It uses at most 70% of the service's rates, in
@@ -65,7 +66,7 @@
 			DialContext: dial, MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns,
 			IdleConnTimeout: 90 * time.Second, DisableCompression: true,
 		}},
-		reads: lim(rps), writes: lim(writeRPS),
+		reads: lim(rps), writes: lim(writeRPS), pages: newPagePacer(rps),
 	}
 }
 
@@ -111,7 +112,10 @@
 		return ErrNotFound
 	case http.StatusGone:
 		return ErrCompacted
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		c.pages.refused(time.Now())
+		return fmt.Errorf("status %d: %w", resp.StatusCode, ErrNotExecuted)
+	case http.StatusServiceUnavailable:
 		return fmt.Errorf("status %d: %w", resp.StatusCode, ErrNotExecuted)
 	case http.StatusBadRequest:
 		var r wire.TxnResult
@@ -134,31 +138,6 @@
 	return c.writes.Limit() == rate.Inf || c.writes.Tokens() >= float64(min(n+burst/4, burst))
 }
 
-// List reads all keys with the prefix. It returns them with the revision of the first page: a
-// watch from that revision finds every later change.
-func (c *Client) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
-	var all []wire.Entry
-	var revision uint64
-	for since, first := "", true; ; first = false {
-		q := "?starts=" + url.QueryEscape(prefix) + "&limit=" + strconv.Itoa(pageSize)
-		if since != "" {
-			q += "&since=" + url.QueryEscape(since)
-		}
-		var page wire.Entries
-		if err := c.do(ctx, http.MethodGet, wire.KeysPath+q, nil, &page, 0, 2*requestTimeout); err != nil {
-			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
-		}
-		if first {
-			revision = page.Revision
-		}
-		all = append(all, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			return all, revision, nil
-		}
-		since = page.Items[len(page.Items)-1].Key
-	}
-}
-
 // Get reads one key.
 func (c *Client) Get(ctx context.Context, key string) (*wire.Entry, error) {
 	var e wire.Entry
