--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,32 +68,6 @@
 	SkewMS float64 `json:"skew_ms"`
 }
 
-// NextLimits are announced limits of the state service: the size of a value and the number of
-// changes in a transaction. 0 means that the limit doesn't change.
-type NextLimits struct {
-	ValueKB float64 `json:"value_kb"`
-	TxnOps  int     `json:"txn_ops"`
-}
-
-// recordOverheadBytes is the part of a value, in bytes, that is left for the encoding around a
-// record.
-const recordOverheadBytes = 200
-
-// ConfigLimits returns the smaller of the state service's present and announced limits, so that
-// records written now stay valid after the change.
-func (p *Platform) ConfigLimits() clusterconfig.Limits {
-	valueKB, txnOps := p.Params.State.ValueKB, p.Params.State.TxnOps
-	if next := p.Params.State.Next; next != nil {
-		if next.ValueKB > 0 {
-			valueKB = min(valueKB, next.ValueKB)
-		}
-		if next.TxnOps > 0 {
-			txnOps = min(txnOps, next.TxnOps)
-		}
-	}
-	return clusterconfig.Limits{ValueBytes: int(valueKB*1024) - recordOverheadBytes, TxnOps: txnOps}
-}
-
 // Team is a team's quota: its guarantees, and its limits (Max); 0 means none.
 type Team struct {
 	Name    string  `json:"name"`
@@ -193,9 +167,13 @@
 	return nil
 }
 
+// minChunkSize is the smallest number of tasks in a completion record.
+const minChunkSize = 16
+
 // CoreConfig returns the core's configuration.
 func CoreConfig(p *Platform, s Settings) core.Config {
 	maxStaleness := core.MaxCancelStaleness(core.Seconds(p.Params.Workers.LeaseS), core.Seconds(p.Params.Workers.CancelS))
+	limits := p.StateLimits()
 	c := core.Config{
 		WorkerLease:    core.Seconds(p.Params.Workers.LeaseS),
 		ReportInterval: core.Seconds(p.Params.Workers.ReportS),
@@ -210,13 +188,16 @@
 		// cloud client may make.
 		ReleaseInterval: core.Seconds(4 / max(p.Params.Cloud.RPS, 1)),
 		ListLag:         core.Seconds(p.Params.Cloud.ListLagS),
-		MaxRecordBytes:  int(p.Params.State.ValueKB*1024 - recordOverheadBytes),
+		MaxRecordBytes:  limits.RecordBytes(),
+		MaxWriteOps:     limits.TxnOps,
 		// A machine's five fields take about 100 bytes as JSON.
-		MachinesPerRecord: max(int(p.Params.State.ValueKB*1024-recordOverheadBytes)/100, 1),
+		MachinesPerRecord: max(limits.RecordBytes()/100, 1),
 		// In the worst case every second task is completed, which takes two numbers with
 		// commas for every two tasks.
-		ChunkSize: max(int(p.Params.State.ValueKB*1024-recordOverheadBytes)/8, 16),
-		Tuning:    coreTuning(s),
+		ChunkSize: max(limits.RecordBytes()/8, minChunkSize),
+		// Earlier versions of the program write chunks by the present limit.
+		RelativeChunkSize: max(int(p.Params.State.ValueKB*1024-recordOverheadBytes)/8, minChunkSize),
+		Tuning:            coreTuning(s),
 	}
 	c.StartObjectives = map[string][]core.Micros{}
 	for _, o := range p.Params.Objectives {
--- a/internal/config/names_test.go
+++ b/internal/config/names_test.go
@@ -74,7 +74,7 @@
 	p.Objectives = []Objective{{Kind: "wait", Class: "train", Share: 0.5, Times: 10.5, WithinS: 11.5}}
 	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.GangWaitS, p.Workers.GangPeerS, p.Workers.CancelS = 12.5, 13.5, 14.5, 15.5, 16.5
 	p.State.RPS, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps = 17.5, 18.5, 19.5, 20
-	p.State.Next = &NextLimits{ValueKB: 21.5, TxnOps: 22}
+	p.State.Next = &NextLimits{ValueKB: 21.5, TxnOps: 22, WriteRPS: 22.5}
 	p.Cloud.RPS, p.Cloud.ListLagS = 23.5, 24.5
 	p.Limits.CPU, p.Limits.MemMB, p.Limits.MaxConnections = 25.5, 26.5, 27
 	p.SkewMS = 28.5
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -172,7 +172,7 @@
 		for _, sub := range s.Notify.Subscriptions {
 			size += len(sub.Name) + 25
 		}
-		if maxBytes := int(p.Params.State.ValueKB * 1024); size > maxBytes {
+		if maxBytes := p.StateLimits().ValueBytes; size > maxBytes {
 			return fmt.Errorf(":notify: :subscriptions: %d of them take %d bytes in the state service, whose values hold %d", len(s.Notify.Subscriptions), size, maxBytes)
 		}
 		for _, sub := range s.Notify.Subscriptions {
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -107,8 +107,10 @@
 	RentedAt  Micros // wall clock
 }
 
-// CompletionRecord holds the completed tasks of one chunk of a job's tasks. Ranges contains pairs
-// of the first and the last index of each range, relative to the first task of the chunk.
+// CompletionRecord holds completed tasks of a job. Ranges contains pairs of the first and the last
+// index of each range. In records of earlier versions of the program these are relative to the first
+// task of a chunk of Config.RelativeChunkSize tasks; Chunk is 0 in all others, so that every version
+// reads them.
 type CompletionRecord struct {
 	Key    string
 	Job    string
--- a/internal/core/completions.go
+++ b/internal/core/completions.go
@@ -133,8 +133,12 @@
 	})
 }
 
-// writeCompletions writes the completion records of up to eight chunks of a job that have changed.
-// If the write fails, they are written again later.
+// maxChunksPerWrite bounds the completion records in one write, so that other writes fit into the
+// transaction.
+const maxChunksPerWrite = 8
+
+// writeCompletions writes the completion records of chunks of a job that have changed, as many as
+// one transaction takes. If the write fails, they are written again later.
 func (c *Core) writeCompletions(j *job) {
 	j.writingCompletions = true
 	chunks := make([]int, 0, len(j.dirtyChunks))
@@ -142,15 +146,15 @@
 		chunks = append(chunks, k)
 	}
 	sort.Ints(chunks)
-	chunks = chunks[:min(len(chunks), 8)]
+	chunks = chunks[:min(len(chunks), maxChunksPerWrite, max(c.cfg.MaxWriteOps, 1))]
 	var w Write
 	covered := map[int]bool{}
 	for _, k := range chunks {
 		delete(j.dirtyChunks, k)
 		covered[k] = true
-		key := CompletionKey(j.spec.ID, k, j.unacknowledged[k])
+		key := CompletionKey(j.spec.ID, c.cfg.ChunkSize, k, j.unacknowledged[k])
 		j.completionKeys[key] = true
-		w.Puts = append(w.Puts, Put{key, CompletionRecord{key, j.spec.ID, k, j.completedRanges(k, c.cfg.ChunkSize)}})
+		w.Puts = append(w.Puts, Put{key, CompletionRecord{Key: key, Job: j.spec.ID, Ranges: j.completedRanges(k, c.cfg.ChunkSize)}})
 	}
 	var completed, rest []*placement
 	for _, p := range j.unrecorded {
--- a/internal/core/completions_test.go
+++ b/internal/core/completions_test.go
@@ -26,7 +26,7 @@
 	w.failWrites = false
 	w.advance(12 * Second)
 	f.report()
-	rec, _ := w.puts[CompletionKey("job-1", 0, 0)].(CompletionRecord)
+	rec, _ := w.puts[CompletionKey("job-1", 16, 0, 0)].(CompletionRecord)
 	want := map[int]string{0: "[1 3]", 1: "[0 0 2 3]", 2: "[0 1 3 3]", 3: "[0 2]"}[left]
 	w.want("ranges", fmt.Sprint(rec.Ranges), want)
 	w.want("forgotten", len(f.status.Tasks), 1)
@@ -37,7 +37,7 @@
 	f.report()
 	d, ok := w.puts[""].(FinalRecord)
 	w.want("final record", ok && d.Record.Phase == Done, true)
-	w.want("records of the job deleted", w.deletes[CompletionKey("job-1", 0, 0)] && w.deletes[StartedPrefix+"job-1"], true)
+	w.want("records of the job deleted", w.deletes[CompletionKey("job-1", 16, 0, 0)] && w.deletes[StartedPrefix+"job-1"], true)
 
 	// A write of completions without an answer does not delay the final record.
 	w.submit(JobSpec{ID: "job-2", Tasks: 2})
@@ -62,11 +62,11 @@
 	// A new leader reads the ranges and runs only the remaining tasks.
 	spec := JobSpec{ID: "job-9", Team: "blue", Tasks: 20, Resources: Resources{1000, 0, 1000}, Image: "im"}
 	next := newWorld(t, Team{Name: "blue"})
-	next.beginTerm(200, []JobRecord{{Spec: spec, Revision: 3}}, Snapshot{Completions: []CompletionRecord{{CompletionKey("job-9", 0, 0), "job-9", 0, []int{0, 14}}, {CompletionKey("job-9", 1, 0), "job-9", 1, []int{1, 2}}}, Started: []string{"job-9"}})
+	next.beginTerm(200, []JobRecord{{Spec: spec, Revision: 3}}, Snapshot{Completions: []CompletionRecord{{CompletionPrefix + "job-9/0", "job-9", 0, []int{0, 14}}, {CompletionPrefix + "job-9/1", "job-9", 1, []int{1, 2}}}, Started: []string{"job-9"}})
 	next.want("left", next.c.jobs["job-9"].pending, 3)
 	// Records of jobs that have ended are deleted.
-	next.beginTerm(300, nil, Snapshot{Completions: []CompletionRecord{{CompletionKey("job-9", 0, 0), "job-9", 0, nil}}, Started: []string{"job-9"}})
-	next.want("dropped", next.deletes[CompletionKey("job-9", 0, 0)] && next.deletes[StartedPrefix+"job-9"], true)
+	next.beginTerm(300, nil, Snapshot{Completions: []CompletionRecord{{CompletionKey("job-9", 16, 0, 0), "job-9", 0, nil}}, Started: []string{"job-9"}})
+	next.want("dropped", next.deletes[CompletionKey("job-9", 16, 0, 0)] && next.deletes[StartedPrefix+"job-9"], true)
 }
 
 // TestFailingMachinesAndJobs checks that a machine on which several jobs fail is drained and
--- a/internal/core/fault_combinations_test.go
+++ b/internal/core/fault_combinations_test.go
@@ -230,7 +230,7 @@
 	w.failPrefix, w.failOutcome = CompletionPrefix, WriteUnknown
 	f.report()
 	w.advance(11 * Second) // the write gets no answer
-	late := CompletionRecord{CompletionKey("job-1", 0, 0), "job-1", 0, []int{first, first}}
+	late := CompletionRecord{CompletionKey("job-1", 16, 0, 0), "job-1", 0, []int{first, first}}
 	f.exitTask(1, CauseDone)
 	f.report()
 	w.failPrefix = ""
@@ -248,7 +248,7 @@
 	// The final record of the job deletes both completion records.
 	f.exitTask(0, CauseDone)
 	f.report()
-	w.want("dropped", w.deletes[late.Key] && w.deletes[CompletionKey("job-1", 0, 1)], true)
+	w.want("dropped", w.deletes[late.Key] && w.deletes[CompletionKey("job-1", 16, 0, 1)], true)
 }
 
 // TestIdleMachineKeptUntilCompletionsStored checks that an idle machine is not released before its
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -133,7 +133,7 @@
 }
 
 // completedRanges returns the completed tasks of a chunk of size tasks, as pairs of the first and
-// the last index of each range, relative to the start of the chunk.
+// the last index of each range.
 func (j *job) completedRanges(chunk, size int) []int {
 	first := chunk * size
 	end := min(first+size, len(j.status))
@@ -142,10 +142,10 @@
 		if j.status[i] != taskDone {
 			continue
 		}
-		if n := len(out); n > 0 && out[n-1] == i-first-1 {
-			out[n-1] = i - first
+		if n := len(out); n > 0 && out[n-1] == i-1 {
+			out[n-1] = i
 		} else {
-			out = append(out, i-first, i-first)
+			out = append(out, i, i)
 		}
 	}
 	return out
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -12,6 +12,7 @@
 	reportedToken       uint64 // highest fencing token that the worker has reported
 
 	group              *machineGroup  // the stored record that lists the machine, or will list it
+	storedIn           *machineGroup  // the last group whose stored record is known to list the machine
 	recorded           bool           // the record that lists the machine is stored
 	retainedIn         *retainedGroup // its partition record; no task is placed here until the record ends
 	reconciled         bool           // this leader knows every task that may run on the machine
--- a/internal/core/machine_groups.go
+++ b/internal/core/machine_groups.go
@@ -15,6 +15,9 @@
 	notBefore Micros   // no write before this time
 	writing   bool     // a write is in flight
 	staleKeys []string // former keys of the record, to be deleted
+	// movedOut are machines that the stored record still has and that were moved to other groups.
+	// The record is not written before those groups' records have them.
+	movedOut []*machine
 }
 
 const (
@@ -72,6 +75,10 @@
 		if g.writeAt == 0 || now < g.writeAt || now < g.notBefore || g.writing {
 			continue
 		}
+		c.splitGroup(g, now)
+		if !g.mayWrite() {
+			continue
+		}
 		if len(g.machines) == 0 {
 			c.write(Write{Deletes: append(g.staleKeys, g.key)}, nil)
 			c.machineGroups = slices.Delete(c.machineGroups, i, i+1)
@@ -81,6 +88,26 @@
 	}
 }
 
+// splitGroup moves the machines that do not fit into a group's record to other groups. Such a record
+// was written under higher limits of the state service.
+func (c *Core) splitGroup(g *machineGroup, now Micros) {
+	fitting := min(len(g.machines), c.cfg.MachinesPerRecord)
+	excess := slices.Clone(g.machines[fitting:])
+	g.machines = g.machines[:fitting]
+	for _, m := range excess {
+		m.group = nil
+		c.addToGroup(m, now)
+	}
+	g.movedOut = append(g.movedOut, excess...)
+}
+
+// mayWrite reports whether no machine would be without a record after the group's record is
+// written.
+func (g *machineGroup) mayWrite() bool {
+	g.movedOut = slices.DeleteFunc(g.movedOut, func(m *machine) bool { return m.group == nil || m.storedIn == m.group })
+	return len(g.movedOut) == 0
+}
+
 // writeGroup writes the record of a group.
 func (c *Core) writeGroup(g *machineGroup) {
 	rec := MachineGroupRecord{}
@@ -96,7 +123,11 @@
 		g.notBefore = now + c.cfg.RecordInterval
 		if o == Stored {
 			for _, m := range written {
-				if m.group != g || m.recorded {
+				if m.group != g {
+					continue
+				}
+				m.storedIn = g
+				if m.recorded {
 					continue
 				}
 				m.recorded = true
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -15,14 +15,15 @@
 	PartitionPrefix  = "b/kept/"
 )
 
-// CompletionKey returns the key of the completion record of a chunk of a job's tasks. The key
-// changes with the number of writes of the chunk that were not acknowledged. The completed tasks of
-// a chunk are the union of all its records.
-func CompletionKey(id string, chunk, unacknowledged int) string {
+// CompletionKey returns the key of the completion record of a chunk of size tasks of a job. The size
+// is part of the key, so that a leader with other limits does not replace a record by one that
+// covers fewer tasks. The key changes with the number of writes of the chunk that were not
+// acknowledged. The completed tasks of a job are the union of all its records.
+func CompletionKey(id string, size, chunk, unacknowledged int) string {
 	if unacknowledged == 0 {
-		return fmt.Sprintf("%s%s/%d", CompletionPrefix, id, chunk)
+		return fmt.Sprintf("%s%s/%d.%d", CompletionPrefix, id, size, chunk)
 	}
-	return fmt.Sprintf("%s%s/%d-%d", CompletionPrefix, id, chunk, unacknowledged)
+	return fmt.Sprintf("%s%s/%d.%d-%d", CompletionPrefix, id, size, chunk, unacknowledged)
 }
 
 // jobKeys returns the keys of the leader's records of a job.
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -42,7 +42,7 @@
 			{Name: "green", Min: Resources{CPU: int64(n) * tasksPerMachine * 500}, Max: Resources{CPU: 1 << 50}},
 		},
 		WorkerLease: 26 * Second, ReportInterval: reportInterval, PlacementInterval: 20 * Millisecond, RecordInterval: 200 * Millisecond, ReleaseInterval: Second,
-		ListLag: 10 * Second, ChunkSize: 2000, MachinesPerRecord: 160, LateFactor: 1.5,
+		ListLag: 10 * Second, ChunkSize: 2000, RelativeChunkSize: 2000, MaxWriteOps: 12, MachinesPerRecord: 160, LateFactor: 1.5,
 		Tuning: Tuning{IdleTimeout: 3600 * Second, RefusalBackoff: 15 * Second, ReservationDecay: 600 * Second, Quarantine: 120 * Second, SuspectAfter: 4500 * Millisecond, SpareTasks: 3},
 	})
 	f.c.SetCatalog([]MachineType{{Name: "t", Capacity: Resources{CPU: tasksPerMachine * 1000, Mem: tasksPerMachine * 4000}, CacheMB: 50000, FetchMBps: 1000, Price: 1, SpotPrice: 0.4, BootTime: 30 * Second, Zones: []string{"a", "b", "c"}}})
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -46,7 +46,7 @@
 			}
 			m := &machine{
 				name: rec.Name, address: rec.Address, typeName: rec.Type, zone: rec.Zone, spot: rec.Spot,
-				group: group, recorded: true, discoveredAt: now, lastReport: now,
+				group: group, storedIn: group, recorded: true, discoveredAt: now, lastReport: now,
 				// The machine counts as having reported so recently that a successful probe
 				// makes it schedulable for one report timeout. It must report by itself within
 				// that time.
@@ -88,7 +88,7 @@
 		j.completionKeys[r.Key] = true
 		for i := 0; i+1 < len(r.Ranges); i += 2 {
 			for n := r.Ranges[i]; n <= r.Ranges[i+1]; n++ {
-				if k := r.Chunk*c.cfg.ChunkSize + n; k < len(j.status) {
+				if k := r.Chunk*c.cfg.RelativeChunkSize + n; k < len(j.status) {
 					j.setStatus(k, taskDone)
 				}
 			}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -281,11 +281,16 @@
 	ReleaseInterval    Micros // minimum time between two release requests
 	ListLag            Micros // delay of the cloud's machine list; it may be up to twice as long
 	ChunkSize          int    // number of tasks in one completion record
+	// RelativeChunkSize is the number of tasks by which the completion records of earlier versions
+	// of the program count: their ranges are relative to the start of their chunk.
+	RelativeChunkSize int
 	// RecordInterval is the minimum time between two writes of a machine group's record. Machines
 	// that come up shortly after one another share a write.
 	RecordInterval Micros
 	// MaxRecordBytes is the maximum size of a record encoded as JSON.
 	MaxRecordBytes int
+	// MaxWriteOps is the maximum number of puts and deletes that a transaction takes.
+	MaxWriteOps int
 	// MachinesPerRecord is the number of machines that share one record.
 	MachinesPerRecord int
 	StartObjectives   map[string][]Micros // by class, objectives for the time until tasks start, ascending
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -34,7 +34,7 @@
 // newWorld returns a world whose Core does not lead yet.
 func newWorld(t *testing.T, teams ...Team) *world {
 	c := New(Config{
-		Teams: teams, WorkerLease: 16 * Second, MaxCancelStaleness: 25 * Second, ReportInterval: 3 * Second, ListLag: 4 * Second, ChunkSize: 16, MachinesPerRecord: 4,
+		Teams: teams, WorkerLease: 16 * Second, MaxCancelStaleness: 25 * Second, ReportInterval: 3 * Second, ListLag: 4 * Second, ChunkSize: 16, RelativeChunkSize: 16, MaxWriteOps: 12, MachinesPerRecord: 4,
 		Tuning: Tuning{IdleTimeout: 10 * Second, RefusalBackoff: 15 * Second, Quarantine: 60 * Second, SuspectAfter: 7 * Second, SpareTasks: 0},
 	})
 	w := &world{t: t, c: c, now: Second, puts: map[string]any{}, deletes: map[string]bool{}, failOutcome: WriteRefused}
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/statestore"
@@ -35,13 +36,15 @@
 	backgroundQueue     []*writeRequest
 	foregroundInFlight  int
 	backgroundInFlight  bool
-	backgroundNotBefore core.Micros // no background write is sent before this time
+	backgroundNotBefore core.Micros     // no background write is sent before this time
+	loggedInvalid       map[string]bool // keys whose write was logged as invalid
 }
 
 const (
 	maxForegroundInFlight = 4
 	maxTaskWritesInFlight = 3 // task writes are sent only while fewer are in flight: one is left to users
 	maxQueued             = 1000
+	maxLoggedInvalid      = 1000 // keys
 	backgroundRetryPause  = core.Second / 2
 	maxTxnBytes           = 40 << 10 // encoded; the service's limit of 64 KiB is counted as JSON
 )
@@ -82,6 +85,14 @@
 	return true
 }
 
+// addCleanup queues deletions that nobody waits for. They are dropped if the queue is full or the
+// service refuses them.
+func (c *committer) addCleanup(deletions []wire.Write) {
+	for chunk := range slices.Chunk(deletions, max(c.n.stateLimits.TxnOps, 1)) {
+		c.add(&writeRequest{ops: chunk, done: func(uint64, error) {}}, true)
+	}
+}
+
 // dispatch sends queued requests as far as the limits on transactions in flight and the write
 // budget permit.
 func (c *committer) dispatch() {
@@ -98,7 +109,7 @@
 			c.send(c.nextBatch(&c.taskQueues[p]), func() { c.foregroundInFlight-- })
 		}
 	}
-	if c.backgroundInFlight || len(c.backgroundQueue) == 0 || len(c.userQueue) > 0 || c.n.now() < c.backgroundNotBefore || !c.n.stateClient.HasBackgroundBudget(c.n.platform.Params.State.TxnOps) {
+	if c.backgroundInFlight || len(c.backgroundQueue) == 0 || len(c.userQueue) > 0 || c.n.now() < c.backgroundNotBefore || !c.n.stateClient.HasBackgroundBudget(c.n.stateLimits.TxnOps) {
 		return
 	}
 	c.backgroundInFlight = true
@@ -109,8 +120,8 @@
 func (c *committer) nextTxnOps(queue []*writeRequest) int {
 	ops := 0
 	for _, req := range queue {
-		if ops += len(req.ops); ops >= c.n.platform.Params.State.TxnOps {
-			return c.n.platform.Params.State.TxnOps
+		if ops += len(req.ops); ops >= c.n.stateLimits.TxnOps {
+			return c.n.stateLimits.TxnOps
 		}
 	}
 	return ops
@@ -124,7 +135,7 @@
 
 // nextBatch takes requests from the queue that fit into one transaction.
 func (c *committer) nextBatch(queue *[]*writeRequest) []*writeRequest {
-	limit := c.n.platform.Params.State.TxnOps
+	limit := c.n.stateLimits.TxnOps
 	var out []*writeRequest
 	ops, conds, size := 0, 1, 0 // the first condition is the leader's key
 	for len(*queue) > 0 {
@@ -185,6 +196,9 @@
 				c.dispatch()
 				return
 			}
+			if errors.Is(err, statestore.ErrInvalid) {
+				c.logInvalid(reqs[0], err)
+			}
 			for _, req := range reqs {
 				req.done(rev, err)
 			}
@@ -193,6 +207,26 @@
 	}()
 }
 
+// logInvalid logs, once per key, a write that the service found invalid, with the size of its
+// largest value: it may exceed a limit that is lower than the known ones.
+func (c *committer) logInvalid(req *writeRequest, err error) {
+	key, size := "", -1
+	for _, op := range req.ops {
+		if len(op.Value) > size {
+			key, size = op.Put+op.Delete, len(op.Value)
+		}
+	}
+	if c.loggedInvalid[key] || len(c.loggedInvalid) >= maxLoggedInvalid {
+		return
+	}
+	if c.loggedInvalid == nil {
+		c.loggedInvalid = map[string]bool{}
+	}
+	c.loggedInvalid[key] = true
+	c.n.log.Error("the state service found a write invalid", "err", err, "key", key, "bytes", size, "operations", len(req.ops),
+		"known_value_bytes", c.n.stateLimits.ValueBytes, "known_operations", c.n.stateLimits.TxnOps)
+}
+
 // addCoreWrite queues a write that the core requested.
 func (c *committer) addCoreWrite(t *term, w core.Write) {
 	n := c.n
@@ -225,7 +259,7 @@
 	// A job with many chunks has more keys to delete than fit into one transaction. The remaining
 	// keys are deleted by separate writes, once it is stored that the job is over. If they were
 	// deleted before, a leader that ends in between would lose the results of the finished tasks.
-	limit := n.platform.Params.State.TxnOps
+	limit := n.stateLimits.TxnOps
 	leftover := req.ops[min(len(req.ops), limit):]
 	req.ops = req.ops[:len(req.ops)-len(leftover)]
 	if w.IfJob != "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 type Node struct {
 	platform     *config.Platform
 	settings     config.Settings
+	stateLimits  config.StateLimits
 	log          *slog.Logger
 	stateClient  *statestore.Client
 	cloudClient  *cloud.Client
@@ -85,9 +86,10 @@
 // New returns a node that is not running yet; Run starts it.
 func New(p *config.Platform, s config.Settings, log *slog.Logger, dial netdial.Func) *Node {
 	conns := max(p.Params.Limits.MaxConnections/20, 16)
+	limits := p.StateLimits()
 	n := &Node{
-		platform: p, settings: s, log: log,
-		stateClient:  statestore.New(p.Services.State, p.Params.State.RPS, p.Params.State.WriteRPS, min(conns, 16), dial),
+		platform: p, settings: s, stateLimits: limits, log: log,
+		stateClient:  statestore.New(p.Services.State, p.Params.State.RPS, limits.WriteRPS, min(conns, 16), dial),
 		cloudClient:  cloud.New(p.Services.Cloud, p.Params.Cloud.RPS, dial),
 		workerClient: worker.New(max(p.Params.Limits.MaxConnections/16, 64), dial),
 		dial:         dial,
--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -53,9 +53,8 @@
 	if n.settings.Nomad == nil {
 		return nil
 	}
-	state := n.platform.Params.State
 	return &nomadState{
-		registry:   registry.New(registry.Limits{MaxOps: state.TxnOps, MaxValueBytes: int(state.ValueKB * 1024)}, nativeJobs{n}),
+		registry:   registry.New(registry.Limits{MaxOps: n.stateLimits.TxnOps, MaxValueBytes: n.stateLimits.ValueBytes}, nativeJobs{n}),
 		maxWaiters: n.settings.Nomad.MaxWatchers,
 		waiters:    map[registry.Name]map[*waiter]bool{}, progressWaiters: map[string]map[*waiter]bool{},
 		countsChangedAt: map[string]core.Micros{},
@@ -443,6 +442,7 @@
 			switch {
 			case err == nil:
 				learn(rev)
+				n.committer.addCleanup(ch.Cleanup)
 				n.log.Info("job file", "team", name.Team, "job", name.ID, "started", len(ch.Start), "ended", len(ch.Cancel), "kept", len(ch.Keep), "revision", rev)
 				reply(n.registeredState(name, rev), nil)
 			case errors.Is(err, statestore.ErrConflict) && attempts > 1:
--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -26,6 +26,7 @@
 	outboxPrefix     = "o/"
 	marksKey         = outboxPrefix + "marks" // value: revisions by subscription
 	chunkPrefix      = outboxPrefix + "set/"  // followed by the subscription and the chunk
+	halfPrefix       = outboxPrefix + "half/" // like chunkPrefix, followed by a dot and the half, 1 or 2
 	deadLetterPrefix = outboxPrefix + "dead/" // followed by the subscription, the job and the kind of event
 )
 
@@ -59,7 +60,8 @@
 	c := notify.Config{
 		TermStart: n.now(), Subscriptions: n.settings.Notify.Subscriptions, MaxBuffered: 1000, MinSaveInterval: 5 * core.Second, ChunkSaveDelay: 15 * core.Second,
 		// The rest of the transaction is left to writes that jobs wait for.
-		MaxOpsPerSave:  max(n.platform.Params.State.TxnOps/2, 2),
+		MaxOpsPerSave:  max(n.stateLimits.TxnOps/2, 2),
+		MaxChunkBytes:  n.stateLimits.RecordBytes(),
 		InitialBackoff: core.Second, MaxBackoff: 120 * core.Second,
 	}
 	for _, r := range n.settings.Notify.Receivers {
@@ -145,9 +147,8 @@
 // loadOutboxRecord loads one record other than the marks.
 func loadOutboxRecord(box *notify.Outbox, e wire.Entry) error {
 	switch {
-	case strings.HasPrefix(e.Key, chunkPrefix):
-		sub, chunk, _ := strings.Cut(e.Key[len(chunkPrefix):], "/")
-		c, err := strconv.ParseUint(chunk, 10, 64)
+	case strings.HasPrefix(e.Key, chunkPrefix), strings.HasPrefix(e.Key, halfPrefix):
+		key, err := parseChunkKey(e.Key)
 		if err != nil {
 			return fmt.Errorf("record %s: %w", e.Key, err)
 		}
@@ -155,7 +156,7 @@
 		if err := wire.Unmarshal(e.Value, &bitmap); err != nil {
 			return fmt.Errorf("record %s: %w", e.Key, err)
 		}
-		return box.LoadChunk(notify.Chunk{ChunkKey: notify.ChunkKey{Subscription: sub, Chunk: c}, Bitmap: bitmap})
+		return box.LoadChunk(notify.Chunk{ChunkKey: key, Bitmap: bitmap})
 	case strings.HasPrefix(e.Key, deadLetterPrefix):
 		var d deadLetterRecord
 		if err := wire.Unmarshal(e.Value, &d); err != nil {
@@ -172,6 +173,37 @@
 	return nil
 }
 
+// chunkRecordKey returns the key of a record of settled revisions.
+func chunkRecordKey(k notify.ChunkKey) string {
+	if k.Part == notify.WholeChunk {
+		return fmt.Sprintf("%s%s/%d", chunkPrefix, k.Subscription, k.Chunk)
+	}
+	return fmt.Sprintf("%s%s/%d.%d", halfPrefix, k.Subscription, k.Chunk, k.Part)
+}
+
+// parseChunkKey parses a key that chunkRecordKey returned.
+func parseChunkKey(key string) (notify.ChunkKey, error) {
+	prefix := chunkPrefix
+	if strings.HasPrefix(key, halfPrefix) {
+		prefix = halfPrefix
+	}
+	subscription, name, _ := strings.Cut(key[len(prefix):], "/")
+	part := uint64(notify.WholeChunk)
+	var err error
+	if prefix == halfPrefix {
+		var half string
+		name, half, _ = strings.Cut(name, ".")
+		if part, err = strconv.ParseUint(half, 10, 8); err == nil && part != uint64(notify.FirstHalf) && part != uint64(notify.SecondHalf) {
+			err = fmt.Errorf("half %d", part)
+		}
+		if err != nil {
+			return notify.ChunkKey{}, err
+		}
+	}
+	chunk, err := strconv.ParseUint(name, 10, 64)
+	return notify.ChunkKey{Subscription: subscription, Chunk: chunk, Part: notify.ChunkPart(part)}, err
+}
+
 // deadLetterRecord is a dead letter in its stored form.
 type deadLetterRecord struct {
 	Sub      string `msgpack:"s"`
@@ -318,14 +350,14 @@
 		put(marksKey, marks)
 	}
 	for _, c := range a.PutChunks {
-		put(fmt.Sprintf("%s%s/%d", chunkPrefix, c.Subscription, c.Chunk), c.Bitmap)
+		put(chunkRecordKey(c.ChunkKey), c.Bitmap)
 	}
 	for _, d := range a.PutDeadLetters {
 		n.log.Warn("notification put aside", "subscription", d.Subscription, "job", d.Event.Job, "event", d.Event.Kind.String(), "why", d.Reason)
 		put(deadLetterKey(&d), &deadLetterRecord{d.Subscription, d.Event.Job, d.Event.Team, d.Event.Class, d.Event.Kind.String(), d.Event.Revision, int64(d.Event.At), d.Reason})
 	}
 	for _, k := range a.DeleteChunks {
-		req.ops = append(req.ops, wire.Write{Delete: fmt.Sprintf("%s%s/%d", chunkPrefix, k.Subscription, k.Chunk)})
+		req.ops = append(req.ops, wire.Write{Delete: chunkRecordKey(k)})
 	}
 	for _, d := range a.DeleteDeadLetters {
 		req.ops = append(req.ops, wire.Write{Delete: deadLetterKey(&d)})
--- a/internal/nomad/registry/change.go
+++ b/internal/nomad/registry/change.go
@@ -46,8 +46,28 @@
 	Cancel     []core.JobRecord // native jobs to be cancelled, if their records have not changed
 	// Keep has the IDs of the native jobs that continue unchanged.
 	Keep []string
+	// Cleanup deletes sources for which the transaction has no room. It is written afterwards, and
+	// may be lost: the next change of the job deletes what is left.
+	Cleanup []wire.Write
 }
 
+// deleteSources adds the deletion of versions' sources to a change, in the transaction as far as
+// that has room.
+func (r *Registry) deleteSources(change *Change, key string, versions []version) {
+	room := r.limits.MaxOps - change.operations()
+	for i, v := range versions {
+		deletion := wire.Write{Delete: sourceKey(key, v.number)}
+		if i < room {
+			change.Writes = append(change.Writes, deletion)
+		} else {
+			change.Cleanup = append(change.Cleanup, deletion)
+		}
+	}
+}
+
+// operations returns the number of puts and deletes in the transaction.
+func (c *Change) operations() int { return len(c.Writes) + len(c.Start) + len(c.Cancel) }
+
 // Empty reports whether the change writes nothing.
 func (c *Change) Empty() bool { return len(c.Writes) == 0 }
 
@@ -121,8 +141,8 @@
 		}
 	}
 	change.Writes = append(change.Writes, jobWrite, sourceWrite)
-	if old != nil && len(old.versions) >= r.limits.maxVersions() {
-		change.Writes = append(change.Writes, wire.Write{Delete: sourceKey(key, old.versions[0].number)})
+	if old != nil {
+		r.deleteSources(change, key, old.versions[:max(len(old.versions)-r.limits.maxVersions()+1, 0)])
 	}
 	return change, r.checkLimits(change)
 }
@@ -130,7 +150,7 @@
 // checkLimits returns a TooLargeError if a change has too many operations. Jobs are checked against
 // the limits when they are registered, so this happens only after the limits were lowered.
 func (r *Registry) checkLimits(change *Change) error {
-	if n := len(change.Writes) + len(change.Start) + len(change.Cancel); n > r.limits.MaxOps {
+	if n := change.operations(); n > r.limits.MaxOps {
 		return &TooLargeError{fmt.Sprintf("the change has %d operations; this deployment's state service takes %d at once", n, r.limits.MaxOps)}
 	}
 	return nil
@@ -195,15 +215,12 @@
 	change.Conditions = append(change.Conditions, wire.Cond{Key: jobPrefix + key, ModRevision: old.JobModifyIndex})
 	r.cancelNatives(change, old, nil)
 	if purge {
-		change.Writes = append(change.Writes, wire.Write{Delete: jobPrefix + key})
-		for _, v := range old.versions {
-			change.Writes = append(change.Writes, wire.Write{Delete: sourceKey(key, v.number)})
-		}
 		g, err := encodePut(purgeKey(n.Team), &purgeRecord{n.Team})
 		if err != nil {
 			return nil, err
 		}
-		change.Writes = append(change.Writes, g)
+		change.Writes = append(change.Writes, wire.Write{Delete: jobPrefix + key}, g)
+		r.deleteSources(change, key, old.versions)
 		return change, r.checkLimits(change)
 	}
 	rec := &jobRecord{
--- a/internal/nomad/translate/trace_test.go
+++ b/internal/nomad/translate/trace_test.go
@@ -35,7 +35,7 @@
 			{Name: "green", Min: core.Resources{CPU: 8_000, GPU: 1_000}, Max: core.Resources{CPU: 24_000, GPU: 2_000}},
 		},
 		WorkerLease: 16 * core.Second, ReportInterval: 3 * core.Second, PlacementInterval: 20 * core.Millisecond, RecordInterval: 200 * core.Millisecond,
-		ReleaseInterval: core.Second, ListLag: 4 * core.Second, ChunkSize: 500, MachinesPerRecord: 100, LateFactor: 1.5,
+		ReleaseInterval: core.Second, ListLag: 4 * core.Second, ChunkSize: 500, RelativeChunkSize: 500, MaxWriteOps: 12, MachinesPerRecord: 100, LateFactor: 1.5,
 		Tuning: core.Tuning{IdleTimeout: 3600 * core.Second, RefusalBackoff: 3600 * core.Second, ReservationDecay: 600 * core.Second, Quarantine: 120 * core.Second, SuspectAfter: 30 * core.Second},
 	})}
 	s.core.SetCatalog([]core.MachineType{
--- a/internal/notify/notify.go
+++ b/internal/notify/notify.go
@@ -169,24 +169,6 @@
 	Revision     uint64
 }
 
-// ChunkKey identifies a chunk of a subscription's bitmap.
-type ChunkKey struct {
-	Subscription string
-	Chunk        uint64
-}
-
-// Chunk is a part of a subscription's bitmap: the settled revisions among the
-// ChunkSize ones from Chunk*ChunkSize on, in Roaring's published format as base64.
-type Chunk struct {
-	ChunkKey
-	Bitmap string
-}
-
-// ChunkSize is the number of revisions that one chunk covers. The bitmap takes at
-// most 2 KiB, which is 2.8 KiB in base64. This fits into the smallest maximum value
-// size of the deployments.
-const ChunkSize = 1 << 14
-
 // DeadLetter is a notification that is no longer sent automatically.
 type DeadLetter struct {
 	Subscription string
--- a/internal/notify/outbox.go
+++ b/internal/notify/outbox.go
@@ -3,10 +3,9 @@
 import (
 	"cmp"
 	"container/heap"
-	"encoding/base64"
 	"encoding/binary"
-	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -33,6 +32,7 @@
 	// watermark passes the chunk in that time, the write is not needed.
 	ChunkSaveDelay core.Micros
 	MaxOpsPerSave  int // operations in one write; all watermarks count as one
+	MaxChunkBytes  int // length of a stored bitmap; 0: no limit
 	InitialBackoff core.Micros
 	MaxBackoff     core.Micros // limit of the exponential delay, before the spread of retryDelay
 }
@@ -66,9 +66,9 @@
 	lastBuffered        uint64                     // the last revision of which events were buffered
 	overflowed          bool                       // later events are ignored until there is room
 	fetching            bool                       // a FetchEvents is in progress
-	dirtyChunks         map[uint64]bool            // chunks that changed since they were last written
-	dirtySince          core.Micros                // when dirtyChunks last became non-empty
-	storedChunks        map[uint64]bool            // chunks that have a record in the store
+	dirtyHalves         map[uint64]bool            // halves of chunks that changed since they were last written
+	dirtySince          core.Micros                // when dirtyHalves last became non-empty
+	storedChunks        map[ChunkKey]bool          // records of chunks in the store
 	savedWatermark      uint64                     // the watermark that was last written
 	deadLettersToPut    []DeadLetter               // their records must be written
 	deadLettersToDelete []DeadLetter               // their records must be deleted
@@ -125,7 +125,7 @@
 	for _, s := range cfg.Subscriptions {
 		state := &subscriptionState{
 			Subscription: s, receiver: o.receivers[s.Receiver], settled: map[uint64]*roaring.Bitmap{}, unsettled: map[uint64]int{}, buffered: map[string]bool{},
-			queues: map[string]*jobQueue{}, dirtyChunks: map[uint64]bool{}, storedChunks: map[uint64]bool{},
+			queues: map[string]*jobQueue{}, dirtyHalves: map[uint64]bool{}, storedChunks: map[ChunkKey]bool{},
 			deadLetters: map[string]DeadLetter{}, sendAfterSave: map[string]*jobQueue{},
 		}
 		o.subscriptions[s.Name] = state
@@ -151,25 +151,6 @@
 	return lowest
 }
 
-// LoadChunk restores a stored chunk of a subscription's bitmap. It returns an error if the
-// bitmap cannot be decoded.
-func (o *Outbox) LoadChunk(c Chunk) error {
-	s := o.subscriptions[c.Subscription]
-	if s == nil {
-		return nil // the subscription no longer exists
-	}
-	b, err := base64.StdEncoding.DecodeString(c.Bitmap)
-	if err != nil {
-		return fmt.Errorf("settled revisions of subscription %s: %w", c.Subscription, err)
-	}
-	bm := roaring.New()
-	if err := bm.UnmarshalBinary(b); err != nil {
-		return fmt.Errorf("settled revisions of subscription %s: %w", c.Subscription, err)
-	}
-	s.settled[c.Chunk], s.storedChunks[c.Chunk] = bm, true
-	return nil
-}
-
 // LoadDeadLetter restores a stored dead letter. It ignores unknown subscriptions.
 func (o *Outbox) LoadDeadLetter(d DeadLetter) {
 	if s := o.subscriptions[d.Subscription]; s != nil {
@@ -238,15 +219,6 @@
 	return ok
 }
 
-// isSettled reports whether a revision is settled.
-func (s *subscriptionState) isSettled(rev uint64) bool {
-	if rev <= s.watermark {
-		return true
-	}
-	bm := s.settled[rev/ChunkSize]
-	return bm != nil && bm.Contains(uint32(rev%ChunkSize))
-}
-
 // HandleEvent processes a new event. Events must be passed in the order of their
 // revisions, and all events of a revision before HandleEventsComplete for it.
 func (o *Outbox) HandleEvent(now core.Micros, e Event) {
@@ -365,43 +337,6 @@
 	s.advanceWatermark()
 }
 
-// settleRevision adds a revision to the bitmap of settled revisions.
-func (s *subscriptionState) settleRevision(rev uint64) {
-	delete(s.unsettled, rev)
-	c := rev / ChunkSize
-	if s.settled[c] == nil {
-		s.settled[c] = roaring.New()
-	}
-	s.settled[c].Add(uint32(rev % ChunkSize))
-	s.dirtyChunks[c] = true
-}
-
-// advanceWatermark moves the watermark up to the revision before the first unsettled one,
-// and removes the chunks below it.
-func (s *subscriptionState) advanceWatermark() {
-	s.awaitingComplete = slices.DeleteFunc(s.awaitingComplete, func(rev uint64) bool {
-		if n, ok := s.unsettled[rev]; rev > s.loadedThrough || ok && n > 0 {
-			return ok && n > 0 // more events of it were buffered: settleEvent adds it again
-		}
-		s.settleRevision(rev)
-		return true
-	})
-	for len(s.revisionHeap) > 0 && s.unsettled[s.revisionHeap[0]] == 0 && s.revisionHeap[0] <= s.loadedThrough {
-		heap.Pop(&s.revisionHeap)
-	}
-	to := s.loadedThrough
-	if len(s.revisionHeap) > 0 {
-		to = min(to, s.revisionHeap[0]-1)
-	}
-	s.watermark = max(s.watermark, to)
-	for c, bm := range s.settled {
-		if c*ChunkSize+uint64(bm.Maximum()) <= s.watermark {
-			delete(s.settled, c)
-			delete(s.dirtyChunks, c)
-		}
-	}
-}
-
 // Step returns the actions that are due at the monotonic time now. wall is the wall-clock time.
 func (o *Outbox) Step(now, wall core.Micros) []Action {
 	for _, s := range o.subscriptionsInOrder {
@@ -541,7 +476,7 @@
 // dead letter or after it, never before.
 func (o *Outbox) saveDue(now core.Micros) {
 	for _, s := range o.subscriptionsInOrder {
-		if len(s.dirtyChunks) == 0 {
+		if len(s.dirtyHalves) == 0 {
 			s.dirtySince = now
 		}
 	}
@@ -577,24 +512,25 @@
 	}
 	for _, s := range o.subscriptionsInOrder {
 		// If not all dead letters fitted into this write, there is no room for a chunk either.
-		for _, c := range sortedKeys(s.dirtyChunks) {
+		for _, half := range slices.Sorted(maps.Keys(s.dirtyHalves)) {
 			if !room() || now-s.dirtySince < o.cfg.ChunkSaveDelay {
 				break
 			}
-			b, err := s.settled[c].ToBytes()
-			if err != nil {
-				continue // writing to memory does not fail
+			if !s.dirtyHalves[half] {
+				continue // it is in the record of the whole chunk
+			}
+			record := s.recordOf(half, o.cfg.MaxChunkBytes)
+			a.PutChunks = append(a.PutChunks, record)
+			pending.putChunks = append(pending.putChunks, record.ChunkKey)
+			for _, h := range record.halves() {
+				delete(s.dirtyHalves, h)
 			}
-			state := ChunkKey{s.Name, c}
-			a.PutChunks = append(a.PutChunks, Chunk{state, base64.StdEncoding.EncodeToString(b)})
-			pending.putChunks = append(pending.putChunks, state)
-			delete(s.dirtyChunks, c)
 		}
 		to := max(s.savedWatermark, pending.watermarks[s]) // the stored watermark after this write
-		for _, c := range sortedKeys(s.storedChunks) {
-			if s.settled[c] == nil && to >= s.watermark && room() {
-				a.DeleteChunks = append(a.DeleteChunks, ChunkKey{s.Name, c})
-				pending.deletedChunks = append(pending.deletedChunks, ChunkKey{s.Name, c})
+		for _, key := range slices.SortedFunc(maps.Keys(s.storedChunks), ChunkKey.compare) {
+			if s.settled[key.Chunk] == nil && to >= s.watermark && room() {
+				a.DeleteChunks = append(a.DeleteChunks, key)
+				pending.deletedChunks = append(pending.deletedChunks, key)
 			}
 		}
 		// The record of a dead letter is deleted only when its event is stored as settled.
@@ -623,42 +559,13 @@
 			return now
 		case s.watermark > s.savedWatermark, s.hasObsoleteChunk(), len(s.deadLettersToDelete) > 0 && s.settlementSaved(s.deadLettersToDelete[0].Event.Revision, s.savedWatermark):
 			at = min(at, max(o.nextSaveAt, now))
-		case len(s.dirtyChunks) > 0:
+		case len(s.dirtyHalves) > 0:
 			at = min(at, max(o.nextSaveAt, s.dirtySince+o.cfg.ChunkSaveDelay, now))
 		}
 	}
 	return at
 }
 
-// hasObsoleteChunk reports whether a stored chunk is below the watermark.
-func (s *subscriptionState) hasObsoleteChunk() bool {
-	for c := range s.storedChunks {
-		if s.settled[c] == nil {
-			return true
-		}
-	}
-	return false
-}
-
-// settlementSaved reports whether a revision is stored as settled, given the stored watermark.
-func (s *subscriptionState) settlementSaved(rev, watermark uint64) bool {
-	if rev <= watermark {
-		return true
-	}
-	c := rev / ChunkSize
-	return s.settled[c] != nil && s.settled[c].Contains(uint32(rev%ChunkSize)) && !s.dirtyChunks[c]
-}
-
-// sortedKeys returns the keys of a map in ascending order.
-func sortedKeys(m map[uint64]bool) []uint64 {
-	out := make([]uint64, 0, len(m))
-	for state := range m {
-		out = append(out, state)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // HandleSaveResult processes the result of the Save with an ID. Changes that were not stored,
 // or may not have been, are written again: the writes are idempotent.
 func (o *Outbox) HandleSaveResult(now core.Micros, save uint64, ok bool) {
@@ -668,10 +575,8 @@
 	}
 	o.pendingSave = nil
 	if !ok {
-		for _, state := range pending.putChunks {
-			if s := o.subscriptions[state.Subscription]; s.settled[state.Chunk] != nil {
-				s.dirtyChunks[state.Chunk] = true
-			}
+		for _, key := range pending.putChunks {
+			o.subscriptions[key.Subscription].markDirty(key)
 		}
 		o.nextSaveAt = now + core.Second
 		return
@@ -692,11 +597,11 @@
 	for s, to := range pending.watermarks {
 		s.savedWatermark = max(s.savedWatermark, to)
 	}
-	for _, state := range pending.putChunks {
-		o.subscriptions[state.Subscription].storedChunks[state.Chunk] = true
+	for _, key := range pending.putChunks {
+		o.subscriptions[key.Subscription].storedChunks[key] = true
 	}
-	for _, state := range pending.deletedChunks {
-		delete(o.subscriptions[state.Subscription].storedChunks, state.Chunk)
+	for _, key := range pending.deletedChunks {
+		delete(o.subscriptions[key.Subscription].storedChunks, key)
 	}
 }
 
--- a/internal/notify/outbox_test.go
+++ b/internal/notify/outbox_test.go
@@ -141,6 +141,7 @@
 	}
 	sc.cfg.MaxBuffered, sc.cfg.MinSaveInterval, sc.cfg.MaxOpsPerSave = 50, core.Second, 5
 	sc.cfg.ChunkSaveDelay = 2 * core.Second
+	sc.cfg.MaxChunkBytes = int(seed%2) * 60 // so that every other seed stores halves of chunks, too
 	sc.cfg.InitialBackoff, sc.cfg.MaxBackoff = core.Second/2, 20*core.Second
 	sc.cfg.TermStart = sc.now
 	sc.outbox = New(sc.cfg)
--- a/internal/simulator/nomad_test.go
+++ b/internal/simulator/nomad_test.go
@@ -38,14 +38,7 @@
 		addTeam(&p, "guests", 0, 8, 0, 0)
 		w := simulator.NewWorld(seed, p, machineTypes)
 		defer w.Close()
-		key := []byte("the key for the simulator hashes")
-		n := config.DefaultNomad()
-		n.TokenHashKey, n.Tokens = key, map[string][]config.Hash{}
-		for _, team := range []string{"blue", "green", "guests"} {
-			n.Tokens[team] = []config.Hash{nomadapi.HashToken(key, "token of "+team)}
-		}
-		n.AgentTokens = []config.Hash{nomadapi.HashToken(key, simulator.AgentToken)}
-		w.Settings.Nomad = &n
+		w.Settings.Nomad = nomadSettings("blue", "green", "guests")
 		w.Settings.PriorityCaps = map[string]core.Priority{"guests": core.Normal}
 		startAllNodes(w)
 		time.Sleep(15 * time.Second) // a leader is elected and has the catalog
@@ -57,6 +50,18 @@
 	})
 }
 
+// nomadSettings returns settings with a token for each team.
+func nomadSettings(teams ...string) *config.Nomad {
+	key := []byte("the key for the simulator hashes")
+	n := config.DefaultNomad()
+	n.TokenHashKey, n.Tokens = key, map[string][]config.Hash{}
+	for _, team := range teams {
+		n.Tokens[team] = []config.Hash{nomadapi.HashToken(key, "token of "+team)}
+	}
+	n.AgentTokens = []config.Hash{nomadapi.HashToken(key, simulator.AgentToken)}
+	return &n
+}
+
 // client returns Nomad's published client with a team's token, for the node numbered at.
 func (s *nomadWorld) client(team string, at int) *api.Client {
 	c, err := api.NewClient(&api.Config{Address: "http://" + s.NomadAddr(at), SecretID: "token of " + team, HttpClient: s.Net.Client("10.9.0.1:1")})
--- a/internal/simulator/state.go
+++ b/internal/simulator/state.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"sort"
@@ -50,6 +52,17 @@
 	changed           chan struct{} // closed and replaced at each change
 	MaxTxnOps         int           // most writes in a transaction; conditions: four times as many
 	requests, writes  *rate.Limiter // nil: no limit
+	maxValueBytes     int           // of a value as JSON; 0: no limit
+	violations        []LimitViolation
+	writtenKinds      map[string]bool // of the keys written since ForgetWrittenKinds
+}
+
+// LimitViolation is a transaction that was refused because it exceeds a limit.
+type LimitViolation struct {
+	Key        string // of the too large value, or of the first of too many writes
+	Bytes      int    // of the value as JSON; 0 for too many writes or conditions
+	Writes     int
+	Conditions int
 }
 
 // Limits of a page of keys.
@@ -66,7 +79,7 @@
 
 // NewState returns an empty state service with a limit of writes in a transaction.
 func NewState(txnOps int) *State {
-	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), MaxTxnOps: txnOps}
+	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), MaxTxnOps: txnOps, writtenKinds: map[string]bool{}}
 }
 
 // LimitRates makes the service answer 429 above the given requests and writes per second. Both
@@ -78,6 +91,75 @@
 	s.writes = rate.NewLimiter(rate.Limit(writesPerSecond), int(writesPerSecond))
 }
 
+// LimitSizes makes the service answer 400 to transactions with more writes, or with larger values.
+func (s *State) LimitSizes(valueBytes, txnOps int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxValueBytes, s.MaxTxnOps = valueBytes, txnOps
+}
+
+// LimitViolations returns the transactions that were refused because of their size.
+func (s *State) LimitViolations() []LimitViolation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.violations)
+}
+
+// WrittenKinds returns the kinds of the keys that were written since ForgetWrittenKinds was called:
+// the first two parts of their paths.
+func (s *State) WrittenKinds() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.writtenKinds)
+}
+
+// ForgetWrittenKinds makes WrittenKinds start anew.
+func (s *State) ForgetWrittenKinds() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writtenKinds = map[string]bool{}
+}
+
+// limitViolation returns how a transaction exceeds a limit, or nil; s.mu is held.
+func (s *State) limitViolation(t *wire.Txn) *LimitViolation {
+	v := &LimitViolation{Writes: len(t.Then), Conditions: len(t.If)}
+	if len(t.Then) > s.MaxTxnOps || len(t.If) > 4*s.MaxTxnOps {
+		if len(t.Then) > 0 {
+			v.Key = t.Then[0].Put + t.Then[0].Delete
+		}
+		return v
+	}
+	if s.maxValueBytes == 0 {
+		return nil
+	}
+	for _, op := range t.Then {
+		if v.Bytes = jsonSize(op.Value); v.Bytes > s.maxValueBytes {
+			v.Key = op.Put
+			return v
+		}
+	}
+	return nil
+}
+
+// jsonSize returns the size of an encoded value as JSON.
+func jsonSize(value []byte) int {
+	var v any
+	if len(value) == 0 || wire.Unmarshal(value, &v) != nil {
+		return len(value)
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return len(value)
+	}
+	return len(b)
+}
+
+// kindOf returns the first two parts of a key's path.
+func kindOf(key string) string {
+	parts := strings.SplitN(key, "/", 3)
+	return strings.Join(parts[:min(len(parts), 2)], "/")
+}
+
 // withinRates reports whether a request with the given number of writes is within the rates, and
 // counts it; s.mu is held.
 func (s *State) withinRates(writes int) bool {
@@ -219,7 +301,12 @@
 		}
 		w.WriteHeader(http.StatusNotFound)
 	case p == wire.CommitPath:
-		if txnErr != nil || len(txn.Then) > s.MaxTxnOps || len(txn.If) > 4*s.MaxTxnOps {
+		if txnErr != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		if v := s.limitViolation(&txn); v != nil {
+			s.violations = append(s.violations, *v)
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
@@ -298,6 +385,7 @@
 func (s *State) applyWrites(writes []wire.Write) {
 	s.revision++
 	for _, op := range writes {
+		s.writtenKinds[kindOf(op.Put+op.Delete)] = true
 		if op.Put != "" {
 			v := append(msgpack.RawMessage(nil), op.Value...)
 			s.putKey(wire.Entry{Key: op.Put, Value: v, ModRevision: s.revision, Lease: op.Lease})
--- a/internal/wire/names_test.go
+++ b/internal/wire/names_test.go
@@ -345,11 +345,11 @@
 		}},
 		{"keys", []string{
 			LeaderKey, JobPrefix, core.StartedPrefix, core.CompletionPrefix, core.MachinePrefix, core.RentalPrefix, core.PartitionPrefix,
-			core.CompletionKey("job-1", 2, 0), core.CompletionKey("job-1", 2, 3),
+			core.CompletionKey("job-1", 231, 2, 0), core.CompletionKey("job-1", 231, 2, 3),
 			clusterconfig.Prefix, clusterconfig.HeadKey, clusterconfig.PagePrefix, clusterconfig.AckPrefix, clusterconfig.KnownPrefix,
 		}, []string{
 			"c/leader", "c/job/", "b/open/", "b/done/", "b/machine/", "b/rent/", "b/kept/",
-			"b/done/job-1/2", "b/done/job-1/2-3",
+			"b/done/job-1/231.2", "b/done/job-1/231.2-3",
 			"c/config/", "c/config/head", "c/config/page/", "d/config/", "d/known/",
 		}},
 	} {
