Outbox: a bitmap whose write got no answer is deleted like any other

Cause: a chunk counted as stored only once its write was answered. If that was executed without an answer and the watermark passed the chunk before the retry, nothing deleted its record until a new leader read it.

Change: a chunk counts as possibly stored as soon as its write has failed; deleting a key that there is not does no harm.

TestChunkOfUnansweredSaveIsDeleted, seen failing before (one chunk left).

--- a/internal/notify/outbox.go
+++ b/internal/notify/outbox.go
@@ -576,7 +576,9 @@
 	o.pendingSave = nil
 	if !ok {
 		for _, key := range pending.putChunks {
-			o.subscriptions[key.Subscription].markDirty(key)
+			s := o.subscriptions[key.Subscription]
+			s.markDirty(key)
+			s.storedChunks[key] = true // the write may have been executed
 		}
 		o.nextSaveAt = now + core.Second
 		return
--- a/internal/notify/settled_test.go
+++ b/internal/notify/settled_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/base64"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
 	"github.com/RoaringBitmap/roaring/v2"
+
+	"aspenstall/internal/core"
 )
 
 // TestChunkRecordsFitValues guards against records of settled revisions that are larger than a
@@ -59,3 +62,50 @@
 		}
 	}
 }
+
+// TestChunkOfUnansweredSaveIsDeleted guards against a record that stays in the state service for
+// good: its write was executed without an answer, and the watermark passed it before the retry.
+func TestChunkOfUnansweredSaveIsDeleted(t *testing.T) {
+	o := New(Config{
+		Subscriptions: []Subscription{{Name: "s", Receiver: "r", Kinds: []Kind{Done}}}, Receivers: []Receiver{{Name: "r"}}, MaxBuffered: 10, MaxOpsPerSave: 10,
+		InitialBackoff: core.Second, MaxBackoff: core.Second,
+	})
+	now := core.Second
+	var sends []Send
+	stored := map[ChunkKey]bool{}
+	// step executes all saves; failed is what the outbox is told.
+	step := func(failed bool) {
+		now += 2 * core.Second
+		for _, a := range o.Step(now, now) {
+			switch a := a.(type) {
+			case Send:
+				sends = append(sends, a)
+			case Save:
+				for _, c := range a.PutChunks {
+					stored[c.ChunkKey] = true
+				}
+				for _, key := range a.DeleteChunks {
+					delete(stored, key)
+				}
+				o.HandleSaveResult(now, a.ID, !failed)
+			}
+		}
+	}
+	for rev := uint64(5); rev <= 6; rev++ {
+		o.HandleEvent(now, Event{Job: fmt.Sprint(rev), Kind: Done, Revision: rev})
+	}
+	o.HandleEventsComplete(6)
+	step(false)
+	o.HandleSendResult(now, sends[1].ID, Delivered, 0) // the watermark stays below the first event
+	step(true)
+	if len(stored) != 1 {
+		t.Fatalf("%d chunks are stored, want 1", len(stored))
+	}
+	o.HandleSendResult(now, sends[0].ID, Delivered, 0)
+	for range 3 {
+		step(false)
+	}
+	if len(stored) != 0 {
+		t.Errorf("chunks %v are left in the store", stored)
+	}
+}
