--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -318,7 +318,7 @@
 	out, after := notify.NotDelivered, core.Micros(0)
 	started := time.Now()
 	if n.leaseValid() {
-		out, after = n.notifier.senders[a.Subscription].Send(n.ctx, a, token)
+		out, after = n.notifier.senders[a.Subscription].Send(n.ctx, a, token, n.leaseValid)
 	}
 	outcomes := [...]string{"delivered", "not taken", "in doubt", "refused"}
 	n.log.Info("notification "+outcomes[out], "subscription", a.Subscription, "job", a.Event.Job, "event", a.Event.Kind.String(), "key", a.Key,
--- a/internal/notify/deliver/connection_test.go
+++ b/internal/notify/deliver/connection_test.go
@@ -73,13 +73,13 @@
 			}
 			s := newTestSender(t, receiver)
 			if !c.lookup {
-				if out, _ := s.Send(t.Context(), send, 1); out != notify.Delivered {
+				if out, _ := s.Send(t.Context(), send, 1, leading); out != notify.Delivered {
 					t.Fatalf("the earlier delivery had outcome %d", out)
 				}
 				effects.Store(0)
 			}
 			losing.Store(true)
-			out, _ := s.Send(t.Context(), send, 1)
+			out, _ := s.Send(t.Context(), send, 1, leading)
 			if out != notify.Unknown || effects.Load() != 1 {
 				t.Errorf("outcome %d, %d effects; want outcome %d and 1 effect", out, effects.Load(), notify.Unknown)
 			}
@@ -118,7 +118,7 @@
 		return closeNotifyingConn{conn, closed}, err
 	})
 	for range deliveries {
-		if out, _ := s.Send(t.Context(), testSend, 1); out != notify.Delivered {
+		if out, _ := s.Send(t.Context(), testSend, 1, leading); out != notify.Delivered {
 			t.Errorf("outcome %d", out)
 		}
 		<-closed
--- a/internal/notify/deliver/deliver.go
+++ b/internal/notify/deliver/deliver.go
@@ -124,7 +124,12 @@
 // delay that the receiver requested before the next attempt, or 0. With an open breaker, it
 // returns NotDelivered and a quarter of the breaker's timeout without an attempt. It returns
 // shortly after ctx ends at the latest.
-func (s *Sender) Send(ctx context.Context, send notify.Send, token uint64) (notify.Outcome, core.Micros) {
+//
+// leading reports whether this node's lease as the leader is valid. It is called after the key
+// lookup and after the request's timestamp was taken, and nothing is sent if it returns false. So
+// the timestamp is of a time at which this node led: however long the process pauses before the
+// request goes out, the receiver rejects it once the next leader may send.
+func (s *Sender) Send(ctx context.Context, send notify.Send, token uint64, leading func() bool) (notify.Outcome, core.Micros) {
 	ctx, cancel := context.WithTimeout(ctx, s.receiver.Timeout)
 	defer cancel()
 	res, err := s.breaker.Execute(func() (result, error) {
@@ -136,7 +141,7 @@
 				return result{outcome: notify.Delivered}, nil
 			}
 		}
-		res := s.post(ctx, send, token)
+		res := s.post(ctx, send, token, leading)
 		if res.outcome == notify.Delivered || res.outcome == notify.Rejected {
 			return res, nil // the receiver works
 		}
@@ -177,12 +182,16 @@
 	return false, &result{notify.NotDelivered, parseRetryAfter(resp)}
 }
 
-// post sends a notification in at most one request and returns the result.
-func (s *Sender) post(ctx context.Context, send notify.Send, token uint64) result {
+// post sends a notification in at most one request, if this node leads, and returns the result.
+func (s *Sender) post(ctx context.Context, send notify.Send, token uint64, leading func() bool) result {
 	body, contentType, err := s.body(send)
 	if err != nil {
 		return result{outcome: notify.Rejected} // a retry would fail in the same way
 	}
+	sentAt := time.Now() // before the check of the lease
+	if !leading() {
+		return result{outcome: notify.NotDelivered}
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.receiver.URL, bytes.NewReader(body))
 	if err != nil {
 		return result{outcome: notify.NotDelivered}
@@ -191,7 +200,7 @@
 	// ends before the response, unless it can't get the body again (net/http, type Transport). Only
 	// the outbox may repeat a notification: it asks the receiver first where that is needed.
 	req.GetBody = nil
-	timestamp := strconv.FormatInt(time.Now().Unix(), 10)
+	timestamp := strconv.FormatInt(sentAt.Unix(), 10)
 	req.Header.Set("Content-Type", contentType)
 	req.Header.Set(HeaderIdempotencyKey, send.Key)
 	req.Header.Set(HeaderToken, strconv.FormatUint(token, 10))
--- a/internal/notify/deliver/deliver_test.go
+++ b/internal/notify/deliver/deliver_test.go
@@ -19,6 +19,9 @@
 
 var testSend = notify.Send{Subscription: "s", Key: "k1", Attempt: 1, Event: notify.Event{Job: "job-000001", Team: "blue", Class: "c", Kind: notify.Done, At: 1_700_000_000_500_000}}
 
+// leading is the check of the lease of a node that leads.
+func leading() bool { return true }
+
 func newTestSender(t *testing.T, r Receiver) *Sender {
 	t.Helper()
 	if r.Timeout == 0 {
@@ -73,7 +76,7 @@
 				c.serve(w, r)
 			}))
 			defer srv.Close()
-			out, after := newTestSender(t, Receiver{URL: srv.URL, Timeout: 1500 * time.Millisecond}).Send(t.Context(), testSend, 9)
+			out, after := newTestSender(t, Receiver{URL: srv.URL, Timeout: 1500 * time.Millisecond}).Send(t.Context(), testSend, 9, leading)
 			if out != c.out || after != core.Micros(c.after/time.Microsecond) || requests.Load() != 1 {
 				t.Errorf("outcome %d, retry after %d us, %d requests", out, after, requests.Load())
 			}
@@ -81,7 +84,7 @@
 	}
 	srv := httptest.NewServer(nil)
 	srv.Close()
-	if out, _ := newTestSender(t, Receiver{URL: srv.URL}).Send(t.Context(), testSend, 9); out != notify.NotDelivered {
+	if out, _ := newTestSender(t, Receiver{URL: srv.URL}).Send(t.Context(), testSend, 9, leading); out != notify.NotDelivered {
 		t.Errorf("closed port: outcome %d", out)
 	}
 }
@@ -97,7 +100,7 @@
 	}))
 	defer srv.Close()
 	s := newTestSender(t, Receiver{URL: srv.URL, Secrets: [][]byte{[]byte("new"), []byte("old")}})
-	if out, _ := s.Send(t.Context(), testSend, 41); out != notify.Delivered {
+	if out, _ := s.Send(t.Context(), testSend, 41, leading); out != notify.Delivered {
 		t.Fatal(out)
 	}
 	var e struct {
@@ -166,7 +169,7 @@
 	} {
 		a := testSend
 		a.PossiblyDelivered, seen, down, posts = c.ask, c.seen, c.down, 0
-		if out, _ := s.Send(t.Context(), a, 1); out != c.out || posts != c.posts {
+		if out, _ := s.Send(t.Context(), a, 1, leading); out != c.out || posts != c.posts {
 			t.Errorf("%+v: outcome %d, %d posts", c, out, posts)
 		}
 	}
@@ -179,7 +182,7 @@
 	defer srv.Close()
 	s := newTestSender(t, Receiver{URL: srv.URL})
 	for range 20 {
-		out, after := s.Send(context.Background(), testSend, 1)
+		out, after := s.Send(context.Background(), testSend, 1, leading)
 		if requests == breakerThreshold && out == notify.NotDelivered && after == 0 {
 			t.Error("the open breaker returned no retry delay")
 		}
