Submissions: a job that no zone, or no two zones, can run is refused

What callers saw: 201 for a job whose machine type is not offered in its zone, for a task that fits only types of other zones, and for gangs and services with together and scatter; they stayed pending, or ran in half.

Cause: the check looked at capacities and at the platform's zones, not at the zones in which the catalog offers a type, nor at constraints that exclude each other. The leader recorded a new catalog only if names or capacities changed, so the other controllers would have judged by old zones.

--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
-	"slices"
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/httpapi"
@@ -170,36 +168,6 @@
 	n.submit(spec.ID, spec, reply)
 }
 
-// infeasibleReason returns why a job could never run here, or "" if it could.
-func (n *Node) infeasibleReason(s *core.JobSpec) string {
-	team, known := n.clusterConfig.effective.Teams[s.Team]
-	if !known {
-		return fmt.Sprintf("there is no team %q", s.Team)
-	}
-	if team.Draining {
-		return fmt.Sprintf("team %s accepts no new jobs", s.Team)
-	}
-	if s.Priority > team.PriorityCap {
-		return fmt.Sprintf("team %s may use %v priority at most, not %v", s.Team, team.PriorityCap, s.Priority)
-	}
-	total := s.Resources
-	if s.Kind != core.Array {
-		total = s.Resources.Times(s.Tasks)
-	}
-	if team.Max.CPU > 0 && total.CPU > team.Max.CPU || team.Max.GPU > 0 && total.GPU > team.Max.GPU {
-		return fmt.Sprintf("the job requests more than the limit of team %s", s.Team)
-	}
-	if zones := n.platform.Params.Zones; s.Zone != "" && len(zones) > 0 && !slices.Contains(zones, s.Zone) {
-		return fmt.Sprintf("there is no zone %q", s.Zone)
-	}
-	for i := range n.catalog {
-		if s.Resources.Fits(n.catalog[i].Capacity) && (s.Types == nil || slices.Contains(s.Types, n.catalog[i].Name)) {
-			return ""
-		}
-	}
-	return "no allowed machine type fits a task"
-}
-
 // Poll returns the state of a job.
 func (n *Node) Poll(ctx context.Context, id string) httpapi.Response {
 	return n.awaitResponse(ctx, func(reply func(httpapi.Response)) { n.poll(id, reply) })
--- a/internal/node/submission_test.go
+++ b/internal/node/submission_test.go
@@ -124,3 +124,72 @@
 		}
 	}
 }
+
+// TestInfeasibleZones guards against accepting a job that waits forever since no zone, or no two
+// zones, offer what it needs.
+func TestInfeasibleZones(t *testing.T) {
+	n := newTestNode()
+	addTeam(n, "blue", 100)
+	n.platform.Params.Zones = []string{"a", "b", "c"}
+	n.catalog = []core.MachineType{
+		{Name: "small", Capacity: core.Resources{CPU: 4000}, Zones: []string{"a", "b"}},
+		{Name: "large", Capacity: core.Resources{CPU: 16000}, Zones: []string{"b"}},
+		{Name: "gpu", Capacity: core.Resources{CPU: 4000, GPU: 1000}, Zones: []string{"c"}},
+	}
+	kinds := map[core.Kind]string{core.Array: "array", core.Gang: "gang", core.Service: "service"}
+	for _, c := range []struct {
+		name     string
+		spec     core.JobSpec
+		feasible [3]bool // array, gang, service
+	}{
+		{"any zone", core.JobSpec{Tasks: 3}, [3]bool{true, true, true}},
+		{"a zone that offers the type", core.JobSpec{Tasks: 3, Zone: "b", Types: []string{"large"}}, [3]bool{true, true, true}},
+		{"a zone that does not offer the type", core.JobSpec{Tasks: 3, Zone: "a", Types: []string{"large"}}, [3]bool{}},
+		{"a zone that offers one of the types", core.JobSpec{Tasks: 3, Zone: "a", Types: []string{"large", "small"}}, [3]bool{true, true, true}},
+		{"a zone whose types are too small", core.JobSpec{Tasks: 3, Zone: "a", Resources: core.Resources{CPU: 8000}}, [3]bool{}},
+		{"a zone without GPUs", core.JobSpec{Tasks: 1, Zone: "b", Resources: core.Resources{GPU: 1000}}, [3]bool{}},
+		{"one zone", core.JobSpec{Tasks: 3, OneZone: true}, [3]bool{true, true, true}},
+		{"one zone, and it is named", core.JobSpec{Tasks: 3, OneZone: true, Zone: "a"}, [3]bool{true, true, true}},
+		{"one zone, and spread", core.JobSpec{Tasks: 3, OneZone: true, Spread: true}, [3]bool{true, false, false}},
+		{"one zone, and spread, a single task", core.JobSpec{Tasks: 1, OneZone: true, Spread: true}, [3]bool{true, true, true}},
+		{"spread", core.JobSpec{Tasks: 2, Spread: true}, [3]bool{true, true, true}},
+		{"spread, and a zone is named", core.JobSpec{Tasks: 3, Spread: true, Zone: "a"}, [3]bool{true, false, false}},
+		{"spread, a single task in a named zone", core.JobSpec{Tasks: 1, Spread: true, Zone: "a"}, [3]bool{true, true, true}},
+		{"spread, and a type of one zone", core.JobSpec{Tasks: 2, Spread: true, Types: []string{"large"}}, [3]bool{true, false, false}},
+		{"spread, and types of one zone each", core.JobSpec{Tasks: 2, Spread: true, Types: []string{"large", "gpu"}}, [3]bool{true, true, true}},
+		{"spread, and only one zone has types that fit", core.JobSpec{Tasks: 2, Spread: true, Resources: core.Resources{CPU: 8000}}, [3]bool{true, false, false}},
+		{"spread, and no type fits", core.JobSpec{Tasks: 2, Spread: true, Resources: core.Resources{CPU: 32000}}, [3]bool{}},
+	} {
+		for kind, name := range kinds {
+			s := c.spec
+			s.ID, s.Team, s.Kind = "job-1", "blue", kind
+			if s.Resources.CPU == 0 {
+				s.Resources.CPU = 1000
+			}
+			if why := n.infeasibleReason(&s); (why == "") != c.feasible[kind] {
+				t.Errorf("%s, %s: %q", name, c.name, why)
+			}
+		}
+	}
+}
+
+// TestCatalogZonesAreRecorded guards against followers that refuse what the leader accepts, since a
+// machine type is offered in another zone than when the catalog was recorded.
+func TestCatalogZonesAreRecorded(t *testing.T) {
+	n := newTestNode()
+	n.committer.foregroundInFlight = maxForegroundInFlight // it sends nothing
+	inZone := func(zone string, price float64) []core.MachineType {
+		return []core.MachineType{{Name: "m", Capacity: core.Resources{CPU: 4000}, Zones: []string{zone}, Price: price}}
+	}
+	n.view.catalogRevision, n.catalog = 3, inZone("a", 1)
+	for _, c := range []struct {
+		name    string
+		types   []core.MachineType
+		records int
+	}{{"another price", inZone("a", 2), 0}, {"another zone", inZone("b", 2), 1}} {
+		n.updateCatalog(&term{}, c.types, []byte{0x80})
+		if got := len(n.committer.userQueue); got != c.records {
+			t.Errorf("%s: %d records are written, want %d", c.name, got, c.records)
+		}
+	}
+}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -342,8 +343,8 @@
 	}
 }
 
-// updateCatalog takes the catalog from the cloud. It records a change of the types or their
-// capacities, but not of prices alone, for the other nodes and for times when the cloud does not
+// updateCatalog takes the catalog from the cloud. It records a change of the types, their
+// capacities or their zones, but not of prices alone, for the other nodes and for times when the cloud does not
 // respond.
 func (n *Node) updateCatalog(t *term, types []core.MachineType, raw []byte) {
 	if len(types) == 0 {
@@ -351,7 +352,8 @@
 	}
 	known := n.view.catalogRevision > 0 && len(n.catalog) == len(types)
 	for i := 0; known && i < len(types); i++ {
-		known = n.catalog[i].Name == types[i].Name && n.catalog[i].Capacity == types[i].Capacity
+		old := &n.catalog[i]
+		known = old.Name == types[i].Name && old.Capacity == types[i].Capacity && slices.Equal(old.Zones, types[i].Zones)
 	}
 	n.catalog = types
 	n.core.SetCatalog(types)
