Node: the owning goroutine never waits for its own inbox

What callers would have seen: a controller that stands still for good.

Cause: addCoreWrite, which the owning goroutine runs, posted to its own inbox when the queue of task writes was full (1,000). With the inbox full as well (1,024), the goroutine waited for itself. saveOutbox had the same call.

Change: runLater queues a function for after the one that runs now, and never waits. post says that the owning goroutine must not call it. The other callers of post and call were looked through: all are other goroutines or timers.

--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -232,7 +232,7 @@
 	n := c.n
 	req := &writeRequest{term: t}
 	fail := func() {
-		n.post(func() { n.ifCurrentTerm(t, func() { n.core.HandleWriteResult(n.now(), w.ID, core.WriteRefused) }) })
+		n.runLater(func() { n.ifCurrentTerm(t, func() { n.core.HandleWriteResult(n.now(), w.ID, core.WriteRefused) }) })
 	}
 	for i, p := range w.Puts {
 		key := p.Key
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,9 @@
 	electorWake chan struct{} // signals the elector that the view changed
 	ctx         context.Context
 
+	deferred     []func()      // see runLater
+	deferredWake chan struct{} // signals Run that deferred is not empty
+
 	readPending     bool
 	lastReadStarted core.Micros // when the last read for readWaiters began
 	readInterval    core.Micros // between two such reads
@@ -98,6 +101,7 @@
 		inbox:        make(chan func(), 1024),
 		core:         core.New(config.CoreConfig(p, s)),
 		electorWake:  make(chan struct{}, 1),
+		deferredWake: make(chan struct{}, 1),
 	}
 	n.stateClient.ObserveLists(n.logListProgress)
 	n.answerGrace = core.Seconds(s.AnswerGraceS)
@@ -150,7 +154,8 @@
 
 func wallClock() core.Micros { return core.Micros(time.Now().UnixMicro()) }
 
-// post runs f on the owning goroutine. It does not wait until f has run.
+// post runs f on the owning goroutine. It does not wait until f has run, but it waits while the
+// inbox is full, so the owning goroutine must not call it: it uses runLater.
 func (n *Node) post(f func()) {
 	select {
 	case n.inbox <- f:
@@ -158,6 +163,25 @@
 	}
 }
 
+// runLater runs f after the function that the owning goroutine runs now. Only that goroutine may
+// call it. It never waits.
+func (n *Node) runLater(f func()) {
+	n.deferred = append(n.deferred, f)
+	select {
+	case n.deferredWake <- struct{}{}:
+	default:
+	}
+}
+
+// runDeferred runs the functions that were passed to runLater before this call.
+func (n *Node) runDeferred() {
+	deferred := n.deferred
+	n.deferred = nil
+	for _, f := range deferred {
+		f()
+	}
+}
+
 // call runs f on the owning goroutine and waits for the value that f, or something that f started,
 // passes to reply. It returns the zero value and false if ctx ends first.
 func call[T any](ctx context.Context, n *Node, f func(reply func(T))) (T, bool) {
@@ -202,6 +226,8 @@
 		case <-ctx.Done():
 			n.logJobStats()
 			return
+		case <-n.deferredWake:
+			n.runDeferred()
 		case f := <-n.inbox:
 			f()
 			for i := 0; i < 256; i++ {
--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -377,7 +377,7 @@
 		saved(err == nil)
 	}
 	if !n.committer.add(req, false) {
-		n.post(func() { saved(false) })
+		n.runLater(func() { saved(false) })
 	}
 }
 
