Core: a machine that loses its inbound link is idle from now on

Cause: markInboundLost took tasks off a machine as of its report before, so that it counted as idle for longer than it was, and could be released too early. All callers pass the present time.

--- a/internal/core/inbound_loss.go
+++ b/internal/core/inbound_loss.go
@@ -18,13 +18,13 @@
 // is not reconciled and keeps reporting a former leader's token. Only the end of such a
 // machine's lease makes known what runs on it, and the lease ends only if the reports are not
 // answered. A probe may still get through before that.
-func (c *Core) shouldAnswer(m *machine, r *Report) bool {
+func (c *Core) shouldAnswer(m *machine, r *Report, now Micros) bool {
 	switch {
 	case r.Session != m.session || r.Token >= m.lastAnswerToken:
 		m.ignoredAnswers = 0
 	default:
 		if m.ignoredAnswers++; m.ignoredAnswers >= inboundLossThreshold {
-			c.markInboundLost(m, "it keeps reporting a lower token")
+			c.markInboundLost(m, "it keeps reporting a lower token", now)
 		}
 	}
 	m.lastAnswerToken = c.token
@@ -32,15 +32,15 @@
 }
 
 // noteUnexecutedAnswer counts an answer to a report whose commands the worker did not execute.
-func (c *Core) noteUnexecutedAnswer(m *machine) {
+func (c *Core) noteUnexecutedAnswer(m *machine, now Micros) {
 	if m.unexecutedAnswers++; m.unexecutedAnswers >= inboundLossThreshold {
-		c.markInboundLost(m, "it does not execute commands")
+		c.markInboundLost(m, "it does not execute commands", now)
 	}
 }
 
 // markInboundLost stops placing tasks on the machine and frees the tasks whose start was never
 // sent to it, so that they start elsewhere.
-func (c *Core) markInboundLost(m *machine, reason string) {
+func (c *Core) markInboundLost(m *machine, reason string, now Micros) {
 	if !m.inboundLost {
 		m.inboundLost = true
 		c.needsPlacement = true
@@ -48,7 +48,7 @@
 	}
 	for _, p := range slices.Clone(m.placements) {
 		if !p.startSent && !p.reported && !p.inDirectCommand && !p.startUnanswered {
-			c.removePlacement(p, m.lastReport)
+			c.removePlacement(p, now)
 		}
 	}
 }
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -32,7 +32,7 @@
 		m.typeName, m.zone, m.spot = r.Type, r.Zone, r.Spot
 		m.typ = c.machineTypes[m.typeName]
 	}
-	if !c.shouldAnswer(m, r) {
+	if !c.shouldAnswer(m, r, now) {
 		// Withholding the answer costs nothing: an answer that does not arrive renews no
 		// lease. Reports are answered again once a probe gets through.
 		c.applyReport(m, r, true, now)
@@ -117,7 +117,7 @@
 		// that are still in flight name the previous session and are refused.
 		c.clearMachine(m, now)
 		if ago := now - m.lastAcknowledged; ago >= 0 && ago < c.cfg.WorkerLease/2 {
-			c.markInboundLost(m, "its lease expired although its reports were answered")
+			c.markInboundLost(m, "its lease expired although its reports were answered", now)
 		}
 	}
 	newSession := r.Session != m.session
@@ -346,7 +346,7 @@
 		}
 	}
 	if unexecuted {
-		c.noteUnexecutedAnswer(m)
+		c.noteUnexecutedAnswer(m, now)
 	} else if periodic {
 		m.unexecutedAnswers = 0
 	}
