--- a/internal/nomad/httpapi/server.go
+++ b/internal/nomad/httpapi/server.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -118,7 +119,7 @@
 		return nil, err
 	}
 	q.id = id
-	if !strings.Contains(rt.methods, q.r.Method) {
+	if !slices.Contains(strings.Fields(rt.methods), q.r.Method) {
 		return nil, errMethodNotAllowed
 	}
 	if !rt.public {
--- a/internal/nomad/httpapi/server_test.go
+++ b/internal/nomad/httpapi/server_test.go
@@ -219,3 +219,14 @@
 		}
 	}
 }
+
+// TestUnknownMethods guards against methods that are taken for served ones since they are a part of
+// their names.
+func TestUnknownMethods(t *testing.T) {
+	h := newTestHandler(1000)
+	for method, want := range map[string]int{"GET": 200, "PO": 405, "ET": 405, "T": 405, "DELETE": 405} {
+		if got := doRequest(h, method, "/v1/nodes", "new of blue", "").Code; got != want && (want == 405 || got == 405) {
+			t.Errorf("%s: status %d, want %d", method, got, want)
+		}
+	}
+}
