--- a/internal/nomad/jobfile/jobfile.go
+++ b/internal/nomad/jobfile/jobfile.go
@@ -57,10 +57,10 @@
 	return strings.Join(lines, "\n")
 }
 
-// Sort sorts the problems by position, and removes adjacent duplicates.
+// Sort sorts the problems by file and position, and removes adjacent duplicates.
 func (ps Problems) Sort() Problems {
 	slices.SortStableFunc(ps, func(a, b Problem) int {
-		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
 	})
 	return slices.Compact(ps)
 }
--- a/internal/nomad/jobfile/jobfile_test.go
+++ b/internal/nomad/jobfile/jobfile_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -285,3 +286,13 @@
 		t.Errorf("%s\nbecame\n%s", b, b2)
 	}
 }
+
+// TestProblemsSort guards against problems of several files that are mixed by their lines.
+func TestProblemsSort(t *testing.T) {
+	at := func(file string, line int) Problem { return Problem{Pos{File: file, Line: line}, "p"} }
+	got := Problems{at("b", 1), at("a", 2), at("b", 3), at("a", 1), at("a", 1)}.Sort()
+	want := Problems{at("a", 1), at("a", 2), at("b", 1), at("b", 3)}
+	if !slices.Equal(got, want) {
+		t.Errorf("sorted as\n%v, want\n%v", got, want)
+	}
+}
