Term: a token whose record can't be encoded does not stay marked as being raised

Cause: raising was set before the record was encoded, and nothing reset it after an error. Encoding a name and a number does not fail, so no test makes it do so.

--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -266,7 +266,6 @@
 	if t.raising {
 		return
 	}
-	t.raising = true
 	n := t.n
 	t.raiseCount++
 	value, err := wire.Marshal(&wire.LeaderRecord{Node: n.platform.Member, RaiseCount: t.raiseCount})
@@ -278,6 +277,7 @@
 		If:   []wire.Cond{{Key: leaderKey, ModRevision: t.token}},
 		Then: []wire.Write{{Put: leaderKey, Value: value, Lease: t.leaseID}},
 	}
+	t.raising = true
 	go func() {
 		token, err := n.stateClient.Commit(n.ctx, txn)
 		n.post(func() {
