--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -95,6 +95,7 @@
 			f.OnRequest(r.URL.Path, body)
 			r.Body = b()
 		}
+		crashOn := f.CrashOn
 		f.mu.Unlock()
 		if delay > 0 {
 			time.Sleep(delay)
@@ -106,11 +107,11 @@
 			down = down || bytes.Contains(body, []byte(refuseText))
 			r.Body = b()
 		}
-		if f.CrashOn != nil {
+		if crashOn != nil {
 			b := bodyCopier(r)
 			body, _ := io.ReadAll(b())
 			r.Body = b()
-			switch f.CrashOn(r, body) {
+			switch crashOn(r, body) {
 			case CrashBeforeRequest:
 				f.crashNode(r)
 				panic(http.ErrAbortHandler)
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -202,6 +202,7 @@
 	n.gate.setClosed(frozen)
 	w.Net.Freeze(n.addr, frozen)
 	w.Net.Freeze(n.peerAddr, frozen)
+	w.Net.Freeze(n.nomadAddr, frozen)
 }
 
 // Healthy reports whether a node's process can take requests.
