Scale run: a controller that is restarted at once after a kill starts

Cause: start did nothing while the killed process was not reaped yet, and nothing started it later. It waits for the end of a killed process now.

--- a/internal/scale/processes.go
+++ b/internal/scale/processes.go
@@ -63,13 +63,21 @@
 
 	mu              sync.Mutex
 	cancel          context.CancelFunc
-	pid             int // 0 if it is not running
+	killed          bool          // kill was called for the present process
+	exited          chan struct{} // closed once the present process was reaped
+	pid             int           // 0 if it is not running
 	unexpectedExits int // exits that kill did not cause
 }
 
-// start starts the process unless it is running. A process that exits unexpectedly is restarted
-// after restartDelay.
+// start starts the process unless it is running. It waits until a process that was killed is gone. A
+// process that exits unexpectedly is restarted after restartDelay.
 func (c *controller) start(ctx context.Context) error {
+	c.mu.Lock()
+	exited, killed := c.exited, c.killed
+	c.mu.Unlock()
+	if killed {
+		<-exited
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pid != 0 {
@@ -82,7 +90,9 @@
 		cancel()
 		return fmt.Errorf("controller %s: %w", c.name, err)
 	}
-	c.cancel, c.pid = cancel, cmd.Process.Pid
+	c.cancel, c.pid, c.killed = cancel, cmd.Process.Pid, false
+	exited = make(chan struct{})
+	c.exited = exited
 	c.processes.Go(func() {
 		_ = cmd.Wait()
 		c.mu.Lock()
@@ -92,6 +102,7 @@
 		}
 		c.pid = 0
 		c.mu.Unlock()
+		close(exited)
 		if unexpected && wait.For(ctx, restartDelay) {
 			_ = c.start(parent)
 		}
@@ -106,6 +117,7 @@
 func (c *controller) kill() {
 	c.mu.Lock()
 	cancel := c.cancel
+	c.killed = c.pid != 0
 	c.mu.Unlock()
 	if cancel != nil {
 		cancel()
