Scale run: progress reads the hosts' traffic under their own lock, and names why a run ends

Cause: waitWithProgress read each host's counts under the run's lock, and returned false for the memory limit as well, so that the warm-up wrapped the cause of a context that had not ended (nil). It returns the error now. No test: the memory limit and the race need a run; TestSmoke runs both paths without them.

--- a/internal/scale/measurement.go
+++ b/internal/scale/measurement.go
@@ -91,8 +91,8 @@
 		}
 		if time.Since(lastProgress) >= 10*time.Second {
 			lastProgress = time.Now()
-			if !r.waitWithProgress(ctx, "measuring", time.Millisecond) {
-				return nil, errMemoryLimit
+			if err := r.waitWithProgress(ctx, "measuring", time.Millisecond); err != nil {
+				return nil, fmt.Errorf("ended early: %w", err)
 			}
 		}
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -137,8 +137,8 @@
 	if s.ChangesPerS > 0 {
 		r.users.wg.Go(func() { r.operator.applyChanges(ctx, s.ChangesPerS) })
 	}
-	if !r.waitWithProgress(ctx, "warming up", seconds(s.WarmUpS)) {
-		return nil, fmt.Errorf("ended early: %w", context.Cause(ctx))
+	if err := r.waitWithProgress(ctx, "warming up", seconds(s.WarmUpS)); err != nil {
+		return nil, fmt.Errorf("ended early: %w", err)
 	}
 	res, err := r.measure(ctx)
 	cancel()
--- a/internal/scale/watch.go
+++ b/internal/scale/watch.go
@@ -87,27 +87,24 @@
 }
 
 // waitWithProgress waits for d, logs the state of the run every 10 s, and checks the memory limit.
-// It returns false if ctx ends or the limit is exceeded.
-func (r *Run) waitWithProgress(ctx context.Context, phase string, d time.Duration) bool {
+// It returns the cause if ctx ends, and errMemoryLimit if the limit is exceeded.
+func (r *Run) waitWithProgress(ctx context.Context, phase string, d time.Duration) error {
 	const interval = 10 * time.Second
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		if !wait.For(ctx, min(interval, time.Until(end))) {
-			return false
+			return context.Cause(ctx)
 		}
+		workers := r.workerTraffic().Workers
 		r.mu.Lock()
-		workers := 0
-		for _, h := range r.hosts {
-			workers += h.traffic.Workers
-		}
 		fmt.Fprintf(r.progress, "%s: %d workers, %d tasks running, %d started, leader %q, healthy %d, %.0f MB\n",
 			phase, workers, r.runningTasks, r.taskStarts, r.leader, len(r.healthyAddresses), r.peakMB)
 		r.mu.Unlock()
 		if err := r.checkMemory(); err != nil {
 			fmt.Fprintln(r.progress, err)
-			return false
+			return err
 		}
 	}
-	return true
+	return nil
 }
 
 // errMemoryLimit reports that the run's processes use too much memory.
