--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,80 +7,41 @@
 type Core struct {
 	cfg   Config
 	teams map[string]*team
-
-	leading      bool
-	token        uint64 // fencing token of commands that are sent now
-	termToken    uint64 // token with which the term began; a report with at least this token is current
-	attemptCount uint64
-
-	jobs                  map[string]*job
-	queue                 []*job // unfinished jobs in scheduling order
-	machines              map[string]*machine
-	sortedMachines        []*machine      // ordered by name, which makes decisions deterministic
-	watched               map[string]bool // jobs for which Step returns JobProgress
-	machineTypes          map[string]*MachineType
-	machineTypeList       []*MachineType
-	deletedMachines       map[string]bool // machines that are known to be deleted
-	machineGroups         []*machineGroup
-	machineGroupID        int
-	partitionRecords      []*retainedGroup
-	partitionRecordID     int
-	rentals               map[string]*rental
-	rentalByMachine       map[string]*rental // for machines that are not recorded yet
-	unreconciled          int                // number of machines that are not reconciled
-	zoneByName            map[string]*zone
-	fleetUnreachable      bool                   // hardly any machine reports, or isolated
-	fleetUnreachableSince Micros                 // 0: not unreachable, or not known yet in this term
-	tokenAcknowledged     bool                   // a machine has reported a token of this term
-	isolated              bool                   // zones with most of the fleet do not report: this leader is partitioned
-	isolatedSince         Micros                 // since when those zones do not report; 0: they report
-	delegates             map[string][]*Delegate // by zone
-
-	needsPlacement      bool       // capacity, work or quotas changed: a placement pass is needed
-	placementSuspended  bool       // no tasks are placed; see SetPlacementEnabled
-	commandQueue        []*machine // machines that may need commands
-	commandRetryQueue   []*machine // the same, after a delay because a write for them failed
-	probeQueue          []*machine // machines to be probed
-	probesInFlight      int
-	completionQueue     []*job // jobs with completed tasks or a final record to write
-	nextPassAt          Micros
-	lastPassAt          Micros
-	candidates          []*machine                    // machines that may fit a waiting task in this pass
-	candidateCaches     map[searchKey]*candidateCache // search results of this pass for each kind of task
-	changedMachines     []*machine                    // machines whose usage changed in this pass
-	machinesExamined    int                           // machines examined for capacity or victims; the cost of placement
-	nextSummaryAt       Micros
-	nextVacateAt        Micros
-	vacating            []*machine  // machines that are being emptied to be released
-	objectiveClasses    []*jobClass // classes with start objectives
-	reservedClasses     []*jobClass // those of objectiveClasses that have a reservation; see updateReservations
-	reservationSurplus  Resources   // capacity in excess of the reservations; negative where it falls short
-	usageUpdatedAt      Micros      // last time at which the usage of objectiveClasses was recorded
-	termBeganAt         Micros
-	reservationsUnknown bool // the term has not determined yet what to reserve
-	tokenRaiseWanted    bool
-	nextTokenRaiseAt    Micros
-	nextFleetReviewAt   Micros
-	nextLeaseCheckAt    Micros
-	refusedUntil        map[offer]Micros // end of the back-off after a refused rental
-	bootStatsByOffer    map[offer]bootStats
-	releaseQueue        []*machine // machines to be released
-	releaseInFlight     bool
-	nextReleaseAt       Micros
-	classes             map[string]*jobClass
-	imageCounts         map[int]int // number of machines that have an image, by image ID
-	imageCountsAt       Micros      // when imageCounts was computed
-	imageIDs            map[string]int
-	nextRankingAt       Micros
-	spareByZone         map[string]int // number of service tasks that could start immediately, by zone
-	spareTaskResources  Resources      // resources of one service task that spare capacity is kept for
-	spareTarget         int            // number of service tasks to keep spare capacity for
-	spareTargetPerZone  int            // the same in each zone
-	spareFetchRate      float64        // MB/s at which images must be fetched to meet the start objectives
-	pendingWrites       map[uint64]func(now Micros, o WriteOutcome)
-	lastWriteID         uint64
-	rentalCount         uint64
-	actions             []Action
+	termState
+
+	watched           map[string]bool // jobs for which Step returns JobProgress
+	machineTypes      map[string]*MachineType
+	machineTypeList   []*MachineType
+	machineGroupID    int
+	partitionRecordID int
+	fleetUnreachable  bool                   // hardly any machine reports, or isolated
+	isolated          bool                   // zones with most of the fleet do not report: this leader is partitioned
+	delegates         map[string][]*Delegate // by zone
+
+	needsPlacement     bool // capacity, work or quotas changed: a placement pass is needed
+	placementSuspended bool // no tasks are placed; see SetPlacementEnabled
+	nextPassAt         Micros
+	lastPassAt         Micros
+	candidates         []*machine                    // machines that may fit a waiting task in this pass
+	candidateCaches    map[searchKey]*candidateCache // search results of this pass for each kind of task
+	changedMachines    []*machine                    // machines whose usage changed in this pass
+	machinesExamined   int                           // machines examined for capacity or victims; the cost of placement
+	nextSummaryAt      Micros
+	nextVacateAt       Micros
+	reservationSurplus Resources // capacity in excess of the reservations; negative where it falls short
+	bootStatsByOffer   map[offer]bootStats
+	classes            map[string]*jobClass
+	imageCounts        map[int]int // number of machines that have an image, by image ID
+	imageCountsAt      Micros      // when imageCounts was computed
+	imageIDs           map[string]int
+	nextRankingAt      Micros
+	spareByZone        map[string]int // number of service tasks that could start immediately, by zone
+	spareTaskResources Resources      // resources of one service task that spare capacity is kept for
+	spareTarget        int            // number of service tasks to keep spare capacity for
+	spareTargetPerZone int            // the same in each zone
+	spareFetchRate     float64        // MB/s at which images must be fetched to meet the start objectives
+	lastWriteID        uint64
+	rentalCount        uint64
 }
 
 // jobClass holds statistics of the jobs of a class.
@@ -102,7 +63,7 @@
 	c := &Core{
 		cfg: cfg, teams: map[string]*team{}, machineTypes: map[string]*MachineType{},
 		spareByZone: map[string]int{}, classes: map[string]*jobClass{}, imageIDs: map[string]int{}, imageCounts: map[int]int{},
-		zoneByName: map[string]*zone{}, delegates: map[string][]*Delegate{}, candidateCaches: map[searchKey]*candidateCache{},
+		termState: termState{zoneByName: map[string]*zone{}}, delegates: map[string][]*Delegate{}, candidateCaches: map[searchKey]*candidateCache{},
 		watched: map[string]bool{}, bootStatsByOffer: map[offer]bootStats{},
 	}
 	for _, t := range cfg.Teams {
