--- a/internal/scale/processes.go
+++ b/internal/scale/processes.go
@@ -66,7 +66,7 @@
 	killed          bool          // kill was called for the present process
 	exited          chan struct{} // closed once the present process was reaped
 	pid             int           // 0 if it is not running
-	unexpectedExits int // exits that kill did not cause
+	unexpectedExits int           // exits that kill did not cause
 }
 
 // start starts the process unless it is running. It waits until a process that was killed is gone. A
