Nomad API: an event stream passes over no change of another node

What callers saw: with jobs registered at all nodes at once, and a state service that answers within 300 ms, each stream missed several of 36 registrations for good.

Cause: a node took its own write into the registry when it was answered. The team's index was then past earlier changes of other nodes that the node had not read, and a stream, which asks for what is after the index, never sent those.

Change: the registry takes changes from reads alone, in their order. A registration is answered after such a read (one for all that ask at that moment); if that fails, the client is told to retry, and its retry finds the job. Native jobs that a node wrote reach the registry once the view includes them. A stream holds back events after its index.

Left: purges before a restart are still not in a stream that resumes.

--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -310,7 +310,7 @@
 	for _, p := range w.Puts {
 		if d, ok := p.Value.(core.FinalRecord); ok {
 			d.Record.Revision = rev
-			n.applyJob(d.Record)
+			n.applyWrittenJob(d.Record)
 		}
 	}
 }
--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -30,6 +30,9 @@
 	progressWaiters map[string]map[*waiter]bool
 	// countsChangedAt holds, by unfinished native job, when this node last learnt new counts.
 	countsChangedAt map[string]core.Micros
+	// written holds the native jobs that this node has written and whose change the view may not
+	// include yet.
+	written map[string]bool
 }
 
 // recentCountsWindow bounds the wait of a query that arrives shortly after a change of the counts
@@ -57,7 +60,7 @@
 		registry:   registry.New(registry.Limits{MaxOps: n.stateLimits.TxnOps, MaxValueBytes: n.stateLimits.ValueBytes}, nativeJobs{n}),
 		maxWaiters: n.settings.Nomad.MaxWatchers,
 		waiters:    map[registry.Name]map[*waiter]bool{}, progressWaiters: map[string]map[*waiter]bool{},
-		countsChangedAt: map[string]core.Micros{},
+		countsChangedAt: map[string]core.Micros{}, written: map[string]bool{},
 	}
 }
 
@@ -135,6 +138,27 @@
 	}
 }
 
+// noteWritten notes that this node has written a native job's record. The registry takes the change
+// once the view includes it: see replyOnceRead.
+func (s *nomadState) noteWritten(id string) {
+	if s != nil {
+		s.written[id] = true
+	}
+}
+
+// takeWritten passes the written records to the registry that the view includes now.
+func (s *nomadState) takeWritten(n *Node) {
+	if s == nil {
+		return
+	}
+	for id := range s.written {
+		if rec := n.view.jobs[id]; rec.Revision <= n.view.revision {
+			delete(s.written, id)
+			s.nativeJobChanged(n, &rec)
+		}
+	}
+}
+
 // nativeJobChanged notes that a native job's record changed.
 func (s *nomadState) nativeJobChanged(n *Node, rec *core.JobRecord) {
 	if s == nil {
@@ -432,7 +456,7 @@
 			reply(n.registeredState(name, 0), nil)
 			return
 		}
-		req, learn, err := n.changeRequest(ch)
+		req, err := n.changeRequest(ch)
 		if err != nil {
 			n.log.Error("encoding a job failed", "err", err)
 			reply(httpapi.RegisterResult{}, err)
@@ -441,10 +465,9 @@
 		req.done = func(rev uint64, err error) {
 			switch {
 			case err == nil:
-				learn(rev)
 				n.committer.addCleanup(ch.Cleanup)
 				n.log.Info("job file", "team", name.Team, "job", name.ID, "started", len(ch.Start), "ended", len(ch.Cancel), "kept", len(ch.Keep), "revision", rev)
-				reply(n.registeredState(name, rev), nil)
+				n.replyOnceRead(name, rev, reply)
 			case errors.Is(err, statestore.ErrConflict) && attempts > 1:
 				n.changeJob(attempts-1, reply, plan, name)
 			case errors.Is(err, statestore.ErrInvalid):
@@ -460,6 +483,20 @@
 	})
 }
 
+// replyOnceRead replies with the state of a job once the view includes the change that was written at
+// rev, and every change before it. The registry takes changes from reads alone: if it took this
+// node's own early, a team's index would pass over earlier changes of other nodes. If the read fails,
+// the client is told to retry, and its retry finds the job as it registered it.
+func (n *Node) replyOnceRead(name registry.Name, rev uint64, reply func(httpapi.RegisterResult, error)) {
+	n.readLinearizable(func(ok bool) {
+		if !ok {
+			reply(httpapi.RegisterResult{}, httpapi.ErrUnavailable)
+			return
+		}
+		reply(n.registeredState(name, rev), nil)
+	})
+}
+
 // registeredState returns the state of a job after a change; a job that was just purged has no
 // state.
 func (n *Node) registeredState(name registry.Name, rev uint64) httpapi.RegisterResult {
@@ -474,48 +511,30 @@
 	return out
 }
 
-// changeRequest returns the write of a change, and a function that applies the change once it is
-// written.
-func (n *Node) changeRequest(ch *registry.Change) (req *writeRequest, learn func(rev uint64), err error) {
-	req = &writeRequest{conds: ch.Conditions, ops: ch.Writes}
+// changeRequest returns the write of a change.
+func (n *Node) changeRequest(ch *registry.Change) (*writeRequest, error) {
+	req := &writeRequest{conds: ch.Conditions, ops: ch.Writes}
 	if len(ch.Start) > 0 {
 		req.conds = append(req.conds, n.configConditions()...)
 	}
-	var recs []core.JobRecord
 	put := func(rec core.JobRecord) error {
 		key := jobPrefix + rec.Spec.ID
 		b, err := wire.EncodeJob(&rec)
 		req.conds = append(req.conds, wire.Cond{Key: key, ModRevision: rec.Revision})
 		req.ops = append(req.ops, wire.Write{Put: key, Value: b})
-		recs = append(recs, rec)
 		return err
 	}
 	for _, spec := range ch.Start {
 		if err := put(core.JobRecord{Spec: spec, SubmittedAt: wallClock()}); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 	}
 	for _, rec := range ch.Cancel {
 		if err := put(rec.Final(core.Cancelled, wallClock())); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 	}
-	return req, func(rev uint64) {
-		for _, rec := range recs {
-			rec.Revision = rev
-			n.applyJob(rec)
-		}
-		if rev <= n.view.revision {
-			return // the watch was faster, and may have delivered later changes
-		}
-		for _, w := range ch.Writes {
-			if w.Put != "" {
-				n.nomad.putRecord(n, w.Put, w.Value, rev)
-			} else {
-				n.nomad.dropRecord(w.Delete, rev)
-			}
-		}
-	}, nil
+	return req, nil
 }
 
 // newNativeID returns a random id of a native job that no client can have chosen before.
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -139,7 +139,7 @@
 			switch {
 			case err == nil:
 				rec.Revision = rev
-				n.applyJob(rec)
+				n.applyWrittenJob(rec)
 				reply(httpapi.Response{Status: http.StatusCreated, Body: &wire.AcceptedResponse{ID: spec.ID, State: wire.StatePending},
 					Fresh: n.freshnessCheck(n.now())}) // it may be cancelled by then through another node
 			case errors.Is(err, statestore.ErrConflict):
@@ -232,7 +232,7 @@
 			switch {
 			case err == nil:
 				rec.Revision = rev
-				n.applyJob(rec)
+				n.applyWrittenJob(rec)
 				reply(n.jobResponse(rec))
 			case errors.Is(err, statestore.ErrConflict) && attempts > 0:
 				// The job is done, or was cancelled through another node: read its current state.
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -107,6 +107,7 @@
 // revision when the read was requested at requestedAt, or later.
 func (n *Node) noteRead(rev uint64, requestedAt core.Micros) {
 	n.view.revision = max(n.view.revision, rev)
+	n.nomad.takeWritten(n)
 	n.currentAsOf = max(n.currentAsOf, requestedAt)
 	n.lastStateResponse = time.Now()
 }
@@ -173,6 +174,7 @@
 			return
 		}
 		n.applyJob(rec)
+		n.nomad.nativeJobChanged(n, &rec)
 	case clusterconfig.IsRecord(key):
 		n.putConfig(key, value, revision)
 	case strings.HasPrefix(key, registry.Prefix):
@@ -184,6 +186,12 @@
 	}
 }
 
+// applyWrittenJob applies a job's record that this node has written.
+func (n *Node) applyWrittenJob(rec core.JobRecord) {
+	n.applyJob(rec)
+	n.nomad.noteWritten(rec.Spec.ID)
+}
+
 // applyJob applies a job's record that this node has read or written.
 func (n *Node) applyJob(rec core.JobRecord) {
 	id := rec.Spec.ID
@@ -198,7 +206,6 @@
 	if rec.Phase == core.Cancelled {
 		n.cancellations.add(peer.Cancellation{Job: id, Revision: rec.Revision, At: int64(rec.EndedAt)})
 	}
-	n.nomad.nativeJobChanged(n, &rec)
 }
 
 // setLeader records who holds the leader's key as of a revision; name is empty if the key was
--- a/internal/nomad/httpapi/events.go
+++ b/internal/nomad/httpapi/events.go
@@ -116,6 +116,8 @@
 			// The client reconnects with its last index to a node that can serve it.
 			return nil, nil
 		}
+		// What is after the index may be incomplete. It is sent when the index has reached it.
+		frames = slices.DeleteFunc(frames, func(f eventFrame) bool { return f.Index > index })
 		for _, f := range frames {
 			if !send(f) {
 				return nil, nil
