Reread: derived state, one formula, one set-up, and a comment that lost its reference

No behaviour changes. Whether a machine is recorded follows from the group that its record is stored in; the size of completion records is one function for both limits; the history tests share their set-up; the progress of a list has one function that reports; the pacer's own name for rate.Inf is gone."

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -167,8 +167,12 @@
 	return nil
 }
 
-// minChunkSize is the smallest number of tasks in a completion record.
-const minChunkSize = 16
+// chunkSize returns the number of tasks in a completion record that fits into a value. In the worst
+// case every second task is completed, which takes two numbers with commas for every two tasks.
+func chunkSize(valueBytes int) int {
+	const minSize = 16
+	return max((valueBytes-recordOverheadBytes)/8, minSize)
+}
 
 // CoreConfig returns the core's configuration.
 func CoreConfig(p *Platform, s Settings) core.Config {
@@ -192,11 +196,9 @@
 		MaxWriteOps:     limits.TxnOps,
 		// A machine's five fields take about 100 bytes as JSON.
 		MachinesPerRecord: max(limits.RecordBytes()/100, 1),
-		// In the worst case every second task is completed, which takes two numbers with
-		// commas for every two tasks.
-		ChunkSize: max(limits.RecordBytes()/8, minChunkSize),
+		ChunkSize:         chunkSize(limits.ValueBytes),
 		// Earlier versions of the program write chunks by the present limit.
-		RelativeChunkSize: max(int(p.Params.State.ValueKB*1024-recordOverheadBytes)/8, minChunkSize),
+		RelativeChunkSize: chunkSize(int(p.Params.State.ValueKB * 1024)),
 		Tuning:            coreTuning(s),
 	}
 	c.StartObjectives = map[string][]core.Micros{}
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -66,7 +66,7 @@
 		if m.releasing || p.inDirectCommand || p.reported || p.stopRequested || p.startSent && !(inReply && p.resendStart) {
 			continue
 		}
-		if !m.recorded || p.job == nil || !c.ensureStartedRecord(p.job, now) {
+		if !m.recorded() || p.job == nil || !c.ensureStartedRecord(p.job, now) {
 			continue
 		}
 		if !p.startSent {
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -12,8 +12,7 @@
 	reportedToken       uint64 // highest fencing token that the worker has reported
 
 	group              *machineGroup  // the stored record that lists the machine, or will list it
-	storedIn           *machineGroup  // the last group whose stored record is known to list the machine
-	recorded           bool           // the record that lists the machine is stored
+	storedIn           *machineGroup  // the last group whose stored record is known to list the machine; nil: none yet
 	retainedIn         *retainedGroup // its partition record; no task is placed here until the record ends
 	reconciled         bool           // this leader knows every task that may run on the machine
 	lost               bool           // its lease has expired, or the cloud lists it as failed
@@ -154,3 +153,6 @@
 // reportTimeout returns how long after its last report a machine still gets tasks: one report
 // interval with its maximum jitter of a quarter, and one second for a lost packet.
 func (c *Core) reportTimeout() Micros { return c.cfg.ReportInterval*5/4 + Second }
+
+// recorded reports whether a record that lists the machine is stored.
+func (m *machine) recorded() bool { return m.storedIn != nil }
--- a/internal/core/machine_groups.go
+++ b/internal/core/machine_groups.go
@@ -114,7 +114,7 @@
 	urgent := false
 	for _, m := range g.machines {
 		rec.Machines = append(rec.Machines, MachineRecord{m.name, m.address, m.typeName, m.zone, m.spot})
-		urgent = urgent || !m.recorded
+		urgent = urgent || !m.recorded()
 	}
 	written, oldKeys := slices.Clone(g.machines), g.staleKeys
 	g.writing, g.writeAt, g.staleKeys = true, 0, nil
@@ -126,11 +126,11 @@
 				if m.group != g {
 					continue
 				}
+				recordedBefore := m.recorded()
 				m.storedIn = g
-				if m.recorded {
+				if recordedBefore {
 					continue
 				}
-				m.recorded = true
 				c.queueCommands(m)
 				c.removeFromRental(m.name)
 			}
--- a/internal/core/records_test.go
+++ b/internal/core/records_test.go
@@ -44,7 +44,7 @@
 	for i := range 5 {
 		w.newWorker(fmt.Sprintf("n-%d", i), "a").report()
 	}
-	w.want("recorded", w.c.machines["n-0"].recorded, false)
+	w.want("recorded", w.c.machines["n-0"].recorded(), false)
 	w.failPrefix = ""
 	w.advance(Second)
 	keys := map[string]int{}
@@ -56,7 +56,7 @@
 	}
 	w.want("records", len(keys), 2)
 	w.want("the key of the unanswered write is deleted", w.deletes[MachinePrefix+"100-1"], true)
-	w.want("recorded", w.c.machines["n-0"].recorded && w.c.machines["n-4"].recorded, true)
+	w.want("recorded", w.c.machines["n-0"].recorded() && w.c.machines["n-4"].recorded(), true)
 	first := w.c.machines["n-0"].group.key
 	for _, n := range []string{"n-0", "n-1", "n-2"} {
 		w.c.HandleReleaseResult(w.now, []string{n}, true)
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -121,7 +121,7 @@
 			m.rentedAt = r.decidedAt
 			m.unverified = m.unverified && !thisTerm // machines rented in this term are verified
 		}
-		if m != nil && m.recorded || c.deletedMachines[n] {
+		if m != nil && m.recorded() || c.deletedMachines[n] {
 			continue
 		}
 		r.awaited++
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -19,7 +19,7 @@
 	zoneByName            map[string]*zone
 	fleetUnreachableSince Micros     // 0: not unreachable, or not known yet in this term
 	tokenAcknowledged     bool       // a machine has reported a token of this term
-	isolatedSince         Micros     // since when those zones do not report; 0: they report
+	isolatedSince         Micros     // since when zones with most of the fleet do not report; 0: they report
 	commandQueue          []*machine // machines that may need commands
 	commandRetryQueue     []*machine // the same, after a delay because a write for them failed
 	probeQueue            []*machine // machines to be probed
@@ -104,7 +104,7 @@
 			}
 			m := &machine{
 				name: rec.Name, address: rec.Address, typeName: rec.Type, zone: rec.Zone, spot: rec.Spot,
-				group: group, storedIn: group, recorded: true, discoveredAt: now, lastReport: now,
+				group: group, storedIn: group, discoveredAt: now, lastReport: now,
 				// The machine counts as having reported so recently that a successful probe
 				// makes it schedulable for one report timeout. It must report by itself within
 				// that time.
--- a/internal/simulator/history_test.go
+++ b/internal/simulator/history_test.go
@@ -40,17 +40,26 @@
 	requests, refused int
 }
 
-// startWithHistory starts controllers at once, with a state service that answers 150 requests per
-// second after 3 ms on average, and waits until all can serve or the limit is over.
-func startWithHistory(writes []wire.Write, controllers int, limit time.Duration) startCost {
-	const stateRPS = 150
+// historyStateRPS is the rate of the state service in these tests, in requests per second.
+const historyStateRPS = 150
+
+// newHistoryWorld returns a world whose state service holds the records, and answers
+// historyStateRPS requests and 25 writes per second after 3 ms on average.
+func newHistoryWorld(seed uint64, writes []wire.Write) *simulator.World {
+	const writeRPS = 25
 	p := platform()
-	p.Params.State.RPS, p.Params.State.WriteRPS = stateRPS, 25
-	w := simulator.NewWorld(97, p, machineTypes)
-	defer w.Close()
+	p.Params.State.RPS, p.Params.State.WriteRPS = historyStateRPS, writeRPS
+	w := simulator.NewWorld(seed, p, machineTypes)
 	w.State.Load(writes)
-	w.State.LimitRates(stateRPS, 25)
+	w.State.LimitRates(historyStateRPS, writeRPS)
 	w.StateFaults.Update(func(f *simulator.Faults) { f.MaxDelay = 6 * time.Millisecond })
+	return w
+}
+
+// startWithHistory starts controllers at once and waits until all can serve or the limit is over.
+func startWithHistory(writes []wire.Write, controllers int, limit time.Duration) startCost {
+	w := newHistoryWorld(97, writes)
+	defer w.Close()
 	started := time.Now()
 	for i := range controllers {
 		w.StartNode(i)
@@ -71,7 +80,7 @@
 // TestStartWithLongHistory guards against controllers that never serve again because each reads all
 // records from the start whenever the state service refuses a page.
 func TestStartWithLongHistory(t *testing.T) {
-	const jobs, stateRPS = 60_000, 150
+	const jobs = 60_000
 	writes := finishedJobs(t, jobs)
 	for _, controllers := range []int{1, 3} {
 		t.Run(fmt.Sprintf("%d controllers", controllers), func(t *testing.T) {
@@ -79,7 +88,7 @@
 				c := startWithHistory(writes, controllers, 75*time.Second)
 				pages := float64(jobs / historyPage * controllers)
 				// The rate allows a burst, so a short list takes less than this.
-				bound := time.Duration(1.5 * pages / stateRPS * float64(time.Second))
+				bound := time.Duration(1.5 * pages / historyStateRPS * float64(time.Second))
 				t.Logf("serving after %v, %d requests, %d refused", c.serving, c.requests, c.refused)
 				if c.serving > bound {
 					t.Errorf("serving after %v, want at most %v", c.serving, bound)
@@ -93,17 +102,12 @@
 // two controllers read a long history, and later read it again since their watches had a gap, the
 // leader keeps its lease, accepts each job within half a second and is refused nothing.
 func TestListBesideLeader(t *testing.T) {
-	const jobs, stateRPS = 150_000, 150
+	const jobs = 150_000
 	const acceptWithin = 500 * time.Millisecond
 	writes := finishedJobs(t, jobs)
 	synctest.Test(t, func(t *testing.T) {
-		p := platform()
-		p.Params.State.RPS, p.Params.State.WriteRPS = stateRPS, 25
-		w := simulator.NewWorld(98, p, machineTypes)
+		w := newHistoryWorld(98, writes)
 		defer w.Close()
-		w.State.Load(writes)
-		w.State.LimitRates(stateRPS, 25)
-		w.StateFaults.Update(func(f *simulator.Faults) { f.MaxDelay = 6 * time.Millisecond })
 		startAllNodes(w)
 		time.Sleep(20 * time.Second)
 		leader, refused, submitted := w.Leader(), w.State.RefusedCount(), 0
--- a/internal/statestore/list.go
+++ b/internal/statestore/list.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/time/rate"
 
 	"aspenstall/internal/wait"
 	"aspenstall/internal/wire"
@@ -117,24 +118,29 @@
 
 // report passes the progress to the observer if the last time was progressInterval ago.
 func (l *lister) report() {
-	now := time.Now()
-	if l.client.observeList == nil || now.Sub(l.reportedAt) < progressInterval {
-		return
+	if time.Since(l.reportedAt) >= progressInterval {
+		l.observe()
 	}
-	l.reportedAt = now
-	l.progress.Elapsed = now.Sub(l.started)
-	l.progress.PagesPerSecond = l.client.pages.rate()
-	l.client.observeList(l.progress)
 }
 
 // finish reports the end of a list that took longer than progressInterval.
 func (l *lister) finish() {
-	if time.Since(l.started) < progressInterval {
+	if time.Since(l.started) >= progressInterval {
+		l.progress.Complete = true
+		l.observe()
+	}
+}
+
+// observe passes the progress to the observer.
+func (l *lister) observe() {
+	now := time.Now()
+	l.reportedAt = now
+	if l.client.observeList == nil {
 		return
 	}
-	l.progress.Complete = true
-	l.reportedAt = l.started
-	l.report()
+	l.progress.Elapsed = now.Sub(l.started)
+	l.progress.PagesPerSecond = l.client.pages.rate()
+	l.client.observeList(l.progress)
 }
 
 // awaitPageBudget waits until the pacer and the client's budget permit a page.
@@ -142,7 +148,7 @@
 	if err := c.pages.wait(ctx); err != nil {
 		return err
 	}
-	for c.reads.Limit() != rateInf {
+	for c.reads.Limit() != rate.Inf {
 		missing := float64(c.reads.Burst())*listReserve + 1 - c.reads.Tokens()
 		if missing <= 0 {
 			return nil
--- a/internal/statestore/pacer.go
+++ b/internal/statestore/pacer.go
@@ -8,8 +8,6 @@
 	"golang.org/x/time/rate"
 )
 
-const rateInf = rate.Inf
-
 // Shares and factors of the pages' rate. docs/design/lists.md weighs them.
 const (
 	maxPageShare   = 0.68                   // of the service's rate: the highest rate of one client's pages
@@ -37,7 +35,7 @@
 
 // newPagePacer returns a pacer for a service that serves rps requests per second; 0 means no limit.
 func newPagePacer(rps float64) *pagePacer {
-	p := &pagePacer{limiter: rate.NewLimiter(rateInf, max(int(rps*pageBurst), 1)), serviceRate: rps}
+	p := &pagePacer{limiter: rate.NewLimiter(rate.Inf, max(int(rps*pageBurst), 1)), serviceRate: rps}
 	p.share(1)
 	return p
 }
