Notifications: an attempt that was not made without a lease is no receiver's failure

What one would have seen: a node that lost its lease and led again left a working receiver without notifications for 30 s.

Cause: the check of the lease after the key lookup returned "not delivered" as a failed attempt, and five in a row open the receiver's breaker.

Change: the check is made between lookup and request, with an error of its own that the breaker does not count; post gets the time and no check. TestLostLeaseIsNoFailure failed before: no more attempts for 7.5 s after five, and none when leading again."

--- a/internal/notify/deliver/deliver.go
+++ b/internal/notify/deliver/deliver.go
@@ -112,13 +112,19 @@
 	}}
 	s.breaker = gobreaker.NewCircuitBreaker[result](gobreaker.Settings{
 		Name: r.Name, Timeout: breakerTimeout, MaxRequests: 1,
+		IsExcluded:  func(err error) bool { return errors.Is(err, errNotLeading) },
 		ReadyToTrip: func(c gobreaker.Counts) bool { return c.ConsecutiveFailures >= breakerThreshold },
 	})
 	return s
 }
 
-// errAttemptFailed reports a failed attempt to the breaker.
-var errAttemptFailed = errors.New("attempt failed")
+// Errors for the breaker.
+var (
+	// errAttemptFailed reports a failed attempt.
+	errAttemptFailed = errors.New("attempt failed")
+	// errNotLeading means that no attempt was made. It says nothing about the receiver.
+	errNotLeading = errors.New("this node does not lead")
+)
 
 // Send makes one delivery attempt with the leader's fencing token. It returns the outcome and the
 // delay that the receiver requested before the next attempt, or 0. With an open breaker, it
@@ -141,13 +147,17 @@
 				return result{outcome: notify.Delivered}, nil
 			}
 		}
-		res := s.post(ctx, send, token, leading)
+		sentAt := time.Now() // before the check of the lease
+		if !leading() {
+			return result{outcome: notify.NotDelivered}, errNotLeading
+		}
+		res := s.post(ctx, send, token, sentAt)
 		if res.outcome == notify.Delivered || res.outcome == notify.Rejected {
 			return res, nil // the receiver works
 		}
 		return res, errAttemptFailed
 	})
-	if err != nil && !errors.Is(err, errAttemptFailed) {
+	if err != nil && !errors.Is(err, errAttemptFailed) && !errors.Is(err, errNotLeading) {
 		return notify.NotDelivered, core.Micros(breakerTimeout / time.Microsecond / 4) // the breaker is open
 	}
 	return res.outcome, core.Micros(min(res.retryAfter, maxRetryAfter) / time.Microsecond)
@@ -182,16 +192,12 @@
 	return false, &result{notify.NotDelivered, parseRetryAfter(resp)}
 }
 
-// post sends a notification in at most one request, if this node leads, and returns the result.
-func (s *Sender) post(ctx context.Context, send notify.Send, token uint64, leading func() bool) result {
+// post sends a notification in at most one request, with the time sentAt, and returns the result.
+func (s *Sender) post(ctx context.Context, send notify.Send, token uint64, sentAt time.Time) result {
 	body, contentType, err := s.body(send)
 	if err != nil {
 		return result{outcome: notify.Rejected} // a retry would fail in the same way
 	}
-	sentAt := time.Now() // before the check of the lease
-	if !leading() {
-		return result{outcome: notify.NotDelivered}
-	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.receiver.URL, bytes.NewReader(body))
 	if err != nil {
 		return result{outcome: notify.NotDelivered}
--- a/internal/notify/deliver/pause_test.go
+++ b/internal/notify/deliver/pause_test.go
@@ -70,3 +70,20 @@
 		})
 	}
 }
+
+// TestLostLeaseIsNoFailure guards against a breaker that keeps a working receiver from its
+// notifications: attempts that were not made since this node did not lead are no failures.
+func TestLostLeaseIsNoFailure(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer srv.Close()
+	s := newTestSender(t, Receiver{URL: srv.URL})
+	for range 2 * breakerThreshold {
+		out, after := s.Send(t.Context(), testSend, 1, func() bool { return false })
+		if out != notify.NotDelivered || after != 0 {
+			t.Errorf("without a lease: outcome %d, retry after %d us", out, after)
+		}
+	}
+	if out, _ := s.Send(t.Context(), testSend, 2, leading); out != notify.Delivered {
+		t.Errorf("leading again: outcome %d", out)
+	}
+}
