Nomad registry: a registration from before a purge is not executed after it

Cause: the transaction of the first registration got no answer and was executed 11 s late. Its condition, that the job's record does not exist, holds again after the purge has deleted the record. Conditions that name a revision can't hold again; one on absence can.

Change: a job that does not exist is registered on condition of the revision of its purge record as well, which every purge writes. The record of earlier versions, one for a team, is a condition too.

Why it works: if both conditions hold, no job of the shard was purged since the read that the registration was computed from, so a job that is absent at both times was absent in between.

--- a/internal/nomad/registry/change.go
+++ b/internal/nomad/registry/change.go
@@ -106,12 +106,10 @@
 	}
 	key := jobKey(reg.Name)
 	rec := &jobRecord{Stub: reg.Stub, Team: reg.Team, ID: reg.ID, At: int64(now)}
-	cond := wire.Cond{Key: jobPrefix + key}
 	if old != nil {
 		rec.Version, rec.Create, rec.Before = old.Version+1, old.CreateIndex, old.JobModifyIndex
-		cond.ModRevision = old.JobModifyIndex
 	}
-	change.Conditions = append(change.Conditions, cond)
+	change.Conditions = append(change.Conditions, r.unchangedConditions(reg.Name, old)...)
 	kept := map[string]bool{}
 	for _, g := range reg.Groups {
 		native := r.reusableNative(old, g)
@@ -147,6 +145,22 @@
 	return change, r.checkLimits(change)
 }
 
+// unchangedConditions returns the conditions under which a job is still as the registry has it: old,
+// or nil if there is no such job. They can't hold again after they failed once, so a registration
+// that is executed late, after other changes of the job, is refused. That a record does not exist is
+// also true after a purge; the revisions of the purge records tell the two apart.
+func (r *Registry) unchangedConditions(n Name, old *Job) []wire.Cond {
+	record := jobPrefix + jobKey(n)
+	if old != nil {
+		return []wire.Cond{{Key: record, ModRevision: old.JobModifyIndex}}
+	}
+	conditions := []wire.Cond{{Key: record}}
+	for _, key := range []string{purgeKey(n), teamPurgeKey(n.Team)} {
+		conditions = append(conditions, wire.Cond{Key: key, ModRevision: r.purgeRevisions[key]})
+	}
+	return conditions
+}
+
 // checkLimits returns a TooLargeError if a change has too many operations. Jobs are checked against
 // the limits when they are registered, so this happens only after the limits were lowered.
 func (r *Registry) checkLimits(change *Change) error {
@@ -215,7 +229,7 @@
 	change.Conditions = append(change.Conditions, wire.Cond{Key: jobPrefix + key, ModRevision: old.JobModifyIndex})
 	r.cancelNatives(change, old, nil)
 	if purge {
-		g, err := encodePut(purgeKey(n.Team), &purgeRecord{n.Team})
+		g, err := encodePut(purgeKey(n), &purgeRecord{n.Team})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/nomad/registry/names_test.go
+++ b/internal/nomad/registry/names_test.go
@@ -158,7 +158,8 @@
 	for _, c := range []struct{ got, want string }{
 		{Prefix, "c/nomad/"}, {jobPrefix, "c/nomad/job/"}, {sourcePrefix, "c/nomad/src/"}, {purgePrefix, "c/nomad/gone/"},
 		{sourceKey("k", 7), "c/nomad/src/k/7"},
-		{purgeKey("team"), "c/nomad/gone/ca8b22d0db83a22db163b560b3e4e51527e533d31d067b614a0c33c4d2df8432"},
+		{teamPurgeKey("team"), "c/nomad/gone/ca8b22d0db83a22db163b560b3e4e51527e533d31d067b614a0c33c4d2df8432"},
+		{purgeKey(Name{Team: "team", ID: "id"}), "c/nomad/gone/ca8b22d0db83a22db163b560b3e4e51527e533d31d067b614a0c33c4d2df8432/8"},
 		{jobKey(Name{Team: "team", ID: "id"}), "8197593ea53d657dd9b172c882835d774964eabc472b342c4e1e488197f10538"},
 	} {
 		if c.got != c.want {
--- a/internal/nomad/registry/record.go
+++ b/internal/nomad/registry/record.go
@@ -28,17 +28,26 @@
 )
 
 // purgeRecord is a record of a team that is written with every purge of a job. With it, the team's
-// index does not decrease when a node restarts and reads the remaining records.
+// index does not decrease when a node restarts and reads the remaining records, and a registration
+// that was computed before a purge can be told from one that was computed after it.
 type purgeRecord struct {
 	Team string `msgpack:"t"`
 }
 
-// purgeKey returns the key of a team's purgeRecord.
-func purgeKey(team string) string {
+// teamPurgeKey returns the key of the purgeRecord that earlier versions write with every purge of a
+// team's jobs.
+func teamPurgeKey(team string) string {
 	sum := sha256.Sum256([]byte(team))
 	return purgePrefix + hex.EncodeToString(sum[:])
 }
 
+// purgeShardDigits is the number of digits of a job's key that select its purgeRecord.
+const purgeShardDigits = 1
+
+// purgeKey returns the key of the purgeRecord that is written with a purge of a job. A team has
+// several, by the jobs' keys: a registration of one job seldom conflicts with purges of others.
+func purgeKey(n Name) string { return teamPurgeKey(n.Team) + "/" + jobKey(n)[:purgeShardDigits] }
+
 // jobRecord is the stored record of a job.
 type jobRecord struct {
 	Team    string  `msgpack:"t"`
@@ -123,6 +132,7 @@
 		}
 		changed := revision > r.teamIndex[g.Team]
 		r.teamIndex[g.Team] = max(r.teamIndex[g.Team], revision)
+		r.purgeRevisions[key] = max(r.purgeRevisions[key], revision)
 		return Name{Team: g.Team}, changed, nil
 	}
 	id, ok := strings.CutPrefix(key, jobPrefix)
--- a/internal/nomad/registry/registry.go
+++ b/internal/nomad/registry/registry.go
@@ -85,6 +85,7 @@
 	namesByKey      map[string]Name
 	byNative        map[string]*Job
 	teamIndex       map[string]uint64 // index of the last change by team
+	purgeRevisions  map[string]uint64 // of the purge records, by key
 	purged          []PurgedJob       // the last purged jobs, the oldest first
 }
 
@@ -101,7 +102,7 @@
 func New(l Limits, n NativeJobs) *Registry {
 	return &Registry{
 		natives: n, limits: l, jobs: map[Name]*Job{}, orphanedSources: map[string][]version{}, namesByKey: map[string]Name{},
-		byNative: map[string]*Job{}, teamIndex: map[string]uint64{},
+		byNative: map[string]*Job{}, teamIndex: map[string]uint64{}, purgeRevisions: map[string]uint64{},
 	}
 }
 
--- a/internal/nomad/registry/registry_test.go
+++ b/internal/nomad/registry/registry_test.go
@@ -246,6 +246,70 @@
 	}
 }
 
+// A change that is executed late, after others of the same job, is refused: also where a purge has
+// brought the job's keys back to the state that the change was computed from.
+func TestLateChange(t *testing.T) {
+	job := Name{"blue", "j"}
+	register := func(source string) func(*Registry, *fakeStore) (*Change, error) {
+		return func(r *Registry, s *fakeStore) (*Change, error) {
+			return r.Register(newRegistration(source, "a="+source), s.newID, 0)
+		}
+	}
+	deregister := func(purge bool) func(*Registry, *fakeStore) (*Change, error) {
+		return func(r *Registry, _ *fakeStore) (*Change, error) { return r.Deregister(job, purge) }
+	}
+	type step = func(*Registry, *fakeStore) (*Change, error)
+	purgeByEarlierVersion := func(r *Registry, _ *fakeStore) (*Change, error) {
+		change, err := r.Deregister(job, true)
+		for i := range change.Writes {
+			if change.Writes[i].Put == purgeKey(job) {
+				change.Writes[i].Put = teamPurgeKey(job.Team)
+			}
+		}
+		return change, err
+	}
+	for _, c := range []struct {
+		name         string
+		before       []step // executed before the late change is computed
+		late         step
+		beforeItRuns []step // executed between
+	}{
+		{"a first registration, after its retry", nil, register("1"), []step{register("1")}},
+		{"a first registration, after its retry and a purge", nil, register("1"), []step{register("1"), deregister(true)}},
+		{"a first registration, after its retry, a stop and a purge", nil, register("1"), []step{register("1"), deregister(false), deregister(true)}},
+		{"a registration after a purge, after its retry and a purge", []step{register("1"), deregister(true)}, register("1"), []step{register("1"), deregister(true)}},
+		{"a first registration, after a purge by an earlier version of the program", nil, register("1"), []step{register("1"), purgeByEarlierVersion}},
+		{"a new version, after its retry and a purge", []step{register("1")}, register("2"), []step{register("2"), deregister(true)}},
+		{"a new version, after a purge and a registration", []step{register("1")}, register("2"), []step{deregister(true), register("1")}},
+		{"a stop, after a purge and a registration", []step{register("1")}, deregister(false), []step{deregister(true), register("1")}},
+		{"a purge, after its retry and a registration", []step{register("1")}, deregister(true), []step{deregister(true), register("1")}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFakeStore()
+			r := New(testLimits, s)
+			execute := func(steps []step) {
+				for i, compute := range steps {
+					from := len(s.writes)
+					change, err := compute(r, s)
+					if err != nil || !s.commit(change) {
+						t.Fatalf("step %d: %v", i, err)
+					}
+					s.replay(t, r, from)
+				}
+			}
+			execute(c.before)
+			late, err := c.late(r, s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			execute(c.beforeItRuns)
+			if s.commit(late) {
+				t.Error("the late change was executed")
+			}
+		})
+	}
+}
+
 func TestLimits(t *testing.T) {
 	s := newFakeStore()
 	r := New(testLimits, s)
--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -26,6 +26,7 @@
 	LateDelay         time.Duration // the late delay is LateDelay plus a random time up to LateJitter
 	LateJitter        time.Duration
 	LatePath          string          // if set, ExecuteLate and WithholdResponse apply to this path only
+	LateContaining    string          // if set, ExecuteLate applies only to requests whose body contains this text
 	Duplicate         float64         // request executed, and a copy executed after the late delay
 	MaxDelay          time.Duration   // each request is delayed by a random time up to this
 	Down              bool            // all requests are answered with 503
@@ -83,6 +84,7 @@
 		dice := random.Float64()
 		refuseText := f.RefuseContaining
 		delay := time.Duration(random.Float64() * float64(f.MaxDelay))
+		lateText := f.LateContaining
 		loseRequest, loseResponse, withhold, executeLate, lateDelay := f.LoseRequest, f.LoseResponse, f.WithholdResponse, f.ExecuteLate, f.LateDelay
 		lateDelay += time.Duration(random.Float64() * float64(f.LateJitter))
 		if f.LatePath != "" && r.URL.Path != f.LatePath {
@@ -100,12 +102,9 @@
 		if delay > 0 {
 			time.Sleep(delay)
 		}
-		down := f.refuses(r)
-		if refuseText != "" {
-			b := bodyCopier(r)
-			body, _ := io.ReadAll(b())
-			down = down || bytes.Contains(body, []byte(refuseText))
-			r.Body = b()
+		down := f.refuses(r) || refuseText != "" && bodyContains(r, refuseText)
+		if lateText != "" && !bodyContains(r, lateText) {
+			executeLate = 0
 		}
 		if crashOn != nil {
 			b := bodyCopier(r)
@@ -156,6 +155,14 @@
 	})
 }
 
+// bodyContains reports whether a request's body contains a text. The body can be read again.
+func bodyContains(r *http.Request, text string) bool {
+	b := bodyCopier(r)
+	body, _ := io.ReadAll(b())
+	r.Body = b()
+	return bytes.Contains(body, []byte(text))
+}
+
 // executeUnanswered executes the request and waits, without a response, until the client times out,
 // at most 10 s.
 func (f *Faults) executeUnanswered(h http.Handler, r *http.Request) {
