Nomad registry: deletions left over from a purge spare the sources of a newer job

What callers would see: a job that was purged and registered again is accepted, and its description is answered 404 to machines, so it never runs.

Cause: sources for which a purge's transaction has no room are deleted afterwards without a condition. Keys are the job's name and version, and a job that is registered again begins at version 0, so a late deletion hits the new record. It takes a lowered limit of operations.

Change: each of these deletions is on condition of the revision of the record that it is about, and is a request of its own, so that one that no longer applies does not hold up the others.

Evidence: TestLateCleanup fails when the deletions are executed without the condition ("version 5 of j is not stored"), as they were.

--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
-	"slices"
 
 	"aspenstall/internal/core"
+	"aspenstall/internal/nomad/registry"
 	"aspenstall/internal/statestore"
 	"aspenstall/internal/wire"
 )
@@ -87,9 +87,13 @@
 
 // addCleanup queues deletions that nobody waits for. They are dropped if the queue is full or the
 // service refuses them.
-func (c *committer) addCleanup(deletions []wire.Write) {
-	for chunk := range slices.Chunk(deletions, max(c.n.stateLimits.TxnOps, 1)) {
-		c.add(&writeRequest{ops: chunk, done: func(uint64, error) {}}, true)
+func (c *committer) addCleanup(deletions []registry.Deletion) {
+	for _, d := range deletions {
+		c.add(&writeRequest{
+			conds: []wire.Cond{{Key: d.Key, ModRevision: d.ModRevision}},
+			ops:   []wire.Write{{Delete: d.Key}},
+			done:  func(uint64, error) {},
+		}, true)
 	}
 }
 
--- a/internal/nomad/registry/change.go
+++ b/internal/nomad/registry/change.go
@@ -46,9 +46,16 @@
 	Cancel     []core.JobRecord // native jobs to be cancelled, if their records have not changed
 	// Keep has the IDs of the native jobs that continue unchanged.
 	Keep []string
-	// Cleanup deletes sources for which the transaction has no room. It is written afterwards, and
-	// may be lost: the next change of the job deletes what is left.
-	Cleanup []wire.Write
+	// Cleanup holds deletions of sources for which the transaction has no room. They are executed
+	// afterwards, each by itself, and may be lost: the next change of the job deletes what is left.
+	Cleanup []Deletion
+}
+
+// Deletion deletes a record if it still has the given revision. A deletion that is executed late does
+// not delete a record that was written under the same key since.
+type Deletion struct {
+	Key         string
+	ModRevision uint64
 }
 
 // deleteSources adds the deletion of versions' sources to a change, in the transaction as far as
@@ -56,11 +63,11 @@
 func (r *Registry) deleteSources(change *Change, key string, versions []version) {
 	room := r.limits.MaxOps - change.operations()
 	for i, v := range versions {
-		deletion := wire.Write{Delete: sourceKey(key, v.number)}
+		source := sourceKey(key, v.number)
 		if i < room {
-			change.Writes = append(change.Writes, deletion)
+			change.Writes = append(change.Writes, wire.Write{Delete: source})
 		} else {
-			change.Cleanup = append(change.Cleanup, deletion)
+			change.Cleanup = append(change.Cleanup, Deletion{source, v.revision})
 		}
 	}
 }
--- a/internal/nomad/registry/registry_test.go
+++ b/internal/nomad/registry/registry_test.go
@@ -75,6 +75,15 @@
 	return true
 }
 
+// cleanUp executes a change's cleanup like the state service.
+func (s *fakeStore) cleanUp(change *Change) {
+	for _, d := range change.Cleanup {
+		if s.revisions[d.Key] == d.ModRevision {
+			s.commit(&Change{Writes: []wire.Write{{Delete: d.Key}}})
+		}
+	}
+}
+
 // handleWrite passes a write to the registry.
 func (r *Registry) handleWrite(w wire.Write, rev uint64) error {
 	if w.Put == "" {
@@ -310,6 +319,41 @@
 	}
 }
 
+// A purge that is too large for one transaction deletes the remaining sources afterwards. If these
+// deletions are executed late, they leave the sources of a job that was registered again, without
+// which no machine could run it.
+func TestLateCleanup(t *testing.T) {
+	s := newFakeStore()
+	r := New(testLimits, s)
+	from := 0
+	execute := func(change *Change, err error) *Change {
+		t.Helper()
+		if err != nil || !s.commit(change) {
+			t.Fatalf("not executed: %v", err)
+		}
+		s.replay(t, r, from)
+		from = len(s.writes)
+		return change
+	}
+	for i := range testLimits.maxVersions() {
+		execute(r.Register(newRegistration(fmt.Sprint(i), "a=1"), s.newID, 0))
+	}
+	r.limits.MaxOps = 4 // as after a restart with lower limits
+	purge := execute(r.Deregister(Name{"blue", "j"}, true))
+	if len(purge.Cleanup) < 2 {
+		t.Fatalf("the purge leaves %d sources", len(purge.Cleanup))
+	}
+	for i := range testLimits.maxVersions() {
+		execute(r.Register(newRegistration(fmt.Sprint("again ", i), "a=1"), s.newID, 0))
+	}
+	s.cleanUp(purge)
+	s.replay(t, r, from)
+	j := r.Get(Name{"blue", "j"})
+	if _, _, _, err := j.Source(j.Version); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestLimits(t *testing.T) {
 	s := newFakeStore()
 	r := New(testLimits, s)
