Committer: changes with conflicting conditions do not share a transaction

Two submissions of one native job with different contents are both answered 201.

Cause: while four transactions are under way, further changes gather for the next one. A transaction's conditions are compared before any of its writes, so the second change's condition holds although the first one's write breaks it.

Change: a request with a condition about a key that an earlier one in the batch writes is left to a later transaction. There the condition fails, and the change is computed again from a new read, as between two controllers. Writes without conditions, the leader's own, are batched as before.

--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -137,14 +137,16 @@
 	clear(c.taskQueues[:])
 }
 
-// nextBatch takes requests from the queue that fit into one transaction.
+// nextBatch takes requests from the queue that fit into one transaction. A request whose conditions
+// are about a key that an earlier one in the batch writes is left to a later transaction: in the same
+// one, its conditions would be compared with the state before that write, and hold.
 func (c *committer) nextBatch(queue *[]*writeRequest) []*writeRequest {
 	limit := c.n.stateLimits.TxnOps
 	var out []*writeRequest
 	ops, conds, size := 0, 1, 0 // the first condition is the leader's key
 	for len(*queue) > 0 {
 		req := (*queue)[0]
-		if len(out) > 0 && (req.unbatched || out[0].unbatched || ops+len(req.ops) > limit || conds+len(req.conds) > 4*limit || size+req.size > maxTxnBytes) {
+		if len(out) > 0 && (req.unbatched || out[0].unbatched || ops+len(req.ops) > limit || conds+len(req.conds) > 4*limit || size+req.size > maxTxnBytes || req.dependsOn(out)) {
 			break
 		}
 		out = append(out, req)
@@ -159,6 +161,20 @@
 	return out
 }
 
+// dependsOn reports whether a condition of the request is about a key that one of the others writes.
+func (req *writeRequest) dependsOn(others []*writeRequest) bool {
+	for _, cond := range req.conds {
+		for _, other := range others {
+			for i := range other.ops {
+				if op := &other.ops[i]; op.Put == cond.Key || op.Delete == cond.Key {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // send commits the requests in one transaction. When the response arrives it calls finished, and
 // then done of each request. It doesn't call done of requests that are queued again, nor of
 // refused background writes of a term that is over, which are dropped.
