Node: a former leader takes the task counts of its successor

What callers saw: at a controller that had led and was refused by the state service for a while, jobs that were started meanwhile stayed "pending" after it was served again, until their counts changed.

Cause: the leader sends each change of a job's counts to its peers once, and a node took them only while it had no term. A leader that is cut off keeps its term until it learns that it has ended.

Change: counts of a leader with a higher token than the node's own term are taken, and used once that has ended.

--- a/internal/node/cancellations_test.go
+++ b/internal/node/cancellations_test.go
@@ -155,3 +155,32 @@
 		t.Error("callback ran again")
 	}
 }
+
+// TestCountsOfSuccessor checks that a node which has led takes the task counts of its successor before
+// its own term has ended, and not those of a former leader. Each count is sent once: the node would
+// call a running job pending for as long as its counts stay the same.
+func TestCountsOfSuccessor(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		ownTerm  bool
+		token    uint64 // of the sender; this node's own is 5
+		accepted bool
+	}{
+		{"a follower", false, 9, true},
+		{"a former leader, from its successor", true, 9, true},
+		{"a leader, from the former one", true, 3, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newTestNode()
+			n.ctx = t.Context()
+			if c.ownTerm {
+				n.term = &term{n: n, token: 5}
+				n.core.BeginTerm(0, 0, 5, nil, core.Snapshot{})
+			}
+			n.applyPeerStatus(&peer.Status{Node: "n-1", Token: c.token, Counts: []peer.Counts{{Job: "job-1", Done: 1, Running: 2}}})
+			if _, accepted := n.leaderCounts["job-1"]; accepted != c.accepted {
+				t.Errorf("accepted: %v", accepted)
+			}
+		})
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -201,7 +201,9 @@
 	n.noteListing(s.Node, s.Revision == 0)
 	state.delegate.NoteMessage(n.now())
 	n.checkPeerVersion(state, s)
-	if n.term == nil {
+	// Only a leader sends counts, each change once. A node that has led takes those of its successor
+	// also before its own term has ended.
+	if n.term == nil || s.Token > n.term.token {
 		for _, c := range s.Counts {
 			if _, known := n.view.jobs[c.Job]; known || len(n.leaderCounts) < 100_000 {
 				n.leaderCounts[c.Job] = c
