Nomad API: a query is answered only by a view that holds all that was told before it

Cause: a query with an index was answered from the view, however old, when its wait was over or the view's index was above the client's, and the index of the answer was raised to the client's.

Change: all queries are answered once the view is known to hold every change made before they came. A query that waits is proven by the watch's progress since then, else by a read that is shared; if neither is had, it gets 503 with Retry-After before its wait is over. The index is never above what the view holds. ReadRegistry is a type of its own in nomad_query.go.

TestNomadBlockingQuery expected that an index of 2^40 which no node had given is returned: it claims to be newer than changes yet to come. Now the view's index is expected there, and for an index that was given the same index, as before.

--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/big"
-	"time"
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/nomad/httpapi"
@@ -25,9 +24,9 @@
 	waiterCount int
 	// waiters holds the waiters by the job that they wait for; an empty ID stands for all jobs of
 	// a team.
-	waiters map[registry.Name]map[*waiter]bool
+	waiters map[registry.Name]map[*registryQuery]bool
 	// progressWaiters holds the waiters by the native job whose counts they wait for.
-	progressWaiters map[string]map[*waiter]bool
+	progressWaiters map[string]map[*registryQuery]bool
 	// countsChangedAt holds, by unfinished native job, when this node last learnt new counts.
 	countsChangedAt map[string]core.Micros
 	// written holds the native jobs that this node has written and whose change the view may not
@@ -35,23 +34,6 @@
 	written map[string]bool
 }
 
-// recentCountsWindow bounds the wait of a query that arrives shortly after a change of the counts
-// that it waits for: it is answered at the latest this long after the change. Counts are in no
-// record, so they have no index, and a change between two queries of a client would be missed. A
-// client that queries again within this time is therefore answered once more.
-const recentCountsWindow = 5 * core.Second
-
-// waiterCleanupTimeout is how long the removal of the waiter of a client that has gone may wait
-// for the owning goroutine.
-const waiterCleanupTimeout = 10 * time.Second
-
-// waiter is a blocking query that waits for a change.
-type waiter struct {
-	name      registry.Name
-	nativeIDs []string
-	wake      func()
-}
-
 func newNomadState(n *Node) *nomadState {
 	if n.settings.Nomad == nil {
 		return nil
@@ -59,7 +41,7 @@
 	return &nomadState{
 		registry:   registry.New(registry.Limits{MaxOps: n.stateLimits.TxnOps, MaxValueBytes: n.stateLimits.ValueBytes}, nativeJobs{n}),
 		maxWaiters: n.settings.Nomad.MaxWatchers,
-		waiters:    map[registry.Name]map[*waiter]bool{}, progressWaiters: map[string]map[*waiter]bool{},
+		waiters:    map[registry.Name]map[*registryQuery]bool{}, progressWaiters: map[string]map[*registryQuery]bool{},
 		countsChangedAt: map[string]core.Micros{}, written: map[string]bool{},
 	}
 }
@@ -178,182 +160,11 @@
 	if j, _ := s.registry.ByNative(id); j != nil && n.view.jobs[id].Phase == core.Pending {
 		s.countsChangedAt[id] = n.now()
 	}
-	for w := range s.progressWaiters[id] {
-		w.wake()
-	}
-}
-
-func (s *nomadState) wakeWaiters(name registry.Name) {
-	for w := range s.waiters[name] {
-		w.wake()
-	}
-	for w := range s.waiters[registry.Name{Team: name.Team}] {
-		w.wake()
-	}
-}
-
-func (s *nomadState) addWaiter(w *waiter) {
-	s.waiterCount++
-	addTo(s.waiters, w.name, w)
-	for _, id := range w.nativeIDs {
-		addTo(s.progressWaiters, id, w)
-	}
-}
-
-func (s *nomadState) removeWaiter(w *waiter) {
-	s.waiterCount--
-	removeFrom(s.waiters, w.name, w)
-	for _, id := range w.nativeIDs {
-		removeFrom(s.progressWaiters, id, w)
-	}
-}
-
-func addTo[K comparable](m map[K]map[*waiter]bool, k K, w *waiter) {
-	if m[k] == nil {
-		m[k] = map[*waiter]bool{}
-	}
-	m[k][w] = true
-}
-
-func removeFrom[K comparable](m map[K]map[*waiter]bool, k K, w *waiter) {
-	delete(m[k], w)
-	if len(m[k]) == 0 {
-		delete(m, k)
-	}
-}
-
-// ReadRegistry runs read on the owning goroutine and returns the index that read saw, which is
-// never lower than q.AfterIndex. If q.AfterIndex is 0, read runs after a linearizable read of the
-// view. Otherwise it runs when the index is higher than q.AfterIndex, when counts change and
-// q.WakeOnCounts is set, or when q.MaxWait has passed. Nothing is polled: a waiting query is woken
-// by the change, which arrives by the watch that the node has anyway.
-func (n *Node) ReadRegistry(ctx context.Context, q httpapi.Query, read func(*registry.Registry)) (uint64, error) {
-	type outcome struct {
-		index uint64
-		err   error
-	}
-	out := make(chan outcome, 1)
-	recheck := make(chan time.Duration, 1)
-	var w *waiter
-	s := n.nomad
-	indexNow := func() uint64 {
-		if q.Name.ID == "" {
-			return s.registry.TeamIndex(q.Name.Team)
-		}
-		return s.registry.Index(q.Name)
-	}
-	finish := func() {
-		if w != nil {
-			s.removeWaiter(w)
-			w = nil
-		}
-		read(s.registry)
-		out <- outcome{max(indexNow(), q.AfterIndex, 1), nil}
-	}
-	post := func(f func()) bool {
-		select {
-		case n.inbox <- f:
-			return true
-		case <-ctx.Done():
-			return false
-		}
-	}
-	begin := func() {
-		switch {
-		case q.AfterIndex == 0:
-			n.readLinearizable(func(ok bool) {
-				if !ok {
-					out <- outcome{err: httpapi.ErrUnavailable}
-					return
-				}
-				finish()
-			})
-		case !n.view.ready:
-			out <- outcome{err: httpapi.ErrUnavailable}
-		case indexNow() > q.AfterIndex:
-			finish()
-		case s.waiterCount >= s.maxWaiters:
-			out <- outcome{err: httpapi.ErrBusy}
-		default:
-			w = &waiter{name: q.Name}
-			recheckIn := core.MaxMicros
-			if j := s.registry.Get(q.Name); j != nil && q.WakeOnCounts {
-				for _, g := range j.Groups {
-					w.nativeIDs = append(w.nativeIDs, g.Native)
-					if at, ok := s.countsChangedAt[g.Native]; ok && n.now()-at < recentCountsWindow {
-						recheckIn = min(recheckIn, at+recentCountsWindow-n.now())
-					}
-				}
-			}
-			if recheckIn < core.MaxMicros {
-				recheck <- time.Duration(recheckIn) * time.Microsecond
-			}
-			woken := false
-			w.wake = func() {
-				if woken {
-					return
-				}
-				woken = true
-				// Runs after the change that is being applied.
-				go post(func() {
-					if w != nil {
-						finish()
-					}
-				})
-			}
-			s.addWaiter(w)
-		}
-	}
-	if !post(begin) {
-		return 0, httpapi.ErrUnavailable
-	}
-	var timeout <-chan time.Time
-	t := time.NewTimer(q.MaxWait)
-	defer t.Stop()
-	if q.AfterIndex > 0 {
-		timeout = t.C
-	}
-	for {
-		select {
-		case s := <-out:
-			return s.index, s.err
-		case d := <-recheck:
-			if d < q.MaxWait {
-				t.Reset(d)
-			}
-		case <-timeout:
-			timeout = nil
-			if !post(func() {
-				if w != nil {
-					finish()
-				}
-			}) {
-				return 0, httpapi.ErrUnavailable
-			}
-		case <-ctx.Done():
-			// The client has gone. Remove its waiter, unless this node ends.
-			go func() {
-				ctx, cancel := context.WithTimeout(context.Background(), waiterCleanupTimeout)
-				defer cancel()
-				_, _ = call(ctx, n, func(reply func(struct{})) {
-					if w != nil {
-						s.removeWaiter(w)
-						w = nil
-					}
-					reply(struct{}{})
-				})
-			}()
-			return 0, httpapi.ErrUnavailable
-		}
+	for q := range s.progressWaiters[id] {
+		q.wake()
 	}
 }
 
-// BlockingQueries returns how many queries wait.
-func (n *Node) BlockingQueries(ctx context.Context) int {
-	k, _ := call(ctx, n, func(reply func(int)) { reply(n.nomad.waiterCount) })
-	return k
-}
-
 // TranslationPolicy returns the rules for the job files of a team.
 func (n *Node) TranslationPolicy(team string) translate.Policy {
 	s := n.settings.Nomad
--- a/internal/statestore/list.go
+++ b/internal/statestore/list.go
@@ -20,7 +20,7 @@
 const pageSize = 1000
 
 const (
-	pageTimeout      = 2 * requestTimeout
+	pageTimeout      = 2 * RequestTimeout
 	minPageRetry     = 50 * time.Millisecond
 	maxPageRetry     = 500 * time.Millisecond // bounds the delay after an outage
 	progressInterval = 2 * time.Second
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -33,11 +33,11 @@
 	ErrInvalid = errors.New("malformed request")
 )
 
-// Limits of a request. A response usually takes less than 10 ms, sometimes a few hundred.
-const (
-	requestTimeout   = 1500 * time.Millisecond
-	maxResponseBytes = 64 << 20
-)
+// RequestTimeout is the longest that a request takes, besides the time that a watch waits for changes.
+// A response usually takes less than 10 ms, sometimes a few hundred.
+const RequestTimeout = 1500 * time.Millisecond
+
+const maxResponseBytes = 64 << 20
 
 // Client calls the state service's API.
 type Client struct {
@@ -141,7 +141,7 @@
 // Get reads one key.
 func (c *Client) Get(ctx context.Context, key string) (*wire.Entry, error) {
 	var e wire.Entry
-	if err := c.do(ctx, http.MethodGet, wire.KeysPath+"/"+key, nil, &e, 0, requestTimeout); err != nil {
+	if err := c.do(ctx, http.MethodGet, wire.KeysPath+"/"+key, nil, &e, 0, RequestTimeout); err != nil {
 		return nil, fmt.Errorf("get %s: %w", key, err)
 	}
 	return &e, nil
@@ -150,25 +150,25 @@
 // Commit runs a transaction and returns its revision.
 func (c *Client) Commit(ctx context.Context, t *wire.Txn) (uint64, error) {
 	var r wire.TxnResult
-	err := c.do(ctx, http.MethodPost, wire.CommitPath, t, &r, len(t.Then), requestTimeout)
+	err := c.do(ctx, http.MethodPost, wire.CommitPath, t, &r, len(t.Then), RequestTimeout)
 	return r.Revision, err
 }
 
 // Grant obtains a lease.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
 	var l wire.Lease
-	err := c.do(ctx, http.MethodPost, wire.LeasesPath, &wire.LeaseRequest{TTL: ttl.Milliseconds()}, &l, 0, requestTimeout)
+	err := c.do(ctx, http.MethodPost, wire.LeasesPath, &wire.LeaseRequest{TTL: ttl.Milliseconds()}, &l, 0, RequestTimeout)
 	return l.ID, err
 }
 
 // Renew renews a lease. ErrNotFound means that the lease has ended.
 func (c *Client) Renew(ctx context.Context, id uint64) error {
-	return c.do(ctx, http.MethodPost, fmt.Sprintf("%s/%d/%s", wire.LeasesPath, id, wire.RenewSuffix), nil, nil, 0, requestTimeout)
+	return c.do(ctx, http.MethodPost, fmt.Sprintf("%s/%d/%s", wire.LeasesPath, id, wire.RenewSuffix), nil, nil, 0, RequestTimeout)
 }
 
 // Revoke ends a lease and deletes its keys.
 func (c *Client) Revoke(ctx context.Context, id uint64) error {
-	return c.do(ctx, http.MethodDelete, fmt.Sprintf("%s/%d", wire.LeasesPath, id), nil, nil, 0, requestTimeout)
+	return c.do(ctx, http.MethodDelete, fmt.Sprintf("%s/%d", wire.LeasesPath, id), nil, nil, 0, RequestTimeout)
 }
 
 // Changes returns the changes under the prefix after the revision. If there are none, it waits up
@@ -176,7 +176,7 @@
 func (c *Client) Changes(ctx context.Context, prefix string, since uint64, wait time.Duration) (*wire.Changes, error) {
 	var r wire.Changes
 	path := fmt.Sprintf("%s?starts=%s&since=%d&wait_ms=%d", wire.ChangesPath, url.QueryEscape(prefix), since, wait.Milliseconds())
-	if err := c.do(ctx, http.MethodGet, path, nil, &r, 0, wait+requestTimeout); err != nil {
+	if err := c.do(ctx, http.MethodGet, path, nil, &r, 0, wait+RequestTimeout); err != nil {
 		return nil, err
 	}
 	return &r, nil
