Outbox: a receiver is asked until it has answered what an earlier leader delivered

Cause: whether to ask was derived from the count of attempts. An attempt whose question failed counted as the first one and as not delivered, so the second one did not ask; the same after an attempt that the breaker or a lapse of the lease kept from being made.

Change: what is known of earlier attempts is a state of the message, unknown at first. Only an attempt that was made, and not taken, settles it. One that was not made has an outcome of its own, NotAttempted, which changes nothing but the time of the next.

--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -315,12 +315,12 @@
 
 // deliver sends one notification, if the lease is valid, and reports the outcome to the outbox.
 func (n *Node) deliver(token uint64, box *notify.Outbox, a notify.Send) {
-	out, after := notify.NotDelivered, core.Micros(0)
+	out, after := notify.NotAttempted, core.Micros(0)
 	started := time.Now()
 	if n.leaseValid() {
 		out, after = n.notifier.senders[a.Subscription].Send(n.ctx, a, token, n.leaseValid)
 	}
-	outcomes := [...]string{"delivered", "not taken", "in doubt", "refused"}
+	outcomes := [...]string{"delivered", "not taken", "in doubt", "refused", "not attempted"}
 	n.log.Info("notification "+outcomes[out], "subscription", a.Subscription, "job", a.Event.Job, "event", a.Event.Kind.String(), "key", a.Key,
 		"attempt", a.Attempt, "took_ms", time.Since(started).Milliseconds())
 	n.post(func() {
--- a/internal/notify/deliver/deliver.go
+++ b/internal/notify/deliver/deliver.go
@@ -127,11 +127,12 @@
 )
 
 // Send makes one delivery attempt with the leader's fencing token. It returns the outcome and the
-// delay that the receiver requested before the next attempt, or 0. With an open breaker, it
-// returns NotDelivered and a quarter of the breaker's timeout without an attempt. It returns
-// shortly after ctx ends at the latest.
+// delay that the receiver requested before the next attempt, or 0. If the key lookup fails, or this
+// node does not lead any more, it returns NotAttempted; with an open breaker as well, with a quarter
+// of the breaker's timeout as the delay. It returns shortly after ctx ends at the latest.
 //
-// leading reports whether this node's lease as the leader is valid. It is called after the key
+// leading reports whether this node leads with the term that decided to send, and its lease is
+// certainly valid. It is called after the key
 // lookup and after the request's timestamp was taken, and nothing is sent if it returns false. So
 // the timestamp is of a time at which this node led: however long the process pauses before the
 // request goes out, the receiver rejects it once the next leader may send.
@@ -149,7 +150,7 @@
 		}
 		sentAt := time.Now() // before the check of the lease
 		if !leading() {
-			return result{outcome: notify.NotDelivered}, errNotLeading
+			return result{outcome: notify.NotAttempted}, errNotLeading
 		}
 		res := s.post(ctx, send, token, sentAt)
 		if res.outcome == notify.Delivered || res.outcome == notify.Rejected {
@@ -158,7 +159,7 @@
 		return res, errAttemptFailed
 	})
 	if err != nil && !errors.Is(err, errAttemptFailed) && !errors.Is(err, errNotLeading) {
-		return notify.NotDelivered, core.Micros(breakerTimeout / time.Microsecond / 4) // the breaker is open
+		return notify.NotAttempted, core.Micros(breakerTimeout / time.Microsecond / 4) // the breaker is open
 	}
 	return res.outcome, core.Micros(min(res.retryAfter, maxRetryAfter) / time.Microsecond)
 }
@@ -168,18 +169,18 @@
 func (s *Sender) lookUpKey(ctx context.Context, key string) (seen bool, res *result) {
 	u, err := url.Parse(s.receiver.LookupURL)
 	if err != nil {
-		return false, &result{outcome: notify.NotDelivered}
+		return false, &result{outcome: notify.NotAttempted}
 	}
 	q := u.Query()
 	q.Set("key", key)
 	u.RawQuery = q.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return false, &result{outcome: notify.NotDelivered}
+		return false, &result{outcome: notify.NotAttempted}
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return false, &result{outcome: notify.NotDelivered}
+		return false, &result{outcome: notify.NotAttempted}
 	}
 	defer resp.Body.Close()
 	_, _ = io.CopyN(io.Discard, resp.Body, maxResponseBytes)
@@ -189,7 +190,7 @@
 	case http.StatusNotFound:
 		return false, nil
 	}
-	return false, &result{notify.NotDelivered, parseRetryAfter(resp)}
+	return false, &result{notify.NotAttempted, parseRetryAfter(resp)}
 }
 
 // post sends a notification in at most one request, with the time sentAt, and returns the result.
--- a/internal/notify/notify.go
+++ b/internal/notify/notify.go
@@ -128,13 +128,16 @@
 const (
 	// Delivered means that the receiver accepted the notification.
 	Delivered Outcome = iota
-	// NotDelivered means that the attempt certainly had no effect: it was not sent, or
-	// the receiver refused it temporarily.
+	// NotDelivered means that neither this attempt nor an earlier one had an effect: the
+	// receiver was asked for earlier ones if that was needed and possible, and refused this
+	// one temporarily, or could not be connected to.
 	NotDelivered
 	// Unknown means that the attempt may have taken effect, or may still do so.
 	Unknown
 	// Rejected means that the receiver refused the notification permanently.
 	Rejected
+	// NotAttempted means that nothing was sent, and nothing was learnt of earlier attempts.
+	NotAttempted
 )
 
 // Action is an operation that the outbox requests: Send, Save or FetchEvents.
--- a/internal/notify/queue.go
+++ b/internal/notify/queue.go
@@ -11,14 +11,16 @@
 // jobQueue holds the undelivered events of one job for one subscription, in order. They
 // are sent one at a time.
 type jobQueue struct {
-	sub               *subscriptionState
-	job               string // ID
-	events            []queuedEvent
-	attempts          int
-	possiblyDelivered bool        // an attempt for the first event may have taken effect
-	busy              bool        // the first event is being sent, or its dead letter is being written
-	nextAttemptAt     core.Micros // monotonic clock
-	heapIndex         int         // index in ready, or -1
+	sub      *subscriptionState
+	job      string // ID
+	events   []queuedEvent
+	attempts int
+	// knownUndelivered is set once it is known that no attempt for the first event has taken effect or
+	// still may: neither one of this leader nor one of an earlier leader.
+	knownUndelivered bool
+	busy             bool        // the first event is being sent, or its dead letter is being written
+	nextAttemptAt    core.Micros // monotonic clock
+	heapIndex        int         // index in ready, or -1
 }
 
 // queuedEvent is an event in a jobQueue.
@@ -75,7 +77,7 @@
 		s.settleEvent(&e.Event)
 	}
 	q.events = q.events[1:]
-	q.attempts, q.possiblyDelivered, q.busy, q.nextAttemptAt = 0, false, false, now
+	q.attempts, q.knownUndelivered, q.busy, q.nextAttemptAt = 0, false, false, now
 	delete(s.buffered, eventID(&e.Event))
 	if len(q.events) == 0 {
 		delete(s.queues, q.job)
--- a/internal/notify/send.go
+++ b/internal/notify/send.go
@@ -44,7 +44,7 @@
 		q.attempts++
 		q.busy = true
 		o.inFlight[o.nextID] = q
-		o.actions = append(o.actions, Send{ID: o.nextID, Subscription: s.Name, Event: e.Event, Key: IdempotencyKey(s.Name, &e.Event), Attempt: q.attempts, PossiblyDelivered: q.possiblyDelivered || q.attempts == 1})
+		o.actions = append(o.actions, Send{ID: o.nextID, Subscription: s.Name, Event: e.Event, Key: IdempotencyKey(s.Name, &e.Event), Attempt: q.attempts, PossiblyDelivered: !q.knownUndelivered})
 	}
 }
 
@@ -94,9 +94,12 @@
 	case out == Unknown && q.sub.DeliveryGuarantee == AtMostOnce:
 		o.removeFirst(now, q) // it remains a dead letter
 	default:
-		if out == Unknown {
-			q.possiblyDelivered = true
+		switch out {
+		case Unknown:
+			q.knownUndelivered = false
 			after = max(after, q.sub.receiver.MaxMessageAge)
+		case NotDelivered:
+			q.knownUndelivered = true
 		}
 		q.nextAttemptAt = now + max(o.retryDelay(q), after)
 		heap.Push(&q.sub.ready, q)
--- a/internal/simulator/notify_test.go
+++ b/internal/simulator/notify_test.go
@@ -68,6 +68,7 @@
 				receivers["billing"].Refuse = 0.3
 				const maxAge = 5 * s
 				receivers["archive"].Contract, receivers["archive"].MaxAge = simulator.AnswersLookups, maxAge
+				receivers["archive"].FailLookup, receivers["archive"].LoseLookup, receivers["archive"].SlowLookup = 0.2, 0.1, 0.1
 				receivers["pager"].Contract = simulator.AppliesRepeats
 				w.Settings.Notify = &config.Notify{Subscriptions: []notify.Subscription{
 					{Name: "all", Receiver: "desk", Kinds: all, Deadline: 3600 * core.Second},
