Notifications: nothing is sent for a former term of the same node

What callers would see: a node that loses the lease and leads again may send, for a slow question of its former term, a message with a new timestamp, which its next term has delivered.

Cause: before it sends, an attempt checked that this node leads, not that the term that decided to send still does.

Change: the check names the term. Evidence: TestDeliveryOfFormerTerm; before, the check was the lease alone, which is valid there.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,8 +49,9 @@
 	maxReadAge                                     core.Micros // how long a leader may act on its last read
 	inbox                                          chan func()
 
-	leaseValidUntil atomic.Int64 // in Micros of now: the leader's lease is certainly valid until then
-	serving         atomic.Bool  // the view is loaded and users can be answered
+	leaseValidUntil atomic.Int64         // in Micros of now: the leader's lease is certainly valid until then
+	leadingTerm     atomic.Pointer[term] // the term whose lease that is; nil while this node does not lead
+	serving         atomic.Bool          // the view is loaded and users can be answered
 
 	// The fields below belong to the goroutine that runs Run. Other goroutines reach them by
 	// posting a function to it.
@@ -269,6 +270,10 @@
 // leaseValid reports whether this node holds the leader's lease and the lease is certainly valid.
 func (n *Node) leaseValid() bool { return n.now() < core.Micros(n.leaseValidUntil.Load()) }
 
+// leads reports whether this node leads with a term whose lease is certainly valid. It may lead with a
+// later one.
+func (n *Node) leads(t *term) bool { return n.leadingTerm.Load() == t && n.leaseValid() }
+
 // minMaxReadAge is the lower bound of maxReadAge. It matters where a worker's lease lasts as long
 // as a cancellation may take: maxCancelStaleness is then 0, and no leader can read that often.
 const minMaxReadAge = 5 * core.Second
--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -290,7 +290,7 @@
 	for _, a := range box.Step(n.now(), wallNow) {
 		switch a := a.(type) {
 		case notify.Send:
-			go n.deliver(t.token, box, a)
+			go n.deliver(t, t.token, box, a)
 		case notify.Save:
 			n.saveOutbox(t, box, a)
 		case notify.FetchEvents:
@@ -313,12 +313,14 @@
 	return events, n.view.revision, true
 }
 
-// deliver sends one notification, if the lease is valid, and reports the outcome to the outbox.
-func (n *Node) deliver(token uint64, box *notify.Outbox, a notify.Send) {
+// deliver sends one notification for a term, if that is not over and its lease is valid, and reports the
+// outcome to the outbox.
+func (n *Node) deliver(t *term, token uint64, box *notify.Outbox, a notify.Send) {
 	out, after := notify.NotAttempted, core.Micros(0)
 	started := time.Now()
-	if n.leaseValid() {
-		out, after = n.notifier.senders[a.Subscription].Send(n.ctx, a, token, n.leaseValid)
+	leading := func() bool { return n.leads(t) }
+	if leading() {
+		out, after = n.notifier.senders[a.Subscription].Send(n.ctx, a, token, leading)
 	}
 	outcomes := [...]string{"delivered", "not taken", "in doubt", "refused", "not attempted"}
 	n.log.Info("notification "+outcomes[out], "subscription", a.Subscription, "job", a.Event.Job, "event", a.Event.Kind.String(), "key", a.Key,
--- a/internal/node/notify_test.go
+++ b/internal/node/notify_test.go
@@ -39,3 +39,19 @@
 		}
 	}
 }
+
+// TestDeliveryOfFormerTerm checks that nothing is sent for a term that is over, also if this node leads
+// again: its next term has asked the receiver what is delivered, and may have delivered it.
+func TestDeliveryOfFormerTerm(t *testing.T) {
+	n := newTestNode()
+	former, current := &term{n: n, token: 5}, &term{n: n, token: 9}
+	n.leadingTerm.Store(current)
+	n.leaseValidUntil.Store(int64(n.now() + 100*core.Second))
+	if n.leads(former) || !n.leads(current) {
+		t.Errorf("leads with the former term: %v, with the current one: %v", n.leads(former), n.leads(current))
+	}
+	n.leaseValidUntil.Store(0)
+	if n.leads(current) {
+		t.Error("leads without a valid lease")
+	}
+}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -141,9 +141,11 @@
 	defer cancel()
 	t := &term{n: n, leaseID: lease, token: token, cancel: cancel}
 	n.leaseValidUntil.Store(int64(until))
+	n.leadingTerm.Store(t)
 	go n.beginTerm(termCtx, t)
 	n.renewLease(termCtx, t, ttl)
 	n.leaseValidUntil.Store(0)
+	n.leadingTerm.Store(nil)
 	n.log.Info("term ends", "token", t.token)
 	resigned, _ := call(ctx, n, func(reply func(bool)) {
 		if n.term == t {
