Notifications: marks of subscriptions that a leader's settings lack are kept

What callers would see: while a new subscription is rolled out, a leader without it leads for a while, and what happens meanwhile is never sent.

Cause: the marks are one record, which each leader writes whole with its own subscriptions only. A subscription without a mark begins anew.

Change: marks of other subscriptions are written as they were read. One that is removed and added again under its name goes on where it was (docs/NOTIFICATIONS.md).

Evidence: TestOtherWatermarksAreKept fails without the change.

--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -116,7 +116,9 @@
 		if _, ok := marks[sub]; !ok {
 			marks[sub], added = start.since, true
 		}
-		box.LoadWatermark(notify.Watermark{Subscription: sub, Revision: marks[sub]})
+	}
+	for sub, revision := range marks {
+		box.LoadWatermark(notify.Watermark{Subscription: sub, Revision: revision})
 	}
 	if added {
 		v, err := wire.Marshal(marks)
--- a/internal/notify/notify.go
+++ b/internal/notify/notify.go
@@ -159,7 +159,7 @@
 // written, in one transaction; its result is passed to HandleSaveResult.
 type Save struct {
 	ID                uint64
-	Watermarks        []Watermark  // none, or those of all subscriptions: they share one record
+	Watermarks        []Watermark  // none, or all that are stored: they share one record
 	DeleteChunks      []ChunkKey   // bitmaps that are below the watermarks
 	PutChunks         []Chunk      // bitmaps that changed
 	PutDeadLetters    []DeadLetter // new dead letters, which settle their events
--- a/internal/notify/outbox.go
+++ b/internal/notify/outbox.go
@@ -34,6 +34,7 @@
 	cfg                  Config
 	subscriptions        map[string]*subscriptionState
 	subscriptionsInOrder []*subscriptionState
+	otherWatermarks      []Watermark // of subscriptions that the settings do not have
 	receivers            map[string]*receiverState
 	nextID               uint64
 	inFlight             map[uint64]*jobQueue // by the ID of the Send
@@ -86,11 +87,15 @@
 	return o
 }
 
-// LoadWatermark restores a subscription's stored watermark. It ignores unknown subscriptions.
+// LoadWatermark restores a subscription's stored watermark. That of a subscription which the settings
+// do not have is kept as it is: another node may have it in its settings while these are rolled out.
 func (o *Outbox) LoadWatermark(m Watermark) {
-	if s := o.subscriptions[m.Subscription]; s != nil {
-		s.watermark, s.savedWatermark, s.loadedThrough = m.Revision, m.Revision, m.Revision
+	s := o.subscriptions[m.Subscription]
+	if s == nil {
+		o.otherWatermarks = append(o.otherWatermarks, m)
+		return
 	}
+	s.watermark, s.savedWatermark, s.loadedThrough = m.Revision, m.Revision, m.Revision
 }
 
 // MinWatermark returns the revision up to which all events of all subscriptions are
--- a/internal/notify/outbox_test.go
+++ b/internal/notify/outbox_test.go
@@ -461,6 +461,28 @@
 	}
 }
 
+// A leader with earlier settings keeps the watermark of a subscription that they do not have. Without
+// it, what happened while it led would never be sent once a leader has the subscription again.
+func TestOtherWatermarksAreKept(t *testing.T) {
+	o := New(Config{
+		Subscriptions: []Subscription{{Name: "s", Receiver: "r", Kinds: []Kind{Done}}}, Receivers: []Receiver{{Name: "r"}}, MaxBuffered: 10, MaxOpsPerSave: 10,
+	})
+	o.LoadWatermark(Watermark{"s", 4})
+	o.LoadWatermark(Watermark{"added", 3})
+	o.HandleEventsComplete(9)
+	saved := map[string]uint64{}
+	for _, a := range o.Step(core.Second, core.Second) {
+		if a, ok := a.(Save); ok {
+			for _, m := range a.Watermarks {
+				saved[m.Subscription] = m.Revision
+			}
+		}
+	}
+	if saved["s"] != 9 || saved["added"] != 3 || len(saved) != 2 {
+		t.Errorf("saved watermarks %v", saved)
+	}
+}
+
 // The limits of one receiver do not delay another one. The delay after failed attempts grows
 // exponentially, and is at least the one that the receiver requests.
 func TestReceiverLimitsAndBackoff(t *testing.T) {
--- a/internal/notify/save.go
+++ b/internal/notify/save.go
@@ -48,6 +48,7 @@
 		}
 	}
 	if watermarkOps > 0 {
+		a.Watermarks = append(a.Watermarks, o.otherWatermarks...)
 		for _, s := range o.subscriptionsInOrder {
 			// The watermark must not pass a dead letter that is not written yet.
 			to := s.watermark
