Test of notifications: the asked receiver answers at the end

After the same five minutes with all faults the receiver now works for ten more; every event must still have exactly one effect.

--- a/internal/simulator/notify_test.go
+++ b/internal/simulator/notify_test.go
@@ -127,6 +127,9 @@
 				}
 				wg.Wait()
 				time.Sleep(5 * time.Minute)
+				// Each failed question doubles the time to the next attempt, up to three minutes.
+				receivers["archive"].StopFaults()
+				time.Sleep(10 * time.Minute)
 				for id, last := range finalStates {
 					for _, kind := range []string{"accepted", "done", "cancelled"} {
 						want := 0
