Nomad API: job files are unpacked outside the goroutine that owns the state

Cause: the goroutine that owns the node's state unpacked and decoded each version that an answer shows, and compressed registrations. Questions shared one queue with reports, cancellations and submissions, and were carried out for clients that had gone.

Change: the owner copies records. A bounded pool unpacks and encodes them, with a share for each team (bytes a second, waiting requests, bytes being sent) that follows from the platform's limits; beyond it 429 or 503 with Retry-After. Queries have a bounded queue behind the other one. Those of clients that have gone are dropped first. Registrations arrive compressed. Lists pass over a team's own jobs.

--- a/cmd/aspenstall/main.go
+++ b/cmd/aspenstall/main.go
@@ -179,7 +179,7 @@
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	if s.Nomad != nil {
-		if err := serveNomad(n, s.Nomad, log); err != nil {
+		if err := serveNomad(n, p, s.Nomad, log); err != nil {
 			return err
 		}
 	}
--- a/cmd/aspenstall/nomad.go
+++ b/cmd/aspenstall/nomad.go
@@ -270,9 +270,9 @@
 }
 
 // serveNomad serves Nomad's clients on a separate listener.
-func serveNomad(n *node.Node, s *config.Nomad, log *slog.Logger) error {
+func serveNomad(n *node.Node, p *config.Platform, s *config.Nomad, log *slog.Logger) error {
 	return serveAuxiliary("Nomad's clients", s.Listen, s.MaxConns, log, &http.Server{
-		Handler:           httpapi.Handler(n, s, log),
+		Handler:           httpapi.Handler(n, s, httpapi.NewRenderLimits(p), log),
 		ReadHeaderTimeout: 10 * time.Second, // bodies and responses have deadlines of their own, since blocking queries take long
 		IdleTimeout:       2 * time.Minute,
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,9 @@
 	answerGrace, maxCancelStaleness, delegationTTL core.Micros
 	maxReadAge                                     core.Micros // how long a leader may act on its last read
 	inbox                                          chan func()
+	// queries holds registry queries. They are begun when inbox is empty: whatever keeps leases, tasks
+	// and confirmations goes before questions.
+	queries chan func()
 
 	leaseValidUntil atomic.Int64         // in Micros of now: the leader's lease is certainly valid until then
 	leadingTerm     atomic.Pointer[term] // the term whose lease that is; nil while this node does not lead
@@ -100,6 +103,7 @@
 		incarnation:  rand.Uint64(),
 		started:      time.Now(),
 		inbox:        make(chan func(), 1024),
+		queries:      make(chan func(), maxQueuedQueries),
 		core:         core.New(config.CoreConfig(p, s)),
 		electorWake:  make(chan struct{}, 1),
 		deferredWake: make(chan struct{}, 1),
@@ -208,6 +212,27 @@
 	}
 }
 
+// maxQueuedQueries limits the registry queries that wait for the owning goroutine. More are refused.
+const maxQueuedQueries = 256
+
+// maxInboxBatch and maxQueryBatch limit what is taken from a queue before the core's next step.
+const (
+	maxInboxBatch = 256
+	maxQueryBatch = 8
+)
+
+// runQueued runs up to limit queued functions.
+func runQueued(queue chan func(), limit int) {
+	for range limit {
+		select {
+		case f := <-queue:
+			f()
+		default:
+			return
+		}
+	}
+}
+
 // Run runs the node and returns when ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	n.ctx = ctx
@@ -231,15 +256,11 @@
 			n.runDeferred()
 		case f := <-n.inbox:
 			f()
-			for i := 0; i < 256; i++ {
-				select {
-				case f := <-n.inbox:
-					f()
-					continue
-				default:
-				}
-				break
-			}
+			runQueued(n.inbox, maxInboxBatch)
+		case f := <-n.queries:
+			runQueued(n.inbox, maxInboxBatch)
+			f()
+			runQueued(n.queries, maxQueryBatch)
 		case <-timer.C:
 			tick = n.now() + core.Micros(step/time.Microsecond)
 			n.committer.dispatch()
--- a/internal/node/nomad_query.go
+++ b/internal/node/nomad_query.go
@@ -24,6 +24,7 @@
 // owning goroutine, except for the channels.
 type registryQuery struct {
 	httpapi.Query
+	ctx     context.Context // of the client's request
 	n       *Node
 	read    func(*registry.Registry)
 	askedAt core.Micros // when the owning goroutine took the query
@@ -51,11 +52,13 @@
 // the change, which arrives by the watch that the node has anyway. The watch also shows that the view
 // is recent enough: a query that waits for longer than a watch takes costs no request of its own.
 func (n *Node) ReadRegistry(ctx context.Context, q httpapi.Query, read func(*registry.Registry)) (uint64, error) {
-	query := &registryQuery{Query: q, n: n, read: read, result: make(chan queryResult, 1), recheckIn: make(chan time.Duration, 1)}
-	if !query.post(ctx, query.begin) {
-		return 0, httpapi.ErrUnavailable
+	query := &registryQuery{Query: q, ctx: ctx, n: n, read: read, result: make(chan queryResult, 1), recheckIn: make(chan time.Duration, 1)}
+	select {
+	case n.queries <- query.begin:
+		return query.await(ctx)
+	default:
+		return 0, httpapi.ErrBusy
 	}
-	return query.await(ctx)
 }
 
 // await waits for the query's result, and has the owning goroutine end the query in time.
@@ -112,6 +115,8 @@
 	n, s := q.n, q.n.nomad
 	q.askedAt = n.now()
 	switch {
+	case q.ctx.Err() != nil: // the client has gone
+		q.fail(httpapi.ErrUnavailable)
 	case q.AfterIndex == 0:
 		q.answerOnceFresh()
 	case !n.view.ready:
@@ -200,6 +205,10 @@
 // answer runs read and ends the query. A client's index that the view has reached is not lowered: it
 // may be of another list or job.
 func (q *registryQuery) answer() {
+	if q.ctx.Err() != nil {
+		q.fail(httpapi.ErrUnavailable)
+		return
+	}
 	q.read(q.n.nomad.registry)
 	index := max(q.indexNow(), 1)
 	if q.AfterIndex <= q.n.view.revision {
--- a/internal/nomad/httpapi/allocs.go
+++ b/internal/nomad/httpapi/allocs.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -168,14 +169,20 @@
 	return out
 }
 
-// listAllocations lists the allocations of all jobs of the team.
-func listAllocations(q *request) (any, error) {
+// teamGroups returns the groups of all jobs of the team.
+func (q *request) teamGroups() ([]groupAllocs, error) {
 	var groups []groupAllocs
 	err := q.readRegistry(registry.Name{Team: q.team}, false, func(r *registry.Registry) {
 		for _, j := range r.List(q.team, "") {
 			groups = append(groups, groupAllocsOf(r, j, r.ModifyIndex(j))...)
 		}
 	})
+	return groups, err
+}
+
+// listAllocations lists the allocations of all jobs of the team.
+func listAllocations(q *request) (any, error) {
+	groups, err := q.teamGroups()
 	if err != nil {
 		return nil, err
 	}
@@ -217,27 +224,19 @@
 		return nil, missing
 	}
 	index := binary.BigEndian.Uint64(b[8:])
-	var g *groupAllocs
-	err = q.readRegistry(registry.Name{Team: q.team}, false, func(r *registry.Registry) {
-		if index >= core.MaxTasks {
-			return
-		}
-		for _, j := range r.List(q.team, "") {
-			for _, k := range groupAllocsOf(r, j, r.ModifyIndex(j)) {
-				if allocationID(k.nativeID(), int(index)) == q.id {
-					k.firstTask = int(index)
-					g = &k
-				}
-			}
-		}
-	})
+	groups, err := q.teamGroups()
 	if err != nil {
 		return nil, err
 	}
-	if g == nil {
+	i := slices.IndexFunc(groups, func(g groupAllocs) bool {
+		return index < core.MaxTasks && allocationID(g.nativeID(), int(index)) == q.id
+	})
+	if i < 0 {
 		return nil, missing
 	}
-	shown, err := q.fetchJobViews([]groupAllocs{*g}, 1)
+	g := groups[i]
+	g.firstTask = int(index)
+	shown, err := q.fetchJobViews([]groupAllocs{g}, 1)
 	if err != nil {
 		return nil, err
 	}
@@ -278,7 +277,7 @@
 	missing := true
 	err := q.readRegistry(registry.Name{Team: q.team}, false, func(r *registry.Registry) {
 		for _, j := range r.List(q.team, "") {
-			if evaluationID(j.Name, j.JobModifyIndex) == q.id {
+			if strings.HasSuffix(q.id, evaluationSuffix(j.JobModifyIndex)) && evaluationID(j.Name, j.JobModifyIndex) == q.id {
 				read(r, j)
 				missing = false
 			}
--- a/internal/nomad/httpapi/backend.go
+++ b/internal/nomad/httpapi/backend.go
@@ -23,7 +23,7 @@
 	// ErrNoLeader means that there is no leader that knows where tasks are.
 	//lint:ignore ST1005 the published clients recognize the error by this text
 	ErrNoLeader = errors.New("No cluster leader")
-	// ErrBusy means that the limit on concurrent blocking queries is reached.
+	// ErrBusy means that the limit on queries that wait is reached.
 	ErrBusy = errors.New("too many blocking queries")
 	// ErrNoJob means that the job does not exist.
 	ErrNoJob = errors.New("job not found")
@@ -59,7 +59,8 @@
 // Backend is a controller. Every method returns before its context ends or soon after.
 type Backend interface {
 	// ReadRegistry runs read when the query is due, and returns the index of the registry at that time.
-	// read must copy what it keeps, and must not block.
+	// read must copy what it keeps, and must neither block nor compute: it runs on the goroutine that
+	// the cluster's leases and tasks wait for. ReadRegistry fails with ErrBusy if too many queries wait.
 	ReadRegistry(ctx context.Context, q Query, read func(*registry.Registry)) (uint64, error)
 	Register(ctx context.Context, r registry.Registration) (RegisterResult, error)
 	// Plan returns what a registration would change, and the job as it is now (nil if there is none).
--- a/internal/nomad/httpapi/jobs.go
+++ b/internal/nomad/httpapi/jobs.go
@@ -1,7 +1,6 @@
 package httpapi
 
 import (
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -119,10 +118,14 @@
 	job := *f.Job
 	job.Namespace = q.team
 	src, err := json.Marshal(&job)
+	if err != nil {
+		return registry.Registration{}, err
+	}
+	packed, err := registry.Pack(src)
 	return registry.Registration{
 		Name:   registry.Name{Team: q.team, ID: job.ID},
 		Stub:   registry.Stub{Title: job.Name, Type: job.Type, Priority: job.Priority, Datacenters: job.Datacenters},
-		Source: src, Groups: groups, EnforceIndex: reg.EnforceIndex, ExpectedIndex: reg.JobModifyIndex,
+		Source: packed, Groups: groups, EnforceIndex: reg.EnforceIndex, ExpectedIndex: reg.JobModifyIndex,
 	}, err
 }
 
@@ -241,14 +244,12 @@
 	case http.MethodDelete:
 		return deregisterJob(q)
 	}
-	var out *fullJob
-	var failed error
-	err := q.readRegistry(q.jobName(), true, func(r *registry.Registry) {
-		if j := r.Get(q.jobName()); j != nil {
-			out, failed = newFullJob(r, j, j.Version)
-		}
-	})
-	return orNotFound(out, cmp.Or(err, failed))
+	var job *jobSnapshot
+	err := q.readRegistry(q.jobName(), true, func(r *registry.Registry) { job = snapshotJob(r, q.jobName()) })
+	if err != nil || job == nil {
+		return orNotFound(job, err)
+	}
+	return q.renderSources(q.team, func(unpacked *int) (any, error) { return job.fullJob(job.job.Version, unpacked) })
 }
 
 // orNotFound returns v, or an error with status 404 if v is nil.
@@ -311,26 +312,17 @@
 }
 
 func listJobVersions(q *request) (any, error) {
-	var out *jobVersions
-	var failed error
-	err := q.readRegistry(q.jobName(), false, func(r *registry.Registry) {
-		j := r.Get(q.jobName())
-		if j == nil {
-			return
-		}
-		out = &jobVersions{Versions: []*fullJob{}}
-		for _, v := range j.Versions() {
-			full, err := newFullJob(r, j, v)
-			if err != nil {
-				failed = err
-				return
-			}
-			out.Versions = append(out.Versions, full)
-		}
-	})
-	return orNotFound(out, cmp.Or(err, failed))
+	var job *jobSnapshot
+	err := q.readRegistry(q.jobName(), false, func(r *registry.Registry) { job = snapshotJob(r, q.jobName()) })
+	if err != nil || job == nil {
+		return orNotFound(job, err)
+	}
+	return q.renderSources(q.team, func(unpacked *int) (any, error) { return job.versions(unpacked) })
 }
 
+// machinesShare is the name of the machines' share of the pool. No team's name is empty.
+const machinesShare = ""
+
 // getTaskDescription returns what a machine runs for a task of a native job. The machine requests it
 // with the native job's ID from its start command.
 func getTaskDescription(q *request) (any, error) {
@@ -340,41 +332,18 @@
 		}
 		return nil, errForbidden
 	}
-	var out *taskDescription
-	var failed error
+	var job *jobSnapshot
+	var group string
 	// A machine may get a start command for a job that this node has not read yet.
 	_, err := q.runQuery(Query{Name: registry.Name{ID: q.id}}, func(r *registry.Registry) {
-		j, g := r.ByNative(q.id)
-		if j == nil {
-			return
+		if j, g := r.ByNative(q.id); j != nil {
+			job, group = snapshotJob(r, j.Name), g.Name
 		}
-		out, failed = describeTask(r, j, g)
 	})
-	return orNotFound(out, cmp.Or(err, failed))
-}
-
-// describeTask finds a group's task in the job's source.
-func describeTask(r *registry.Registry, j *registry.Job, g *registry.Group) (*taskDescription, error) {
-	b, _, _, err := j.Source(j.Version)
-	if err != nil {
-		return nil, err
-	}
-	src, err := jobfile.Decode(b)
-	if err != nil {
-		return nil, err
-	}
-	for i := range src.TaskGroups {
-		if t := &src.TaskGroups[i]; t.Name == g.Name && len(t.Tasks) == 1 {
-			d := &taskDescription{Job: src, Version: j.Version, Group: g.Name, Meta: map[string]string{}}
-			for _, m := range []map[string]string{src.Meta, t.Meta, t.Tasks[0].Meta} {
-				for k, v := range m {
-					d.Meta[k] = v
-				}
-			}
-			return d, nil
-		}
+	if err != nil || job == nil {
+		return orNotFound(job, err)
 	}
-	return nil, fmt.Errorf("job %s has no group %q", j.ID, g.Name)
+	return q.renderSources(machinesShare, func(unpacked *int) (any, error) { return job.describeTask(group, unpacked) })
 }
 
 // unixNanos converts a time to nanoseconds, the unit of the published JSON.
--- a/internal/nomad/httpapi/server.go
+++ b/internal/nomad/httpapi/server.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/gzip"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -38,16 +37,17 @@
 	burstSeconds   = 2  // a team's burst, in seconds of its rate
 )
 
-// Handler returns a handler that serves the API on a backend.
-func Handler(b Backend, s *config.Nomad, log *slog.Logger) http.Handler {
+// Handler returns a handler that serves the API on a backend. The limits bound what answers cost.
+func Handler(b Backend, s *config.Nomad, l RenderLimits, log *slog.Logger) http.Handler {
 	return &server{
-		backend: b, tokens: newTokenTable(s), log: log, requestsPerS: rate.Limit(s.RequestsPerS),
+		backend: b, pool: newRenderPool(l), tokens: newTokenTable(s), log: log, requestsPerS: rate.Limit(s.RequestsPerS),
 		badTokenLimiter: rate.NewLimiter(badTokensPerS, 2*badTokensPerS), teamLimiters: map[string]*rate.Limiter{},
 	}
 }
 
 type server struct {
 	backend         Backend
+	pool            *renderPool
 	tokens          *tokenTable
 	log             *slog.Logger
 	requestsPerS    rate.Limit
@@ -103,10 +103,16 @@
 	q := &request{server: s, w: w, r: r, ctl: http.NewResponseController(w), params: r.URL.Query()}
 	_ = q.ctl.SetReadDeadline(time.Now().Add(ioTimeout))
 	v, err := q.dispatch()
-	switch {
-	case err != nil:
+	if err != nil {
 		q.writeError(err)
-	case v != nil:
+		return
+	}
+	switch v := v.(type) {
+	case nil:
+	case *encodedAnswer:
+		q.writeBody(http.StatusOK, v.body)
+		v.release()
+	default:
 		q.writeJSON(http.StatusOK, v)
 	}
 }
@@ -288,22 +294,21 @@
 	_, _ = io.WriteString(q.w, f.text)
 }
 
-// writeJSON writes v as JSON, compressed if it is long and the client accepts gzip.
+// writeJSON writes v as JSON.
 func (q *request) writeJSON(status int, v any) {
-	var b bytes.Buffer
-	enc := json.NewEncoder(&b)
-	enc.SetEscapeHTML(false)
-	if q.params.Has("pretty") {
-		enc.SetIndent("", "    ")
-	}
-	if err := enc.Encode(v); err != nil {
+	b, err := q.encodeJSON(v)
+	if err != nil {
 		q.writeError(err)
 		return
 	}
+	q.writeBody(status, b)
+}
+
+// writeBody writes an encoded answer, compressed if it is long and the client accepts gzip.
+func (q *request) writeBody(status int, out []byte) {
 	h := q.w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Vary", "Accept-Encoding")
-	out := b.Bytes()
 	if len(out) >= minGzipBytes && acceptsGzip(q.r) {
 		var z bytes.Buffer
 		w := gzip.NewWriter(&z)
--- a/internal/nomad/httpapi/server_test.go
+++ b/internal/nomad/httpapi/server_test.go
@@ -55,7 +55,7 @@
 		"green": {HashToken(key, "of green")},
 	}
 	s.AgentTokens = []config.Hash{HashToken(key, "of machines")}
-	return Handler(fakeBackend{}, &s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	return Handler(fakeBackend{}, &s, NewRenderLimits(&config.Platform{}), slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
 func doRequest(h http.Handler, method, path, token, body string, headers ...string) *httptest.ResponseRecorder {
--- a/internal/nomad/httpapi/views.go
+++ b/internal/nomad/httpapi/views.go
@@ -89,27 +89,6 @@
 	}
 }
 
-// newFullJob returns a version of a job as it was registered, with its status.
-func newFullJob(r *registry.Registry, j *registry.Job, version uint64) (*fullJob, error) {
-	b, index, at, err := j.Source(version)
-	if err != nil {
-		return nil, err
-	}
-	src, err := jobfile.Decode(b)
-	if err != nil {
-		return nil, err
-	}
-	f := &fullJob{
-		Job: src, Version: version, SubmitTime: unixNanos(at), CreateIndex: j.CreateIndex,
-		JobModifyIndex: index, ModifyIndex: index, Stop: true, Status: string(registry.Dead),
-	}
-	if version == j.Version {
-		f.Stop, f.Status = j.Stopped, string(r.Status(j))
-		f.JobModifyIndex, f.ModifyIndex = j.JobModifyIndex, r.ModifyIndex(j)
-	}
-	return f, nil
-}
-
 type desiredUpdates struct {
 	Ignore, Place, Migrate, Stop, InPlaceUpdate, DestructiveUpdate, Canary, Preemptions uint64
 }
@@ -220,6 +199,12 @@
 	return formatUUID(b)
 }
 
+// evaluationSuffix returns the last part of the IDs of all evaluations with an index.
+func evaluationSuffix(index uint64) string {
+	const digits = 12
+	return fmt.Sprintf("%0*x", digits, index&(1<<(4*digits)-1))
+}
+
 // allocationID returns the ID of a task, which does not change when the task moves to another machine.
 func allocationID(native string, index int) string {
 	var b [16]byte
--- a/internal/nomad/registry/change.go
+++ b/internal/nomad/registry/change.go
@@ -12,7 +12,7 @@
 type Registration struct {
 	Name
 	Stub   Stub
-	Source []byte            // the job's JSON in canonical form: equal content has equal bytes
+	Source string            // the job's JSON in canonical form, packed: equal content has equal bytes
 	Groups []translate.Group // the translated task groups
 	// EnforceIndex makes the registration fail unless the job's JobModifyIndex is ExpectedIndex.
 	// 0 stands for a job that does not exist.
@@ -95,12 +95,8 @@
 	if n := r.limits.MaxGroups(); len(reg.Groups) > n {
 		return nil, &TooLargeError{fmt.Sprintf("the job has %d groups; this deployment's state service changes at most %d of a job at once: split it", len(reg.Groups), n)}
 	}
-	packed, err := Pack(reg.Source)
-	if err != nil {
-		return nil, err
-	}
 	old := r.jobs[reg.Name]
-	same := old != nil && !old.Stopped && old.currentSource() == packed
+	same := old != nil && !old.Stopped && old.currentSource() == reg.Source
 	if err := reg.checkIndex(old, same); err != nil {
 		return nil, err
 	}
@@ -132,7 +128,7 @@
 		rec.Groups = append(rec.Groups, Group{Name: g.Name, Native: native, Digest: g.Digest})
 	}
 	r.cancelNatives(change, old, kept)
-	sourceWrite, err := encodePut(sourceKey(key, rec.Version), &sourceRecord{Packed: packed, At: int64(now)})
+	sourceWrite, err := encodePut(sourceKey(key, rec.Version), &sourceRecord{Packed: reg.Source, At: int64(now)})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/nomad/registry/record.go
+++ b/internal/nomad/registry/record.go
@@ -162,7 +162,8 @@
 	for _, g := range j.Groups {
 		r.byNative[g.Native] = j
 	}
-	r.jobs[n], r.namesByKey[id] = j, n
+	r.setJob(j)
+	r.namesByKey[id] = n
 	// In a complete list, native jobs come before the jobs that they belong to.
 	r.teamIndex[n.Team] = max(r.teamIndex[n.Team], r.ModifyIndex(j))
 	return n, true, nil
@@ -230,7 +231,7 @@
 		return n, false
 	}
 	r.unindexNatives(j)
-	delete(r.jobs, n)
+	r.dropJob(n)
 	delete(r.namesByKey, id)
 	r.purged = append(r.purged, PurgedJob{n, revision})
 	if len(r.purged) > maxPurged {
--- a/internal/nomad/registry/registry.go
+++ b/internal/nomad/registry/registry.go
@@ -81,7 +81,8 @@
 	natives         NativeJobs
 	limits          Limits
 	jobs            map[Name]*Job
-	orphanedSources map[string][]version // by jobKey, of jobs whose record has not arrived
+	jobsByTeam      map[string]map[string]*Job // by team and ID
+	orphanedSources map[string][]version       // by jobKey, of jobs whose record has not arrived
 	namesByKey      map[string]Name
 	byNative        map[string]*Job
 	teamIndex       map[string]uint64 // index of the last change by team
@@ -101,7 +102,7 @@
 // New returns an empty registry.
 func New(l Limits, n NativeJobs) *Registry {
 	return &Registry{
-		natives: n, limits: l, jobs: map[Name]*Job{}, orphanedSources: map[string][]version{}, namesByKey: map[string]Name{},
+		natives: n, limits: l, jobs: map[Name]*Job{}, jobsByTeam: map[string]map[string]*Job{}, orphanedSources: map[string][]version{}, namesByKey: map[string]Name{},
 		byNative: map[string]*Job{}, teamIndex: map[string]uint64{}, purgeRevisions: map[string]uint64{},
 	}
 }
@@ -115,6 +116,24 @@
 // into a transaction.
 func (l Limits) maxVersions() int { return max(min(6, l.MaxOps-2-l.MaxGroups()), 1) }
 
+// setJob sets a job's current state.
+func (r *Registry) setJob(j *Job) {
+	r.jobs[j.Name] = j
+	if r.jobsByTeam[j.Team] == nil {
+		r.jobsByTeam[j.Team] = map[string]*Job{}
+	}
+	r.jobsByTeam[j.Team][j.ID] = j
+}
+
+// dropJob removes a job.
+func (r *Registry) dropJob(n Name) {
+	delete(r.jobs, n)
+	delete(r.jobsByTeam[n.Team], n.ID)
+	if len(r.jobsByTeam[n.Team]) == 0 {
+		delete(r.jobsByTeam, n.Team)
+	}
+}
+
 // Get returns a job, or nil if there is none.
 func (r *Registry) Get(n Name) *Job { return r.jobs[n] }
 
@@ -138,8 +157,8 @@
 // List returns a team's jobs whose IDs begin with prefix, sorted by ID.
 func (r *Registry) List(team, prefix string) []*Job {
 	var out []*Job
-	for n, j := range r.jobs {
-		if n.Team == team && strings.HasPrefix(n.ID, prefix) {
+	for id, j := range r.jobsByTeam[team] {
+		if strings.HasPrefix(id, prefix) {
 			out = append(out, j)
 		}
 	}
--- a/internal/nomad/registry/registry_test.go
+++ b/internal/nomad/registry/registry_test.go
@@ -118,7 +118,11 @@
 
 // newRegistration returns a registration of job j of team blue.
 func newRegistration(source string, g ...string) Registration {
-	return Registration{Name: Name{"blue", "j"}, Source: []byte(source), Groups: testGroups(g...)}
+	packed, err := Pack([]byte(source))
+	if err != nil {
+		panic(err) // memory does not fail
+	}
+	return Registration{Name: Name{"blue", "j"}, Source: packed, Groups: testGroups(g...)}
 }
 
 // A new version replaces the native jobs of changed groups and keeps those of unchanged ones. Equal
--- a/internal/simulator/nomad.go
+++ b/internal/simulator/nomad.go
@@ -164,7 +164,7 @@
 
 // NomadHandler returns a node's handler for Nomad clients, for use with a listener of the caller.
 func (w *World) NomadHandler(i int) http.Handler {
-	return nomadapi.Handler(w.Nodes[i].node, w.Settings.Nomad, w.Log)
+	return nomadapi.Handler(w.Nodes[i].node, w.Settings.Nomad, nomadapi.NewRenderLimits(&w.platform), w.Log)
 }
 
 // BlockingQueries returns the number of blocking queries that are waiting at a node.
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -180,7 +180,7 @@
 	n.listener = w.Net.Serve(n.addr, w.NodeFaults[i].Wrap(httpapi.Handler(nd)))
 	n.nomadListener = nil
 	if w.Settings.Nomad != nil {
-		n.nomadListener = w.Net.Serve(n.nomadAddr, nomadapi.Handler(nd, w.Settings.Nomad, slog.New(n.gate)))
+		n.nomadListener = w.Net.Serve(n.nomadAddr, nomadapi.Handler(nd, w.Settings.Nomad, nomadapi.NewRenderLimits(&w.platform), slog.New(n.gate)))
 	}
 	n.peerListener = w.Net.Listen(n.peerAddr)
 	go func() { _ = peer.Serve(n.peerListener, nd) }()
