Core: a machine that is being emptied is given back while a class starts at once

Cause: emptying was gone on with or given up by consolidate alone, which was not called while a class with a start objective has jobs; and a machine that is being emptied gets no task of anybody.

--- a/internal/core/consolidate.go
+++ b/internal/core/consolidate.go
@@ -13,23 +13,38 @@
 	maxVacatedServices = 16
 	// maxVacateAttempts is the maximum number of machines that are examined in detail in one pass.
 	maxVacateAttempts = 8
+	// maxVacateStall is how long a machine may be kept from new tasks without a move of a service. Even a
+	// single service is moved after serviceMoveInterval.
+	maxVacateStall = serviceMoveInterval
 )
 
+// beginVacating keeps new tasks from a machine, so that it can be emptied.
+func (c *Core) beginVacating(m *machine, now Micros) {
+	m.vacating, m.vacatingSince = true, now
+	c.vacating = append(c.vacating, m)
+}
+
+// giveBackVacating returns machines that are being emptied to placement: all of them as soon as a task
+// waits, since capacity is short then, and each of which nothing was moved for maxVacateStall. It
+// reports whether a task waits.
+func (c *Core) giveBackVacating(now Micros) (waiting bool) {
+	waiting = slices.ContainsFunc(c.queue, func(j *job) bool { return j.pending > 0 })
+	c.vacating = slices.DeleteFunc(c.vacating, func(m *machine) bool {
+		m.vacating = m.vacating && !waiting && now-m.vacatingSince < maxVacateStall
+		if !m.vacating {
+			c.needsPlacement = true
+		}
+		return !m.vacating
+	})
+	return waiting
+}
+
 // consolidate empties on-demand machines that stay rented only for a few services which have room
 // on other machines. The rate of moves is proportional to the number of services. A machine that
-// batch tasks use as well is not emptied.
+// batch tasks use as well is not emptied. Nothing is emptied while a task waits.
 func (c *Core) consolidate(now Micros) {
 	services := 0
 	for _, j := range c.queue {
-		if j.pending > 0 {
-			// Capacity is short.
-			c.nextVacateAt = now
-			for _, m := range c.vacating {
-				m.vacating = false
-			}
-			c.vacating = c.vacating[:0]
-			return
-		}
 		if j.spec.Kind == Service {
 			services += len(j.live)
 		}
@@ -78,8 +93,7 @@
 		}
 		if !m.vacating {
 			c.log("vacating machine: its services fit on other machines", "machine", m.name, "type", m.typeName, "used_cpus", m.used.CPU/1000)
-			m.vacating = true
-			c.vacating = append(c.vacating, m)
+			c.beginVacating(m, now)
 			targets = slices.DeleteFunc(targets, func(o *machine) bool { return o == m })
 		}
 		for _, p := range slices.Clone(m.placements) {
@@ -88,6 +102,7 @@
 			}
 			if p.job != nil && p.occupies() && !p.stopRequested && p.job.spec.Kind == Service {
 				c.nextVacateAt += serviceMoveInterval / Micros(services)
+				m.vacatingSince = now
 				c.stopPlacement(p, now, 0)
 			}
 		}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -19,7 +19,12 @@
 		shortfall = shortfall.Sub(m.free)
 	}
 	c.releaseMachines(now, &shortfall)
-	if !c.hasReservations(now) {
+	// A class that starts at once keeps machines from being emptied. Those that are being emptied are
+	// given back all the same: they would be of no use to anybody for as long as the class has jobs.
+	switch waiting := c.giveBackVacating(now); {
+	case waiting:
+		c.nextVacateAt = now
+	case !c.hasReservations(now):
 		c.consolidate(now)
 	}
 	c.retryRentals(now)
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -47,8 +47,9 @@
 	commandsDeferred bool // in Core.commandRetryQueue
 
 	draining         bool
-	vacating         bool // being emptied so that it can be released; it gets no more tasks
-	releasing        bool // queued for release, or the release request is in flight
+	vacating         bool   // being emptied so that it can be released; it gets no more tasks
+	vacatingSince    Micros // when vacating was set, or the last service was moved
+	releasing        bool   // queued for release, or the release request is in flight
 	releaseReason    string
 	blockedUntil     Micros          // after a start was refused for lack of capacity
 	quarantinedUntil Micros          // after tasks of several jobs failed here
--- a/internal/core/starvation_test.go
+++ b/internal/core/starvation_test.go
@@ -137,3 +137,58 @@
 	}
 	w.want("placed after the timeout", w.c.jobs["job-1"].occupying, 1)
 }
+
+// TestVacatingEnds checks that a machine that is being emptied is given back while a class with a start
+// objective has jobs, and nothing is moved: as soon as a job waits, and at the latest when nothing was
+// moved for maxVacateStall. Otherwise jobs wait beside a machine with room for as long as the class
+// has jobs (left-waiting).
+func TestVacatingEnds(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		reserved bool // a class with a start objective has a job
+		waiting  bool // a job waits that fits on the machine alone
+		within   Micros
+	}{
+		{"a job waits, and a class starts at once", true, true, 3 * Second},
+		{"a job waits", false, true, 3 * Second},
+		{"nobody waits, and a class starts at once", true, false, maxVacateStall + 3*Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, Team{Name: "blue"}, Team{Name: "green"})
+			w.c.cfg.StartObjectives = map[string][]Micros{"urgent": {2 * Second}}
+			w.c.cfg.Tuning.ReservationDecay = 600 * Second
+			w.beginTerm(100, nil, Snapshot{})
+			fs := []*fakeWorker{w.newWorker("n-1", "a").report(), w.newWorker("n-2", "b").report()}
+			w.reportRounds(22, fs) // jobs pending when the term began are no rise of usage
+			submit := func(s JobSpec) {
+				w.submit(s)
+				w.reportRounds(3, fs)
+			}
+			submit(JobSpec{ID: "job-1", Tasks: 1, Kind: Service, Class: "web", Zone: "a"})
+			submit(JobSpec{ID: "job-2", Tasks: 1, Kind: Service, Class: "web", Zone: "b"})
+			if c.reserved {
+				submit(JobSpec{ID: "job-3", Tasks: 1, Team: "green", Class: "urgent", Priority: High, Zone: "a", EstimatedRun: 500 * Second})
+			}
+			submit(JobSpec{ID: "job-4", Tasks: 1, Zone: "a"})
+			emptied := w.c.machines["n-2"]
+			w.c.beginVacating(emptied, w.now)
+			w.want("reservations", w.c.hasReservations(w.now), c.reserved)
+			if c.waiting {
+				w.submit(JobSpec{ID: "job-5", Tasks: 1, Resources: Resources{6000, 0, 2000}})
+			}
+			began := w.now
+			for emptied.vacating && w.now-began < 2*maxVacateStall {
+				w.reportRounds(1, fs)
+			}
+			if took := w.now - began; emptied.vacating || took > c.within {
+				t.Errorf("vacating %v after %d s, want it given back within %d s", emptied.vacating, took/Second, c.within/Second)
+			}
+			if c.waiting {
+				for w.c.jobs["job-5"].occupying == 0 && w.now-began < 90*Second {
+					w.reportRounds(1, fs)
+				}
+				w.want("tasks of the job that waited", w.c.jobs["job-5"].occupying, 1)
+			}
+		})
+	}
+}
