Node: a list of all records is applied page by page

Cause: a list was read as a whole, and decoded into the view while it was still held.

Change: jobs are decoded and applied page by page, and a page is dropped before the next one is requested. The few other records are applied together at the end, and only then does the view count as read. Classes, teams, zones and images of jobs are kept once.

--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -106,20 +106,27 @@
 	}
 }
 
-// dropMissing drops the records that a complete list no longer holds.
-func (s *nomadState) dropMissing(entries []wire.Entry, rev uint64) {
+// dropMissing drops the records that a complete list no longer holds. listed has the keys of all job
+// files' records in it.
+func (s *nomadState) dropMissing(listed map[string]bool, rev uint64) {
 	if s == nil {
 		return
 	}
-	listed := make(map[string]bool, len(entries))
-	for i := range entries {
-		listed[entries[i].Key] = true
-	}
 	for _, name := range s.registry.HandleKeyList(listed, rev) {
 		s.wakeWaiters(name)
 	}
 }
 
+// noteListed notes that a page of a list held a native job's record: see noteWritten.
+func (s *nomadState) noteListed(id string) {
+	if s == nil {
+		return
+	}
+	if j, _ := s.registry.ByNative(id); j != nil {
+		s.written[id] = true
+	}
+}
+
 // noteWritten notes that this node has written a native job's record. The registry takes the change
 // once the view includes it: see replyOnceRead.
 func (s *nomadState) noteWritten(id string) {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -39,12 +39,10 @@
 		var err error
 		requestedAt := n.now()
 		if relist {
-			var entries []wire.Entry
-			var rev uint64
-			entries, rev, err = n.stateClient.List(ctx, watchedPrefix)
-			if err == nil {
-				n.post(func() { n.applyList(entries, rev, requestedAt) })
-				since, relist = rev, false
+			list := &recordList{requestedAt: requestedAt}
+			if list.revision, err = n.stateClient.ListPages(ctx, watchedPrefix, func(page []wire.Entry) error { return n.readListPage(ctx, list, page) }); err == nil {
+				n.post(func() { n.applyList(list) })
+				since, relist = list.revision, false
 			}
 		} else {
 			var ch *wire.Changes
@@ -75,34 +73,6 @@
 		"pages_per_s", math.Round(p.PagesPerSecond), "elapsed_ms", p.Elapsed.Milliseconds(), "last_err", p.LastErr)
 }
 
-// applyList applies a complete list of the watched records that was requested at requestedAt. Jobs
-// are never deleted. The leader's key may have been: its absence from the list counts.
-func (n *Node) applyList(entries []wire.Entry, rev uint64, requestedAt core.Micros) {
-	leaderListed, previous := false, n.view.revision
-	var changedJobs []string
-	for i := range entries {
-		e := &entries[i]
-		leaderListed = leaderListed || e.Key == leaderKey
-		if n.notifier != nil && e.ModRevision > previous && strings.HasPrefix(e.Key, jobPrefix) {
-			changedJobs = append(changedJobs, e.Key[len(jobPrefix):])
-		}
-		n.applyPut(e.Key, e.Value, e.ModRevision)
-	}
-	if rev > n.view.revision {
-		n.nomad.dropMissing(entries, rev)
-	}
-	if !leaderListed && n.view.leaderRevision < rev {
-		n.setLeader("", rev)
-	}
-	n.noteRead(rev, requestedAt)
-	n.resolveConfig()
-	n.feedOutbox(changedJobs, previous, rev)
-	n.view.ready = true
-	n.acknowledgeConfig()
-	n.updateHealth()
-	n.wakeElector()
-}
-
 // noteRead records that the view holds all changes up to rev. The state service had reached that
 // revision when the read was requested at requestedAt, or later.
 func (n *Node) noteRead(rev uint64, requestedAt core.Micros) {
--- a/internal/simulator/history_test.go
+++ b/internal/simulator/history_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"runtime/debug"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,3 +178,41 @@
 		}
 	}
 }
+
+// BenchmarkStartMemory measures the memory that a controller's heap takes at most while it starts, by what
+// it takes while it serves, and what it takes for one finished job. Garbage is collected often, so that
+// what lives is seen.
+func BenchmarkStartMemory(b *testing.B) {
+	defer debug.SetGCPercent(debug.SetGCPercent(5))
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for _, jobs := range []int{100_000, 200_000, 400_000, 800_000} {
+		b.Run(fmt.Sprintf("%d jobs", jobs), func(b *testing.B) {
+			for range b.N {
+				var before, peak, serving float64
+				testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{Name: b.Name(), F: func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						w := newHistoryWorld(97, finishedJobs(t, jobs))
+						defer w.Close()
+						runtime.GC()
+						before = heap()
+						w.StartNode(0)
+						for !w.Healthy(0) {
+							time.Sleep(5 * time.Millisecond)
+							peak = max(peak, heap()-before)
+						}
+						time.Sleep(time.Second)
+						runtime.GC()
+						serving = heap() - before
+					})
+				}}})
+				b.ReportMetric(peak/serving, "peak-by-serving")
+				b.ReportMetric(serving/float64(jobs), "B-per-job")
+				b.ReportMetric(peak/(1<<20), "peak-MB")
+			}
+		})
+	}
+}
--- a/internal/statestore/list.go
+++ b/internal/statestore/list.go
@@ -55,31 +55,48 @@
 }
 
 // List reads all keys with the prefix. It returns them with the revision of the first page: a
-// watch from that revision finds every later change.
+// watch from that revision finds every later change. It fails like ListPages.
+func (c *Client) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
+	var all []wire.Entry
+	revision, err := c.ListPages(ctx, prefix, func(page []wire.Entry) error {
+		all = append(all, page...)
+		return nil
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	return all, revision, nil
+}
+
+// ListPages reads all keys with the prefix and passes them to handle page by page, so that a long list
+// is not held as a whole. It returns the revision of the first page, and fails with the error of
+// handle.
 //
 // A page that is refused, lost or late is requested again until ctx ends, so a list fails only if
 // ctx ends or the service finds the request invalid. The pages are paced by what the service bears;
 // see docs/design/lists.md.
-func (c *Client) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
+func (c *Client) ListPages(ctx context.Context, prefix string, handle func(page []wire.Entry) error) (revision uint64, err error) {
 	l := &lister{client: c, progress: ListProgress{Prefix: prefix}, started: time.Now(), reportedAt: time.Now()}
-	var all []wire.Entry
-	var revision uint64
 	for since := ""; ; {
 		page, err := l.readPage(ctx, since)
 		if err != nil {
-			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+			return 0, fmt.Errorf("list %s: %w", prefix, err)
 		}
 		if since == "" {
 			revision = page.Revision
 		}
-		all = append(all, page.Items...)
-		l.progress.Pages, l.progress.Keys = l.progress.Pages+1, len(all)
+		l.progress.Pages, l.progress.Keys = l.progress.Pages+1, l.progress.Keys+len(page.Items)
+		if len(page.Items) > 0 {
+			since = page.Items[len(page.Items)-1].Key
+			if err := handle(page.Items); err != nil {
+				return 0, fmt.Errorf("list %s: %w", prefix, err)
+			}
+		}
 		if !page.More || len(page.Items) == 0 {
 			l.finish()
-			return all, revision, nil
+			return revision, nil
 		}
 		l.report()
-		since = page.Items[len(page.Items)-1].Key
 	}
 }
 
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"unique"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -56,6 +57,10 @@
 	return Marshal(&w)
 }
 
+// intern returns a string with the same bytes, of which one copy is kept: job records share few
+// classes, teams, zones and images.
+func intern(s string) string { return unique.Make(s).Value() }
+
 // DecodeJob decodes the record of the job with the given id. revision is that of the record's
 // last write.
 func DecodeJob(id string, b []byte, revision uint64) (core.JobRecord, error) {
@@ -66,9 +71,9 @@
 	return core.JobRecord{
 		Phase: core.Phase(w.Phase), SubmittedAt: core.Micros(w.SubmittedAt), Revision: revision, AcceptedRevision: w.AcceptedRevision, EndedAt: core.Micros(w.EndedAt),
 		Spec: core.JobSpec{
-			ID: id, Class: w.Class, Team: w.Team, Kind: core.Kind(w.Kind), Priority: core.Priority(w.Priority),
-			Tasks: w.Tasks, Resources: core.Resources{CPU: w.CPU, GPU: w.GPU, Mem: w.Mem}, Types: w.Types, Zone: w.Zone,
-			OneZone: w.OneZone, Spread: w.Spread, Spot: w.Spot, Image: w.Image, ImageMB: w.ImageMB,
+			ID: id, Class: intern(w.Class), Team: intern(w.Team), Kind: core.Kind(w.Kind), Priority: core.Priority(w.Priority),
+			Tasks: w.Tasks, Resources: core.Resources{CPU: w.CPU, GPU: w.GPU, Mem: w.Mem}, Types: w.Types, Zone: intern(w.Zone),
+			OneZone: w.OneZone, Spread: w.Spread, Spot: w.Spot, Image: intern(w.Image), ImageMB: w.ImageMB,
 			EstimatedRun: core.Micros(w.EstimatedRun), CheckpointInterval: core.Micros(w.CheckpointInterval), CheckpointCost: core.Micros(w.CheckpointCost), Deadline: core.Micros(w.Deadline),
 		},
 	}, nil
