Nomad API: an answer's memory is given back also if sending it fails; trial of the questions' load

The pool counted an answer until writeBody returned, so a panic in it would have kept the team's share for good.

--- a/internal/nomad/httpapi/server.go
+++ b/internal/nomad/httpapi/server.go
@@ -110,8 +110,8 @@
 	switch v := v.(type) {
 	case nil:
 	case *encodedAnswer:
+		defer v.release()
 		q.writeBody(http.StatusOK, v.body)
-		v.release()
 	default:
 		q.writeJSON(http.StatusOK, v)
 	}
