Nomad API: a team whose share is used up is refused before the state service is read

Cause: the share of unpacking job files was looked at after the read that an answer needs.

Change: the routes that show job files look at the share first. TestExhaustedShareIsNotReadFor fails without it (three reads instead of one).

--- a/internal/nomad/httpapi/cost_test.go
+++ b/internal/nomad/httpapi/cost_test.go
@@ -33,9 +33,11 @@
 	fakeBackend
 	registry  *registry.Registry
 	allocated uint64 // bytes, in the last read
+	reads     int
 }
 
 func (b *costBackend) ReadRegistry(_ context.Context, _ Query, read func(*registry.Registry)) (uint64, error) {
+	b.reads++
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	read(b.registry)
@@ -119,6 +121,23 @@
 	}
 }
 
+// Questions that would be refused cost no read of the state service.
+func TestExhaustedShareIsNotReadFor(t *testing.T) {
+	b := &costBackend{registry: newCostRegistry(t)}
+	limits := NewRenderLimits(&config.Platform{})
+	limits.TeamBytesPerS = 1000 // a list of versions has megabytes
+	h := newCostHandler(b, limits)
+	for i, want := range []int{http.StatusOK, http.StatusTooManyRequests, http.StatusTooManyRequests} {
+		w := doRequest(h, http.MethodGet, "/v1/job/large/versions", "of blue", "")
+		if w.Code != want || b.reads != 1 {
+			t.Errorf("request %d: %d, %d reads so far; want %d and one read", i, w.Code, b.reads, want)
+		}
+	}
+	if w := doRequest(h, http.MethodGet, "/v1/job/large/summary", "of blue", ""); w.Code != http.StatusOK {
+		t.Errorf("a summary, which has no job file: %d", w.Code)
+	}
+}
+
 // A team that has used up its share of the pool is refused, and the others are served.
 func TestRenderPoolShares(t *testing.T) {
 	answer := make([]byte, 1000)
--- a/internal/nomad/httpapi/jobs.go
+++ b/internal/nomad/httpapi/jobs.go
@@ -244,6 +244,9 @@
 	case http.MethodDelete:
 		return deregisterJob(q)
 	}
+	if err := q.pool.check(q.team); err != nil {
+		return nil, err
+	}
 	var job *jobSnapshot
 	err := q.readRegistry(q.jobName(), true, func(r *registry.Registry) { job = snapshotJob(r, q.jobName()) })
 	if err != nil || job == nil {
@@ -312,6 +315,9 @@
 }
 
 func listJobVersions(q *request) (any, error) {
+	if err := q.pool.check(q.team); err != nil {
+		return nil, err
+	}
 	var job *jobSnapshot
 	err := q.readRegistry(q.jobName(), false, func(r *registry.Registry) { job = snapshotJob(r, q.jobName()) })
 	if err != nil || job == nil {
--- a/internal/nomad/httpapi/renderpool.go
+++ b/internal/nomad/httpapi/renderpool.go
@@ -120,12 +120,26 @@
 	return answer, func() { p.drop(team, len(answer)) }, nil
 }
 
+// exhausted reports whether the team has used up its share; p.mu is held.
+func (t *teamRenders) exhausted() bool { return t.waiting >= t.maxWaiting || t.bytes.Tokens() <= 0 }
+
+// check fails with errTooManyRequests if the team has used up its share: its request need not be read
+// for.
+func (p *renderPool) check(team string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.team(team).exhausted() {
+		return errTooManyRequests
+	}
+	return nil
+}
+
 // enter counts a request that waits for a worker.
 func (p *renderPool) enter(team string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.team(team)
-	if t.waiting >= t.maxWaiting || t.bytes.Tokens() <= 0 {
+	if t.exhausted() {
 		return errTooManyRequests
 	}
 	t.waiting++
