Scale run: one team asks the leader for its largest job files

:question-storm-per-s registers six versions of a 490 KB job file of a team that is at its maximum, and asks the leader for the list of them at a rate; every third client leaves after 0.3 s. The result counts what was answered, refused, unanswered and left.

--- a/internal/scale/names_test.go
+++ b/internal/scale/names_test.go
@@ -49,7 +49,7 @@
 func settingsWithAllFields() Settings {
 	return Settings{
 		Seed: 2, Workers: 300, RealWorkers: 3, PerProcess: 40, Controllers: 5, Zones: []string{"z1", "z2"}, Regions: []string{"r1", "r2"}, Teams: 6,
-		RunningTasks: 70, StartsPerS: 8.5, ServiceShare: 0.25, ArrayTasks: 9, UrgentPerS: 10.5, UrgentWithinS: 11.5, ChangesPerS: 12.5,
+		RunningTasks: 70, StartsPerS: 8.5, ServiceShare: 0.25, ArrayTasks: 9, UrgentPerS: 10.5, UrgentWithinS: 11.5, ChangesPerS: 12.5, QuestionsPerS: 13.5,
 		MachineCPUs: 130.5, TaskCPUs: 14.5, WarmUpS: 15.5, MeasureS: 16.5,
 		ReportS: 17.5, LeaseS: 180.5, CancelS: 19.5,
 		StateRPS: 20.5, StateWriteRPS: 21.5, StateValueKB: 22.5, StateTxnOps: 23, CloudRPS: 24.5, CloudListLagS: 25.5,
@@ -104,6 +104,7 @@
 		Records: 38, RecordBytes: 39,
 		SubmissionLatency: Latency{Count: 40, P50: 41.5, P99: 42.5, Max: 43.5}, UrgentLatency: Latency{Count: 44, P50: 45.5, P99: 46.5, Max: 47.5}, UrgentLate: 48,
 		ConfigLatency: Latency{Count: 49, P50: 50.5, P99: 51.5, Max: 52.5}, ConfigApplied: 53, ConfigFailed: 54, ConfigUnconfirmed: 55,
+		Storm: &StormResult{Answered: 65, Refused: 66, Unanswered: 67, Left: 68},
 		Faults: []FaultResult{
 			{Fault: Fault{Kind: "rack", AtS: 56.5, ForS: 57.5, Count: 58}, NextLeaderS: 59.5, FirstStartS: 60.5, LeasesLost: 61},
 		},
--- a/internal/scale/processes.go
+++ b/internal/scale/processes.go
@@ -156,8 +156,9 @@
 	return p
 }
 
-// writeFiles writes a controller's platform configuration and operator settings to files in dir.
-func (c *controller) writeFiles(dir string, p *config.Platform) error {
+// writeFiles writes a controller's platform configuration and operator settings, with those in extra, to
+// files in dir.
+func (c *controller) writeFiles(dir string, p *config.Platform, extra string) error {
 	b, err := json.MarshalIndent(p, "", " ")
 	if err != nil {
 		return err
@@ -167,7 +168,7 @@
 		return err
 	}
 	// Idle machines are not released for a day, so that the fleet keeps its size while measured.
-	return os.WriteFile(c.settingsPath, []byte("{:idle-return-s 86400}\n"), 0o600)
+	return os.WriteFile(c.settingsPath, []byte("{:idle-return-s 86400 "+extra+"}\n"), 0o600)
 }
 
 // hostProcess is a worker host process, as the run sees it.
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -45,6 +45,9 @@
 	}
 	fmt.Fprintf(w, "  tasks stopped %d, leases lost %d, submissions failed %d, queries %d (unanswered %d), unexpected controller exits %d\n",
 		r.Stopped, r.LeasesLost, r.SubmissionsFailed, r.Queries, r.QueriesUnanswered, r.UnexpectedExits)
+	if r.Storm != nil {
+		fmt.Fprintf(w, "  questions of one team: %d answered, %d refused, %d unanswered, %d whose client left\n", r.Storm.Answered, r.Storm.Refused, r.Storm.Unanswered, r.Storm.Left)
+	}
 	for _, t := range r.Faults {
 		fmt.Fprintf(w, "  fault %s at %v s for %v s: next leader after %.2f s, next start after %.2f s, leases lost %d\n",
 			t.Fault.Kind, t.Fault.AtS, t.Fault.ForS, t.NextLeaderS, t.FirstStartS, t.LeasesLost)
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -45,6 +45,7 @@
 	ConfigFailed      int     `json:"config_failed"`
 	ConfigUnconfirmed int     `json:"config_by_time"` // in force by timeout because a controller did not confirm
 
+	Storm           *StormResult  `json:"storm,omitempty"`
 	Faults          []FaultResult `json:"troubles"`
 	Violations      []string      `json:"rules_broken"`
 	UnexpectedExits int           `json:"ended_alone"` // controllers that exited without being killed, in the whole run
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -28,6 +28,7 @@
 	checker    *simulator.Checker
 	users      *users
 	operator   *operator
+	storm      *questionStorm // nil without one
 	messages   *messageCounter
 	timeline   timeline
 	progress   io.Writer // progress log
@@ -66,6 +67,10 @@
 	r := &Run{settings: s, teams: makeTeams(&s), progress: progress, messages: newMessageCounter(), random: rand.New(rand.NewPCG(uint64(s.Seed), 4))}
 	r.network = NewNetwork(&r.settings)
 	r.state = simulator.NewState(s.StateTxnOps)
+	if s.QuestionsPerS > 0 {
+		r.storm = newQuestionStorm(r)
+		r.teams = append(r.teams, r.storm.team())
+	}
 	r.users = newUsers(r)
 	r.checker = simulator.NewChecker()
 	r.checker.Log = func() *slog.Logger {
@@ -137,9 +142,15 @@
 	if s.ChangesPerS > 0 {
 		r.users.wg.Go(func() { r.operator.applyChanges(ctx, s.ChangesPerS) })
 	}
+	if r.storm != nil {
+		r.users.wg.Go(func() { r.storm.prepare(ctx) })
+	}
 	if err := r.waitWithProgress(ctx, "warming up", seconds(s.WarmUpS)); err != nil {
 		return nil, fmt.Errorf("ended early: %w", err)
 	}
+	if r.storm != nil {
+		r.users.wg.Go(func() { r.storm.ask(ctx, s.QuestionsPerS) })
+	}
 	res, err := r.measure(ctx)
 	cancel()
 	r.users.wg.Wait()
@@ -149,6 +160,9 @@
 	<-checked
 	r.checkEventsBefore(time.Now().Add(time.Hour))
 	r.addTotals(res)
+	if r.storm != nil {
+		res.Storm = &r.storm.result
+	}
 	return res, nil
 }
 
@@ -168,8 +182,20 @@
 		}
 		return 1
 	})
+	if r.storm != nil {
+		if err := r.storm.writeKey(dir); err != nil {
+			return err
+		}
+	}
 	for _, c := range r.controllers {
-		if err := c.writeFiles(dir, c.platformConfig(s, r.controllers, r.teams)); err != nil {
+		extra := ""
+		if r.storm != nil {
+			var err error
+			if extra, err = r.storm.settings(dir, c.index); err != nil {
+				return err
+			}
+		}
+		if err := c.writeFiles(dir, c.platformConfig(s, r.controllers, r.teams), extra); err != nil {
 			return err
 		}
 		zone := func() string { return c.zone }
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -33,6 +33,7 @@
 	UrgentPerS    float64 // jobs of one task of high priority
 	UrgentWithinS float64 // start objective of urgent tasks
 	ChangesPerS   float64 // of the cluster configuration
+	QuestionsPerS float64 // of one team about its largest job file, see questionStorm
 
 	MachineCPUs float64
 	TaskCPUs    float64
@@ -129,6 +130,7 @@
 		"array-tasks":            ednmap.Integer(1, 10_000, &s.ArrayTasks),
 		"urgent-per-s":           ednmap.Number(0, 100, &s.UrgentPerS),
 		"changes-per-s":          ednmap.Number(0, 100, &s.ChangesPerS),
+		"question-storm-per-s":   ednmap.Number(0, 1000, &s.QuestionsPerS),
 		"urgent-within-s":        ednmap.Number(0.1, 60, &s.UrgentWithinS),
 		"machine-cpus":           ednmap.Number(1, 1000, &s.MachineCPUs),
 		"task-cpus":              ednmap.Number(0.1, 1000, &s.TaskCPUs),
