Core: what withholds a machine from placement is one value, logged and checked

Cause: the conditions under which a machine gets no task were one expression, and nothing could ask why a machine is left out, or for how long. review/8 was such a machine.

Change: core.Withholding names the reason, and placement decides by it. The leader logs the machines withheld by reason once a minute. In each scenario of the simulator that has a time without faults, the checker asks the leader every 5 s: a healthy machine may be withheld for 90 s for one reason, for the quarantine's time, or for 140 s without a move while it is emptied.

--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -141,16 +141,6 @@
 // reportedWithin reports whether the machine has reported to this leader within the last d.
 func (m *machine) reportedWithin(now, d Micros) bool { return m.session > 0 && now-m.lastReport <= d }
 
-// schedulable reports whether tasks may be placed on the machine now.
-func (c *Core) schedulable(m *machine, now Micros) bool {
-	return m.typ != nil && m.reconciled && !m.unverified && m.retainedIn == nil && !m.lost && !m.inboundLost && !m.booting && !m.draining && !m.releasing &&
-		now >= m.quarantinedUntil && now >= m.blockedUntil && m.reportedWithin(now, c.reportTimeout()) &&
-		// With outbound loss (a one-way partition) a machine replies to direct commands, but
-		// its periodic reports do not arrive. Its lease expires soon, in this session and in
-		// each later one, and the tasks placed on it are lost.
-		now-m.lastPeriodicReport < c.cfg.WorkerLease/2
-}
-
 // reportTimeout returns how long after its last report a machine still gets tasks: one report
 // interval with its maximum jitter of a quarter, and one second for a lost packet.
 func (c *Core) reportTimeout() Micros { return c.cfg.ReportInterval*5/4 + Second }
--- a/internal/node/jobstats.go
+++ b/internal/node/jobstats.go
@@ -21,4 +21,5 @@
 			"running", t.Started, "waiting", t.Waiting, "longest_wait_s", t.LongestWait/core.Second,
 			"largest", t.Largest.Jobs, "largest_begun", t.Largest.Started, "largest_done", t.Largest.Done, "largest_wait_s", t.Largest.LongestWait/core.Second)
 	}
+	n.logWithheldMachines()
 }
--- a/internal/simulator/checker.go
+++ b/internal/simulator/checker.go
@@ -51,6 +51,7 @@
 	livenessFrom    time.Time            // liveness is checked from here on; zero: not checked
 	waitingSince    map[string]time.Time // since when a job has waited although there is capacity for it
 	unansweredSince map[string]time.Time // since when no request about a job was answered
+	withheldSince   map[string]withheld  // since when and why a leader places nothing on a healthy machine
 }
 
 // NewChecker returns a checker that has observed nothing. The caller sets the exported fields.
@@ -61,6 +62,7 @@
 		cancelledAt: map[string]time.Time{}, stoppedJobs: map[string]bool{},
 		cancelRequested: map[string]bool{},
 		waitingSince:    map[string]time.Time{}, unansweredSince: map[string]time.Time{},
+		withheldSince: map[string]withheld{},
 	}
 }
 
@@ -344,6 +346,7 @@
 		time.Sleep(time.Second)
 		c.CheckCancelled()
 		c.checkNeglected()
+		c.checkWithheld()
 	}
 }
 
--- a/internal/simulator/liveness.go
+++ b/internal/simulator/liveness.go
@@ -20,6 +20,7 @@
 	w.checker.livenessFrom = time.Now()
 	clear(w.checker.unansweredSince)
 	clear(w.checker.waitingSince)
+	clear(w.checker.withheldSince)
 }
 
 // noteUnanswered records that a request about a job was not answered, and reports a violation if
--- a/internal/simulator/world_test.go
+++ b/internal/simulator/world_test.go
@@ -501,3 +501,25 @@
 		}
 	})
 }
+
+// TestWithheldChecker tests that the checker reports a healthy machine on which nothing is placed: the
+// leader does not hear from it, and the cloud does not take it back.
+func TestWithheldChecker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := simulator.NewWorld(63, platform(), machineTypes[:1])
+		defer w.Close()
+		startAllNodes(w)
+		time.Sleep(10 * time.Second)
+		w.Submit(service(1, 1))
+		time.Sleep(60 * time.Second)
+		w.ExpectLiveness()
+		w.CloudFaults.Update(func(f *simulator.Faults) { f.Down = true })
+		for _, k := range w.Cloud.Workers() {
+			partitionWorker(w, k, true)
+		}
+		time.Sleep(3 * time.Minute)
+		if !slices.ContainsFunc(w.Violations(), func(v string) bool { return strings.HasPrefix(v, "withheld: ") }) {
+			t.Errorf("no machine is reported as withheld; found %v", w.Violations())
+		}
+	})
+}
