--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -13,6 +13,7 @@
 	"aspenstall/internal/clusterconfig"
 	"aspenstall/internal/core"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wait"
 	"aspenstall/internal/wire"
 )
@@ -209,20 +210,20 @@
 // commit executes a transaction on condition that the head is at the given revision, and returns
 // the new revision. It retries until the state service responds or ctx ends.
 func (c *Client) commit(ctx context.Context, headRevision uint64, writes []clusterconfig.Write) (uint64, error) {
-	txn := &wire.Txn{If: []wire.Cond{{Key: clusterconfig.HeadKey, ModRevision: headRevision}}}
+	request := &wire.Txn{If: []wire.Cond{{Key: clusterconfig.HeadKey, ModRevision: headRevision}}}
 	for _, w := range writes {
 		if w.Head == nil && w.Page == nil {
-			txn.Then = append(txn.Then, wire.Write{Delete: w.Key})
+			request.Then = append(request.Then, wire.Write{Kind: txn.ConfigChange, Delete: w.Key})
 			continue
 		}
 		b, err := wire.ConfigCodec{}.Encode(w)
 		if err != nil {
 			return 0, err
 		}
-		txn.Then = append(txn.Then, wire.Write{Put: w.Key, Value: b})
+		request.Then = append(request.Then, wire.Write{Kind: txn.ConfigChange, Put: w.Key, Value: b})
 	}
 	for {
-		revision, err := c.Store.Commit(ctx, txn)
+		revision, err := c.Store.Commit(ctx, request)
 		if err == nil || errors.Is(err, statestore.ErrConflict) || errors.Is(err, statestore.ErrInvalid) {
 			return revision, err
 		}
@@ -254,11 +255,11 @@
 func (c *Client) deleteUnusedPages(ctx context.Context, headRevision uint64, keys []string) {
 	for len(keys) > 0 {
 		n := min(len(keys), c.Limits.TxnOps)
-		txn := &wire.Txn{If: []wire.Cond{{Key: clusterconfig.HeadKey, ModRevision: headRevision}}}
+		request := &wire.Txn{If: []wire.Cond{{Key: clusterconfig.HeadKey, ModRevision: headRevision}}}
 		for _, key := range keys[:n] {
-			txn.Then = append(txn.Then, wire.Write{Delete: key})
+			request.Then = append(request.Then, wire.Write{Kind: txn.ConfigPagesDropped, Delete: key})
 		}
-		if _, err := c.Store.Commit(ctx, txn); err != nil {
+		if _, err := c.Store.Commit(ctx, request); err != nil {
 			return
 		}
 		keys = keys[n:]
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -1,5 +1,7 @@
 package core
 
+import "aspenstall/internal/txn"
+
 // Action is an action that the caller of Step has to execute. The types that implement it follow.
 type Action interface{ action() }
 
@@ -26,6 +28,7 @@
 // on the revision of that job's record. Its result is passed to HandleWriteResult.
 type Write struct {
 	ID         uint64
+	Kind       txn.Kind
 	Puts       []Put
 	Deletes    []string
 	IfJob      string // ID of a job; "": no condition
--- a/internal/core/completions.go
+++ b/internal/core/completions.go
@@ -1,6 +1,10 @@
 package core
 
-import "sort"
+import (
+	"sort"
+
+	"aspenstall/internal/txn"
+)
 
 // taskExited handles the exit of a task whose resources have been deallocated already.
 func (c *Core) taskExited(p *placement, now Micros) {
@@ -116,7 +120,7 @@
 	j.writingFinal = true
 	rec := j.record
 	rec.Phase = Done
-	w := Write{Puts: []Put{{"", FinalRecord{rec}}}, Deletes: c.jobKeys(j), IfJob: j.spec.ID, IfRevision: j.record.Revision, Urgent: true, Priority: j.spec.Priority}
+	w := Write{Kind: txn.Completion, Puts: []Put{{"", FinalRecord{rec}}}, Deletes: c.jobKeys(j), IfJob: j.spec.ID, IfRevision: j.record.Revision, Urgent: true, Priority: j.spec.Priority}
 	c.write(w, func(now Micros, o WriteOutcome) {
 		j.writingFinal = false
 		if c.jobs[j.spec.ID] != j {
@@ -147,7 +151,7 @@
 	}
 	sort.Ints(chunks)
 	chunks = chunks[:min(len(chunks), maxChunksPerWrite, max(c.cfg.MaxWriteOps, 1))]
-	var w Write
+	w := Write{Kind: txn.CompletedTasks}
 	covered := map[int]bool{}
 	for _, k := range chunks {
 		delete(j.dirtyChunks, k)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -1,6 +1,10 @@
 package core
 
-import "sort"
+import (
+	"sort"
+
+	"aspenstall/internal/txn"
+)
 
 // HandleJob applies a new or changed job record. wall is the wall-clock time at now.
 func (c *Core) HandleJob(now, wall Micros, rec JobRecord) {
@@ -81,7 +85,7 @@
 	}
 	delete(c.jobs, j.spec.ID)
 	if j.mayHaveStarted || j.writingStarted {
-		c.write(Write{Deletes: c.jobKeys(j)}, nil)
+		c.write(Write{Kind: txn.JobRecordsDropped, Deletes: c.jobKeys(j)}, nil)
 	}
 }
 
@@ -95,7 +99,7 @@
 		return false
 	}
 	j.writingStarted = true
-	c.write(Write{Puts: []Put{{StartedPrefix + j.spec.ID, StartedRecord{j.spec.ID}}}, Urgent: true, Priority: j.spec.Priority}, func(now Micros, o WriteOutcome) {
+	c.write(Write{Kind: txn.JobStarted, Puts: []Put{{StartedPrefix + j.spec.ID, StartedRecord{j.spec.ID}}}, Urgent: true, Priority: j.spec.Priority}, func(now Micros, o WriteOutcome) {
 		stored := o == Stored
 		j.writingStarted = false
 		j.mayHaveStarted = j.mayHaveStarted || stored
--- a/internal/core/machine_groups.go
+++ b/internal/core/machine_groups.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+
+	"aspenstall/internal/txn"
 )
 
 // machineGroup is a group of machines that may have been sent tasks and that share one record in
@@ -80,7 +82,7 @@
 			continue
 		}
 		if len(g.machines) == 0 {
-			c.write(Write{Deletes: append(g.staleKeys, g.key)}, nil)
+			c.write(Write{Kind: txn.MachineGroupDropped, Deletes: append(g.staleKeys, g.key)}, nil)
 			c.machineGroups = slices.Delete(c.machineGroups, i, i+1)
 			continue
 		}
@@ -118,7 +120,7 @@
 	}
 	written, oldKeys := slices.Clone(g.machines), g.staleKeys
 	g.writing, g.writeAt, g.staleKeys = true, 0, nil
-	c.write(Write{Puts: []Put{{g.key, rec}}, Deletes: oldKeys, Urgent: urgent, Priority: Production}, func(now Micros, o WriteOutcome) {
+	c.write(Write{Kind: txn.MachineGroup, Puts: []Put{{g.key, rec}}, Deletes: oldKeys, Urgent: urgent, Priority: Production}, func(now Micros, o WriteOutcome) {
 		g.writing = false
 		g.notBefore = now + c.cfg.RecordInterval
 		if o == Stored {
--- a/internal/core/partition_record.go
+++ b/internal/core/partition_record.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+
+	"aspenstall/internal/txn"
 )
 
 // When a zone partition is detected, a partition record is stored with the tasks on the machines
@@ -99,7 +101,7 @@
 		}
 		rec.Machines = append(rec.Machines, retained)
 	}
-	c.write(Write{Puts: []Put{{g.key, rec}}, IfAbsent: g.key, Urgent: true, Priority: Production}, func(now Micros, o WriteOutcome) {
+	c.write(Write{Kind: txn.PartitionBegun, Puts: []Put{{g.key, rec}}, IfAbsent: g.key, Urgent: true, Priority: Production}, func(now Micros, o WriteOutcome) {
 		g.writing = false
 		if o == WriteRefused {
 			c.zoneByName[zone].partitionRecordRetryAt = now + writeRetryDelay
@@ -122,7 +124,7 @@
 // that is stored.
 func (c *Core) clearPartitionRecord(g *retainedGroup) {
 	g.writing = true
-	c.write(Write{Puts: []Put{{g.key, PartitionRecord{}}}, Urgent: true, Priority: Production}, func(now Micros, o WriteOutcome) {
+	c.write(Write{Kind: txn.PartitionEnded, Puts: []Put{{g.key, PartitionRecord{}}}, Urgent: true, Priority: Production}, func(now Micros, o WriteOutcome) {
 		g.writing, g.writeFrom = false, now+writeRetryDelay
 		if o == Stored {
 			c.dropRetainedGroup(g)
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"sort"
+
+	"aspenstall/internal/txn"
 )
 
 // offer identifies a kind of machine that can be rented.
@@ -108,7 +110,7 @@
 			delete(c.rentals, request) // all machines are up and recorded already
 			return
 		}
-		c.write(Write{Puts: []Put{{RentalPrefix + request, r.RentalRecord}}}, nil)
+		c.write(Write{Kind: txn.Rental, Puts: []Put{{RentalPrefix + request, r.RentalRecord}}}, nil)
 	}
 }
 
@@ -151,5 +153,5 @@
 // deleteRental deletes a rental and its record.
 func (c *Core) deleteRental(r *rental) {
 	delete(c.rentals, r.RequestID)
-	c.write(Write{Deletes: []string{RentalPrefix + r.RequestID}}, nil)
+	c.write(Write{Kind: txn.RentalDropped, Deletes: []string{RentalPrefix + r.RequestID}}, nil)
 }
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -1,5 +1,7 @@
 package core
 
+import "aspenstall/internal/txn"
+
 // termState is the part of the Core that belongs to one term. A takeover makes it anew.
 type termState struct {
 	leading               bool
@@ -78,7 +80,7 @@
 	c.restoreRentals(snap.Rentals, now, wall)
 	obsolete = append(obsolete, c.restorePartitions(snap.Partitions, now, wall)...)
 	if len(obsolete) > 0 {
-		c.write(Write{Deletes: obsolete}, nil) // records of jobs and partitions that are over
+		c.write(Write{Kind: txn.ObsoleteRecordsDropped, Deletes: obsolete}, nil) // records of jobs and partitions that are over
 	}
 	c.needsPlacement = true
 	if c.unreconciled == 0 {
--- a/internal/netdial/repeat_test.go
+++ b/internal/netdial/repeat_test.go
@@ -14,6 +14,7 @@
 	"aspenstall/internal/core"
 	"aspenstall/internal/netdial"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wire"
 	"aspenstall/internal/worker"
 )
@@ -30,7 +31,7 @@
 		{"state service, commit", func(address string) request {
 			client := statestore.New(address, 0, 0, 1, dial)
 			return func(ctx context.Context) {
-				_, _ = client.Commit(ctx, &wire.Txn{Then: []wire.Write{{Put: "k", Value: []byte{1}}}})
+				_, _ = client.Commit(ctx, &wire.Txn{Then: []wire.Write{{Kind: txn.Catalog, Put: "k", Value: []byte{1}}}})
 			}
 		}},
 		{"state service, grant", func(address string) request {
--- a/internal/node/clusterconfig.go
+++ b/internal/node/clusterconfig.go
@@ -12,6 +12,7 @@
 	"aspenstall/internal/core"
 	"aspenstall/internal/peer"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wire"
 )
 
@@ -199,9 +200,9 @@
 			lease, err = n.stateClient.Grant(ctx, ackTTL)
 		}
 		if err == nil {
-			puts := []wire.Write{{Put: clusterconfig.AckPrefix + n.platform.Member, Value: value, Lease: lease}}
+			puts := []wire.Write{{Kind: txn.ConfigAcknowledgement, Put: clusterconfig.AckPrefix + n.platform.Member, Value: value, Lease: lease}}
 			if !known {
-				puts = append(puts, wire.Write{Put: clusterconfig.KnownPrefix + n.platform.Member, Value: value})
+				puts = append(puts, wire.Write{Kind: txn.ConfigKnown, Put: clusterconfig.KnownPrefix + n.platform.Member, Value: value})
 			}
 			_, err = n.stateClient.Commit(ctx, &wire.Txn{If: []wire.Cond{}, Then: puts})
 		}
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -6,6 +6,7 @@
 	"aspenstall/internal/core"
 	"aspenstall/internal/nomad/registry"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wire"
 )
 
@@ -91,7 +92,7 @@
 	for _, d := range deletions {
 		c.add(&writeRequest{
 			conds: []wire.Cond{{Key: d.Key, ModRevision: d.ModRevision}},
-			ops:   []wire.Write{{Delete: d.Key}},
+			ops:   []wire.Write{{Kind: txn.RegistryCleanup, Delete: d.Key}},
 			done:  func(uint64, error) {},
 		}, true)
 	}
@@ -179,7 +180,7 @@
 // then done of each request. It doesn't call done of requests that are queued again, nor of
 // refused background writes of a term that is over, which are dropped.
 func (c *committer) send(reqs []*writeRequest, finished func()) {
-	txn := &wire.Txn{If: []wire.Cond{}}
+	transaction := &wire.Txn{If: []wire.Cond{}}
 	included := map[wire.Cond]bool{}
 	for _, req := range reqs {
 		conds := req.conds
@@ -190,13 +191,13 @@
 		for _, cond := range conds {
 			if !included[cond] {
 				included[cond] = true
-				txn.If = append(txn.If, cond)
+				transaction.If = append(transaction.If, cond)
 			}
 		}
-		txn.Then = append(txn.Then, req.ops...)
+		transaction.Then = append(transaction.Then, req.ops...)
 	}
 	go func() {
-		rev, err := c.n.stateClient.Commit(c.n.ctx, txn)
+		rev, err := c.n.stateClient.Commit(c.n.ctx, transaction)
 		c.n.post(func() {
 			finished()
 			if reqs[0].background && errors.Is(err, statestore.ErrNotExecuted) {
@@ -271,10 +272,10 @@
 			fail()
 			return
 		}
-		req.ops = append(req.ops, wire.Write{Put: key, Value: b})
+		req.ops = append(req.ops, wire.Write{Kind: w.Kind, Put: key, Value: b})
 	}
 	for _, k := range w.Deletes {
-		req.ops = append(req.ops, wire.Write{Delete: k})
+		req.ops = append(req.ops, wire.Write{Kind: deletionKind(w.Kind), Delete: k})
 	}
 	// A job with many chunks has more keys to delete than fit into one transaction. The remaining
 	// keys are deleted by separate writes, once it is stored that the job is over. If they were
@@ -313,6 +314,17 @@
 	}
 }
 
+// deletionKind returns the kind of the deletions in a core's write.
+func deletionKind(kind txn.Kind) txn.Kind {
+	switch kind {
+	case txn.Completion:
+		return txn.JobRecordsDropped
+	case txn.MachineGroup:
+		return txn.MachineGroupDropped
+	}
+	return kind
+}
+
 // writeOutcome returns what the error of a write means for the core.
 func writeOutcome(err error) core.WriteOutcome {
 	switch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,6 +143,10 @@
 	return n
 }
 
+// ObserveCommits sets a function that is called with each transaction before it is sent. It must be
+// set before the node runs.
+func (n *Node) ObserveCommits(observe func(*wire.Txn)) { n.stateClient.ObserveCommits(observe) }
+
 // readInterval returns the pause between two linearizable reads of one node, for a state service
 // that serves rps requests per second. All nodes together then use at most half of that rate. Each
 // node computes the pause by itself, so nothing has to be coordinated.
--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -13,6 +13,7 @@
 	"aspenstall/internal/nomad/translate"
 	"aspenstall/internal/peer"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wire"
 )
 
@@ -339,7 +340,7 @@
 		key := jobPrefix + rec.Spec.ID
 		b, err := wire.EncodeJob(&rec)
 		req.conds = append(req.conds, wire.Cond{Key: key, ModRevision: rec.Revision})
-		req.ops = append(req.ops, wire.Write{Put: key, Value: b})
+		req.ops = append(req.ops, wire.Write{Kind: txn.RegistryChange, Put: key, Value: b})
 		return err
 	}
 	for _, spec := range ch.Start {
--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -17,6 +17,7 @@
 	"aspenstall/internal/notify"
 	"aspenstall/internal/notify/control"
 	"aspenstall/internal/notify/deliver"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wait"
 	"aspenstall/internal/wire"
 )
@@ -127,7 +128,7 @@
 		}
 		_, err = n.stateClient.Commit(ctx, &wire.Txn{
 			If:   []wire.Cond{{Key: leaderKey, ModRevision: start.token}, {Key: marksKey, ModRevision: marksRevision}},
-			Then: []wire.Write{{Put: marksKey, Value: v}},
+			Then: []wire.Write{{Kind: txn.NotificationMarks, Put: marksKey, Value: v}},
 		})
 		if err != nil {
 			return err
@@ -344,7 +345,7 @@
 			// The value holds only strings and numbers, so this does not fail.
 			n.log.Error("encoding a record failed", "key", key, "err", err)
 		}
-		req.ops = append(req.ops, wire.Write{Put: key, Value: b})
+		req.ops = append(req.ops, wire.Write{Kind: txn.NotificationState, Put: key, Value: b})
 	}
 	if len(a.Watermarks) > 0 {
 		marks := map[string]uint64{}
@@ -361,10 +362,10 @@
 		put(deadLetterKey(&d), &deadLetterRecord{d.Subscription, d.Event.Job, d.Event.Team, d.Event.Class, d.Event.Kind.String(), d.Event.Revision, int64(d.Event.At), d.Reason})
 	}
 	for _, k := range a.DeleteChunks {
-		req.ops = append(req.ops, wire.Write{Delete: chunkRecordKey(k)})
+		req.ops = append(req.ops, wire.Write{Kind: txn.NotificationState, Delete: chunkRecordKey(k)})
 	}
 	for _, d := range a.DeleteDeadLetters {
-		req.ops = append(req.ops, wire.Write{Delete: deadLetterKey(&d)})
+		req.ops = append(req.ops, wire.Write{Kind: txn.NotificationState, Delete: deadLetterKey(&d)})
 	}
 	saved := func(ok bool) {
 		if n.notifier.outbox == box {
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -8,6 +8,7 @@
 	"aspenstall/internal/core"
 	"aspenstall/internal/httpapi"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wire"
 )
 
@@ -134,7 +135,7 @@
 	configRevision := n.clusterConfig.headRevision.Load()
 	req := &writeRequest{
 		conds: append(n.configConditions(), wire.Cond{Key: key}),
-		ops:   []wire.Write{{Put: key, Value: b}},
+		ops:   []wire.Write{{Kind: txn.Submission, Put: key, Value: b}},
 		done: func(rev uint64, err error) {
 			switch {
 			case err == nil:
@@ -227,7 +228,7 @@
 	key := jobPrefix + id
 	req := &writeRequest{
 		conds: []wire.Cond{{Key: key, ModRevision: revision}},
-		ops:   []wire.Write{{Put: key, Value: b}},
+		ops:   []wire.Write{{Kind: txn.Cancellation, Put: key, Value: b}},
 		done: func(rev uint64, err error) {
 			switch {
 			case err == nil:
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -10,6 +10,7 @@
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wait"
 	"aspenstall/internal/wire"
 )
@@ -127,7 +128,7 @@
 	}
 	token, err := n.stateClient.Commit(ctx, &wire.Txn{
 		If:   []wire.Cond{{Key: leaderKey}},
-		Then: []wire.Write{{Put: leaderKey, Value: value, Lease: lease}},
+		Then: []wire.Write{{Kind: txn.Election, Put: leaderKey, Value: value, Lease: lease}},
 	})
 	if errors.Is(err, statestore.ErrConflict) {
 		_ = n.stateClient.Revoke(ctx, lease)
@@ -275,13 +276,13 @@
 		n.log.Error("encoding the leader record failed", "err", err)
 		return
 	}
-	txn := &wire.Txn{
+	transaction := &wire.Txn{
 		If:   []wire.Cond{{Key: leaderKey, ModRevision: t.token}},
-		Then: []wire.Write{{Put: leaderKey, Value: value, Lease: t.leaseID}},
+		Then: []wire.Write{{Kind: txn.TokenRaise, Put: leaderKey, Value: value, Lease: t.leaseID}},
 	}
 	t.raising = true
 	go func() {
-		token, err := n.stateClient.Commit(n.ctx, txn)
+		token, err := n.stateClient.Commit(n.ctx, transaction)
 		n.post(func() {
 			t.raising = false
 			if err != nil {
@@ -369,7 +370,7 @@
 	}
 	n.committer.add(&writeRequest{
 		term: t,
-		ops:  []wire.Write{{Put: catalogKey, Value: b}},
+		ops:  []wire.Write{{Kind: txn.Catalog, Put: catalogKey, Value: b}},
 		done: func(uint64, error) {},
 	}, true)
 }
--- a/internal/nomad/registry/change.go
+++ b/internal/nomad/registry/change.go
@@ -5,6 +5,7 @@
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/nomad/translate"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wire"
 )
 
@@ -65,7 +66,7 @@
 	for i, v := range versions {
 		source := sourceKey(key, v.number)
 		if i < room {
-			change.Writes = append(change.Writes, wire.Write{Delete: source})
+			change.Writes = append(change.Writes, wire.Write{Kind: txn.RegistryChange, Delete: source})
 		} else {
 			change.Cleanup = append(change.Cleanup, Deletion{source, v.revision})
 		}
@@ -81,7 +82,7 @@
 // encodePut returns the write of a value, encoded, to a key.
 func encodePut(key string, v any) (wire.Write, error) {
 	b, err := wire.Marshal(v)
-	return wire.Write{Put: key, Value: b}, err
+	return wire.Write{Kind: txn.RegistryChange, Put: key, Value: b}, err
 }
 
 // encodePut returns the write of a job's record; key is the jobKey of the job.
@@ -236,7 +237,7 @@
 		if err != nil {
 			return nil, err
 		}
-		change.Writes = append(change.Writes, wire.Write{Delete: jobPrefix + key}, g)
+		change.Writes = append(change.Writes, wire.Write{Kind: txn.RegistryChange, Delete: jobPrefix + key}, g)
 		r.deleteSources(change, key, old.versions)
 		return change, r.checkLimits(change)
 	}
--- a/internal/simulator/checker.go
+++ b/internal/simulator/checker.go
@@ -347,6 +347,7 @@
 		c.CheckCancelled()
 		c.checkNeglected()
 		c.checkWithheld()
+		c.checkLateTransactions()
 	}
 }
 
--- a/internal/simulator/config_test.go
+++ b/internal/simulator/config_test.go
@@ -19,6 +19,7 @@
 	"aspenstall/internal/core"
 	"aspenstall/internal/simulator"
 	"aspenstall/internal/statestore"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wire"
 )
 
@@ -61,8 +62,10 @@
 
 // newClient returns a configuration client that connects to the state service under a name.
 func (o *operator) newClient(name string, p config.Platform) *configclient.Client {
+	store := statestore.New(o.w.StateAddr(), 0, 0, 2, o.w.Net.Dialer(name))
+	store.ObserveCommits(o.w.State.TransactionSent)
 	return &configclient.Client{
-		Store: statestore.New(o.w.StateAddr(), 0, 0, 2, o.w.Net.Dialer(name)),
+		Store: store,
 		Base:  o.base, Limits: p.ConfigLimits(), Controllers: []string{"node-0", "node-1", "node-2"},
 	}
 }
@@ -593,14 +596,15 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				head := v.Records.Head
+				head, headRevision := v.Records.Head, v.Records.HeadRevision
 				writeHead := func(format int) {
 					head.Format = format
 					b, err := wire.ConfigCodec{}.Encode(clusterconfig.Write{Head: &head})
 					if err != nil {
 						t.Fatal(err)
 					}
-					_, err = o.client.Store.Commit(context.Background(), &wire.Txn{If: []wire.Cond{}, Then: []wire.Write{{Put: clusterconfig.HeadKey, Value: b}}})
+					unchanged := []wire.Cond{{Key: clusterconfig.HeadKey, ModRevision: headRevision}}
+					headRevision, err = o.client.Store.Commit(context.Background(), &wire.Txn{If: unchanged, Then: []wire.Write{{Kind: txn.ConfigChange, Put: clusterconfig.HeadKey, Value: b}}})
 					if err != nil {
 						t.Error(err)
 					}
--- a/internal/simulator/limits_test.go
+++ b/internal/simulator/limits_test.go
@@ -74,39 +74,52 @@
 	time.Sleep(settle)
 }
 
+// idleTeam returns the name of a team without jobs.
+func idleTeam(n int) string { return fmt.Sprintf("idle-team-%03d", n) }
+
+// newFullWorld returns a world that writes records of every kind, and its operator. The state service
+// has announced values of 2 KiB and 4 writes in a transaction; the caller lowers its limits. Besides
+// two teams with jobs there are idle ones.
+func newFullWorld(t *testing.T, idleTeams int) (*simulator.World, *operator) {
+	p := platform()
+	p.Params.Zones = []string{"a", "b", "c"}
+	p.Params.Teams = nil
+	addTeam(&p, "blue", 100, 400, 0, 0)
+	addTeam(&p, "green", 100, 200, 1, 2)
+	for n := range idleTeams {
+		addTeam(&p, idleTeam(n), 1, 10, 0, 0)
+	}
+	state := &p.Params.State
+	state.ValueKB, state.TxnOps, state.WriteRPS = 16, 12, 100
+	state.Next = &config.NextLimits{ValueKB: 2, TxnOps: 4, WriteRPS: 70}
+	w := simulator.NewWorld(99, p, machineTypes)
+	w.State.LimitSizes(16<<10, 12)
+	w.Settings.Nomad = nomadSettings("blue", "green")
+	refusing, taking := simulator.NewReceiver(1), simulator.NewReceiver(2)
+	refusing.Refuse = 1
+	w.Settings.Notify = &config.Notify{}
+	for n, r := range []*simulator.Receiver{refusing, taking} {
+		name, at := fmt.Sprintf("r%d", n), fmt.Sprintf("10.3.0.%d:80", n+1)
+		w.Net.Serve(at, r)
+		w.Settings.Notify.Receivers = append(w.Settings.Notify.Receivers, config.NotifyReceiver{
+			Limits: notify.Receiver{Name: name, MaxInFlight: 4}, Delivery: deliver.Receiver{Name: name, URL: "http://" + at + "/"}, KeepsKeys: true,
+		})
+		for _, kind := range []notify.Kind{notify.Accepted, notify.Done} {
+			w.Settings.Notify.Subscriptions = append(w.Settings.Notify.Subscriptions, notify.Subscription{
+				Name: fmt.Sprintf("s%d-%s", n, kind), Receiver: name, Kinds: []notify.Kind{kind}, Deadline: 40 * core.Second,
+			})
+		}
+	}
+	return w, newOperator(t, w, p)
+}
+
 // TestLoweredStateLimits guards against records and transactions that fit the present limits of the
 // state service and not the announced ones: it plays every kind of record before and after the
 // limits come down to values of 2 KiB and 4 writes, and a kind that is not listed fails.
 func TestLoweredStateLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := platform()
-		p.Params.Zones = []string{"a", "b", "c"}
-		p.Params.Teams = nil
-		addTeam(&p, "blue", 100, 400, 0, 0)
-		addTeam(&p, "green", 100, 200, 1, 2)
-		state := &p.Params.State
-		state.ValueKB, state.TxnOps, state.WriteRPS = 16, 12, 100
-		state.Next = &config.NextLimits{ValueKB: 2, TxnOps: 4, WriteRPS: 70}
-		w := simulator.NewWorld(99, p, machineTypes)
+		w, o := newFullWorld(t, 0)
 		defer w.Close()
-		w.State.LimitSizes(16<<10, 12)
-		w.Settings.Nomad = nomadSettings("blue", "green")
-		refusing, taking := simulator.NewReceiver(1), simulator.NewReceiver(2)
-		refusing.Refuse = 1
-		w.Settings.Notify = &config.Notify{}
-		for n, r := range []*simulator.Receiver{refusing, taking} {
-			name, at := fmt.Sprintf("r%d", n), fmt.Sprintf("10.3.0.%d:80", n+1)
-			w.Net.Serve(at, r)
-			w.Settings.Notify.Receivers = append(w.Settings.Notify.Receivers, config.NotifyReceiver{
-				Limits: notify.Receiver{Name: name, MaxInFlight: 4}, Delivery: deliver.Receiver{Name: name, URL: "http://" + at + "/"}, KeepsKeys: true,
-			})
-			for _, kind := range []notify.Kind{notify.Accepted, notify.Done} {
-				w.Settings.Notify.Subscriptions = append(w.Settings.Notify.Subscriptions, notify.Subscription{
-					Name: fmt.Sprintf("s%d-%s", n, kind), Receiver: name, Kinds: []notify.Kind{kind}, Deadline: 40 * core.Second,
-				})
-			}
-		}
-		o := newOperator(t, w, p)
 		startAllNodes(w)
 		time.Sleep(15 * time.Second)
 		s := &nomadWorld{t, w}
--- a/internal/simulator/state.go
+++ b/internal/simulator/state.go
@@ -55,6 +55,7 @@
 	maxValueBytes     int           // of a value as JSON; 0: no limit
 	violations        []LimitViolation
 	writtenKinds      map[string]bool // of the keys written since ForgetWrittenKinds
+	late              *lateTransactions
 }
 
 // LimitViolation is a transaction that was refused because it exceeds a limit.
@@ -79,7 +80,7 @@
 
 // NewState returns an empty state service with a limit of writes in a transaction.
 func NewState(txnOps int) *State {
-	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), MaxTxnOps: txnOps, writtenKinds: map[string]bool{}}
+	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), MaxTxnOps: txnOps, writtenKinds: map[string]bool{}, late: newLateTransactions()}
 }
 
 // LimitRates makes the service answer 429 above the given requests and writes per second. Both
@@ -211,6 +212,7 @@
 		s.deleteKey(k)
 		s.changeLog = append(s.changeLog, wire.Change{Delete: k, ModRevision: s.revision})
 	}
+	s.noteChanges(gone)
 	s.notifyWatchers()
 }
 
@@ -384,17 +386,21 @@
 // applyWrites executes writes in one revision; s.mu is held.
 func (s *State) applyWrites(writes []wire.Write) {
 	s.revision++
+	changed := make([]string, 0, len(writes))
 	for _, op := range writes {
 		s.writtenKinds[kindOf(op.Put+op.Delete)] = true
 		if op.Put != "" {
 			v := append(msgpack.RawMessage(nil), op.Value...)
 			s.putKey(wire.Entry{Key: op.Put, Value: v, ModRevision: s.revision, Lease: op.Lease})
 			s.changeLog = append(s.changeLog, wire.Change{Put: op.Put, Value: v, ModRevision: s.revision})
+			changed = append(changed, op.Put)
 		} else if _, ok := s.keys[op.Delete]; ok {
 			s.deleteKey(op.Delete)
 			s.changeLog = append(s.changeLog, wire.Change{Delete: op.Delete, ModRevision: s.revision})
+			changed = append(changed, op.Delete)
 		}
 	}
+	s.noteChanges(changed)
 	s.notifyWatchers()
 }
 
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -175,6 +175,7 @@
 	p.Services.State, p.Services.Cloud = stateAddr, cloudAddr
 	ctx, cancel := context.WithCancel(w.ctx)
 	nd := node.New(&p, w.Settings, slog.New(n.gate).With("node", n.Name), w.Net.Dialer(n.addr))
+	nd.ObserveCommits(w.State.TransactionSent)
 	n.cancel, n.node = cancel, nd
 	go nd.Run(ctx)
 	n.listener = w.Net.Serve(n.addr, w.NodeFaults[i].Wrap(httpapi.Handler(nd)))
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"aspenstall/internal/netdial"
+	"aspenstall/internal/txn"
 	"aspenstall/internal/wire"
 )
 
@@ -47,7 +48,8 @@
 	writes *rate.Limiter
 	pages  *pagePacer
 
-	observeList func(ListProgress) // nil for none
+	observeList   func(ListProgress) // nil for none
+	observeCommit func(*wire.Txn)    // nil for none
 }
 
 // New returns a client for the service at addr. It uses at most 70% of the service's rates, in
@@ -147,8 +149,21 @@
 	return &e, nil
 }
 
-// Commit runs a transaction and returns its revision.
+// ObserveCommits sets a function that is called with each transaction before it is sent. It must be
+// set before the client is used; commits may call it concurrently, and it must not change the
+// transaction.
+func (c *Client) ObserveCommits(observe func(*wire.Txn)) { c.observeCommit = observe }
+
+// Commit runs a transaction and returns its revision. Each write must be of a listed kind.
 func (c *Client) Commit(ctx context.Context, t *wire.Txn) (uint64, error) {
+	for i := range t.Then {
+		if _, listed := txn.Describe(t.Then[i].Kind); !listed {
+			return 0, fmt.Errorf("%w: the write of %s%s is of no listed kind", ErrInvalid, t.Then[i].Put, t.Then[i].Delete)
+		}
+	}
+	if c.observeCommit != nil {
+		c.observeCommit(t)
+	}
 	var r wire.TxnResult
 	err := c.do(ctx, http.MethodPost, wire.CommitPath, t, &r, len(t.Then), RequestTimeout)
 	return r.Revision, err
--- a/internal/wire/names_test.go
+++ b/internal/wire/names_test.go
@@ -97,6 +97,9 @@
 	case reflect.Struct:
 		for i := range v.NumField() {
 			name := v.Type().Field(i).Name
+			if v.Type().Field(i).Tag.Get("msgpack") == "-" {
+				continue // it is not sent, so it has no name in the message
+			}
 			// The time since a partition began is computed, not stored.
 			if name != "_msgpack" && (name != "Elapsed" || v.Type() != reflect.TypeFor[core.PartitionRecord]()) {
 				allSet(t, path+"."+name, v.Field(i), seen)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"aspenstall/internal/core"
+	"aspenstall/internal/txn"
 )
 
 // Paths of the HTTP interfaces. The suffixes follow a job's or a lease's id.
@@ -318,8 +319,9 @@
 }
 
 // Write is a put of the key Put or a deletion of the key Delete. Lease is 0 for a key that is not
-// bound to a lease.
+// bound to a lease. Kind is not sent; statestore.Client.Commit needs it.
 type Write struct {
+	Kind   txn.Kind           `msgpack:"-"`
 	Put    string             `msgpack:"write,omitempty"`
 	Delete string             `msgpack:"drop,omitempty"`
 	Value  msgpack.RawMessage `msgpack:"value,omitempty"`
