Configuration: a late deletion of a page spares the page that was written again

What callers would see: after limits were changed and changed back, a page that the configuration's head names is gone. Controllers keep the configuration they have and refuse submissions; one that starts has none.

Cause: a page's key is the hash of its content. Deletions for which the change's last transaction had no room were on condition of the head alone, and so are the next change's pages, until its head is written. A deletion executed in between, late or of a slower client, hits the new page.

Change: a deletion is on condition of the page's revision as well; a page written again has another.

--- a/internal/clusterconfig/clusterconfig_test.go
+++ b/internal/clusterconfig/clusterconfig_test.go
@@ -162,7 +162,7 @@
 // records returns the stored records.
 func (s *fakeStore) records(t *testing.T) *clusterconfig.Records {
 	t.Helper()
-	r := &clusterconfig.Records{Pages: map[string]clusterconfig.Page{}}
+	r := &clusterconfig.Records{Pages: map[string]clusterconfig.Page{}, PageRevisions: map[string]uint64{}}
 	for key, e := range s.keys {
 		var err error
 		if key == clusterconfig.HeadKey {
@@ -170,6 +170,7 @@
 			r.HeadRevision = e.revision
 		} else {
 			r.Pages[key], err = wire.DecodeConfigPage(e.value)
+			r.PageRevisions[key] = e.revision
 		}
 		if err != nil {
 			t.Fatal(err)
--- a/internal/clusterconfig/record.go
+++ b/internal/clusterconfig/record.go
@@ -69,11 +69,12 @@
 	OlderPeers []string
 }
 
-// Records holds the stored head with its revision, and the pages by key.
+// Records holds the stored head and pages with their revisions, the pages by key.
 type Records struct {
-	Head         Head
-	HeadRevision uint64 // 0 if there is no head
-	Pages        map[string]Page
+	Head          Head
+	HeadRevision  uint64 // 0 if there is no head
+	Pages         map[string]Page
+	PageRevisions map[string]uint64 // only PlanChange needs them
 }
 
 // Errors of Records.Config.
@@ -135,7 +136,14 @@
 	Version      uint64
 	// UnusedPages are the pages that the new head no longer names and that the transactions don't
 	// delete.
-	UnusedPages []string
+	UnusedPages []UnusedPage
+}
+
+// UnusedPage is a page that no head names, at the revision at which it was read. A later change may
+// write the page again under the same key. It must be deleted only at this revision.
+type UnusedPage struct {
+	Key      string
+	Revision uint64
 }
 
 // PlanChange plans the change with the given id, which replaces the configuration in the records
@@ -162,7 +170,7 @@
 	p := &Plan{HeadRevision: r.HeadRevision, Version: head.Version}
 	for _, key := range r.Head.Pages {
 		if !slices.Contains(pages, key) {
-			p.UnusedPages = append(p.UnusedPages, key)
+			p.UnusedPages = append(p.UnusedPages, UnusedPage{key, r.PageRevisions[key]})
 		}
 	}
 	for len(writes) >= limits.TxnOps {
@@ -171,7 +179,7 @@
 	}
 	final := append(slices.Clone(writes), last)
 	for len(p.UnusedPages) > 0 && len(final) < limits.TxnOps {
-		final = append(final, Write{Key: p.UnusedPages[0]})
+		final = append(final, Write{Key: p.UnusedPages[0].Key})
 		p.UnusedPages = p.UnusedPages[1:]
 	}
 	p.Transactions = append(p.Transactions, final)
--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -70,6 +70,7 @@
 			v.Records.HeadRevision = e.ModRevision
 		case strings.HasPrefix(e.Key, clusterconfig.PagePrefix):
 			v.Records.Pages[e.Key], err = wire.DecodeConfigPage(e.Value)
+			v.Records.PageRevisions[e.Key] = e.ModRevision
 		}
 		if err != nil {
 			return nil, err
@@ -84,7 +85,7 @@
 // newView returns an empty view.
 func newView() *View {
 	return &View{
-		Records: clusterconfig.Records{Pages: map[string]clusterconfig.Page{}},
+		Records: clusterconfig.Records{Pages: map[string]clusterconfig.Page{}, PageRevisions: map[string]uint64{}},
 		Acks:    map[string]clusterconfig.Ack{}, SupportsConfig: map[string]bool{},
 	}
 }
@@ -250,18 +251,20 @@
 	}
 }
 
-// deleteUnusedPages deletes pages that the head no longer names. It stops at the first error; the
-// next change deletes only the pages that it replaces itself.
-func (c *Client) deleteUnusedPages(ctx context.Context, headRevision uint64, keys []string) {
-	for len(keys) > 0 {
-		n := min(len(keys), c.Limits.TxnOps)
+// deleteUnusedPages deletes pages that the head no longer names. A page that a later change has written
+// again has another revision, and is not deleted. It stops at the first error; the next change deletes
+// only the pages that it replaces itself.
+func (c *Client) deleteUnusedPages(ctx context.Context, headRevision uint64, pages []clusterconfig.UnusedPage) {
+	for len(pages) > 0 {
+		n := min(len(pages), c.Limits.TxnOps)
 		request := &wire.Txn{If: []wire.Cond{{Key: clusterconfig.HeadKey, ModRevision: headRevision}}}
-		for _, key := range keys[:n] {
-			request.Then = append(request.Then, wire.Write{Kind: txn.ConfigPagesDropped, Delete: key})
+		for _, page := range pages[:n] {
+			request.If = append(request.If, wire.Cond{Key: page.Key, ModRevision: page.Revision})
+			request.Then = append(request.Then, wire.Write{Kind: txn.ConfigPagesDropped, Delete: page.Key})
 		}
 		if _, err := c.Store.Commit(ctx, request); err != nil {
 			return
 		}
-		keys = keys[n:]
+		pages = pages[n:]
 	}
 }
--- a/internal/simulator/late_test.go
+++ b/internal/simulator/late_test.go
@@ -119,7 +119,7 @@
 // kind that is not played, or changes a record that the list of kinds does not name, fails.
 func TestLateTransactions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const idleTeams = 120 // their limits take several pages
+		const idleTeams = 240 // their limits take more pages than one transaction has writes
 		w, o := newFullWorld(t, idleTeams)
 		defer w.Close()
 		w.State.KeepSentTransactions()
