Configuration: pages that a failed change left are deleted with the next one

Cause: a change deleted the pages that it replaced itself.

Change: every page that was read and that the new head does not name is deleted, each at the revision at which it was read.

Evidence: TestLeftoverPages fails before ("page ... is not deleted").

--- a/internal/clusterconfig/clusterconfig_test.go
+++ b/internal/clusterconfig/clusterconfig_test.go
@@ -390,3 +390,37 @@
 		t.Errorf("after a head of a known format: changed %v, %v", changed, err)
 	}
 }
+
+// TestLeftoverPages checks that pages which a failed change or a failed deletion left are deleted with
+// the next change, at the revision at which they were read. Otherwise they stay for ever.
+func TestLeftoverPages(t *testing.T) {
+	limits := clusterconfig.Limits{ValueBytes: 400, TxnOps: 2} // the last transaction deletes nothing
+	s := &fakeStore{keys: map[string]entry{}}
+	plan := func(limit int64) *clusterconfig.Plan {
+		to := &clusterconfig.Config{Teams: map[string]clusterconfig.Team{"blue": cpus(0, limit)}}
+		p, err := clusterconfig.PlanChange(s.records(t), to, fmt.Sprint("change-", limit), limits, wire.ConfigCodec{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	pages := func(p *clusterconfig.Plan) (keys []string) {
+		for _, w := range slices.Concat(p.Transactions...) {
+			if w.Page != nil {
+				keys = append(keys, w.Key)
+			}
+		}
+		return keys
+	}
+	first, lost := plan(1000), plan(2000)
+	s.commit(t, 0, first.Transactions[0], limits)
+	// Of a change that failed, the page alone is written.
+	page := slices.DeleteFunc(slices.Concat(lost.Transactions...), func(w clusterconfig.Write) bool { return w.Page == nil })
+	s.commit(t, s.keys[clusterconfig.HeadKey].revision, page, limits)
+	next := plan(3000)
+	for _, key := range append(pages(first), pages(lost)...) {
+		if !slices.Contains(next.UnusedPages, clusterconfig.UnusedPage{Key: key, Revision: s.keys[key].revision}) {
+			t.Errorf("page %s is not deleted: %v", key, next.UnusedPages)
+		}
+	}
+}
--- a/internal/clusterconfig/record.go
+++ b/internal/clusterconfig/record.go
@@ -134,8 +134,8 @@
 	HeadRevision uint64 // of the head that was read; 0 if there was none
 	Transactions [][]Write
 	Version      uint64
-	// UnusedPages are the pages that the new head no longer names and that the transactions don't
-	// delete.
+	// UnusedPages are the pages that were read, are not named by the new head, and are not deleted by
+	// the transactions.
 	UnusedPages []UnusedPage
 }
 
@@ -168,7 +168,9 @@
 		head.RecentChanges = head.RecentChanges[1:]
 	}
 	p := &Plan{HeadRevision: r.HeadRevision, Version: head.Version}
-	for _, key := range r.Head.Pages {
+	// Besides the pages that are replaced, there may be some of earlier changes that failed, or whose
+	// deletions did.
+	for _, key := range slices.Sorted(maps.Keys(r.Pages)) {
 		if !slices.Contains(pages, key) {
 			p.UnusedPages = append(p.UnusedPages, UnusedPage{key, r.PageRevisions[key]})
 		}
--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -253,7 +253,7 @@
 
 // deleteUnusedPages deletes pages that the head no longer names. A page that a later change has written
 // again has another revision, and is not deleted. It stops at the first error; the next change deletes
-// only the pages that it replaces itself.
+// what is left.
 func (c *Client) deleteUnusedPages(ctx context.Context, headRevision uint64, pages []clusterconfig.UnusedPage) {
 	for len(pages) > 0 {
 		n := min(len(pages), c.Limits.TxnOps)
