Core: placements that were not sent are taken back when their team's limit is lowered

What callers would see: a task starts although its team is above a limit that is in force, against docs/CONFIGURATION.md.

Cause: a limit was looked at when a task is placed. The start goes out once the records of job and machine are stored, and a placement that waits for them was not looked at again.

Change: when limits change, placements without a sent start are taken back, of teams that exceed theirs: the lowest priority and the newest first, those of a gang together.

--- a/internal/core/quota_test.go
+++ b/internal/core/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -103,3 +104,47 @@
 	round()
 	w.want("tasks that need only CPUs, which are not guaranteed", w.c.jobs["job-3"].running, 4)
 }
+
+// TestLoweredLimitWithdrawsUnsent checks that a placement whose start was not sent is taken back when
+// its team's limit is lowered below what is used. Otherwise it starts once the record that it waits for
+// is stored, and the team grows above the limit that is in force (quota).
+func TestLoweredLimitWithdrawsUnsent(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		kind   Kind
+		tasks  int
+		limit  int64 // CPUs in thousandths; each task takes 2000
+		starts int   // tasks of job-2 that start once its record is stored
+	}{
+		{"below what runs", Array, 2, 1000, 0},
+		{"at what runs", Array, 2, 2000, 0},
+		{"room for one more", Array, 2, 4000, 1},
+		{"room for all", Array, 2, 6000, 2},
+		{"a service", Service, 2, 4000, 1},
+		{"a gang that no longer fits", Gang, 2, 4000, 0},
+		{"a gang that fits", Gang, 2, 6000, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, Team{Name: "blue"})
+			w.beginTerm(100, nil, Snapshot{})
+			f := w.newWorker("n-1", "a").report()
+			w.submit(JobSpec{ID: "job-1", Tasks: 1})
+			w.reportRounds(2, []*fakeWorker{f})
+			w.want("before", f.liveTasks(), "job-1/0 ")
+			w.holdPrefix = StartedPrefix
+			w.submit(JobSpec{ID: "job-2", Tasks: c.tasks, Kind: c.kind})
+			w.reportRounds(2, []*fakeWorker{f})
+			w.want("placed and not sent", w.c.jobs["job-2"].occupying, c.tasks)
+			w.c.Configure(w.now, []Team{{Name: "blue", Max: Resources{CPU: c.limit}}}, w.c.cfg.Tuning)
+			for _, id := range w.heldWrites {
+				w.c.HandleWriteResult(w.now, id, Stored)
+			}
+			w.holdPrefix = ""
+			w.reportRounds(5, []*fakeWorker{f})
+			w.want("tasks started", strings.Count(f.liveTasks(), "job-2/"), c.starts)
+			w.c.Configure(w.now, []Team{{Name: "blue"}}, w.c.cfg.Tuning)
+			w.reportRounds(5, []*fakeWorker{f})
+			w.want("tasks once the limit is raised", strings.Count(f.liveTasks(), "job-2/"), c.tasks)
+		})
+	}
+}
--- a/internal/node/clusterconfig.go
+++ b/internal/node/clusterconfig.go
@@ -101,7 +101,7 @@
 	}
 	if changed {
 		c.setEffective(c.follower.Config().OverlayOn(&c.base))
-		n.core.Configure(config.CoreTeams(c.effective.Teams), c.effective.Tuning)
+		n.core.Configure(n.now(), config.CoreTeams(c.effective.Teams), c.effective.Tuning)
 		version, revision := c.follower.EffectiveVersion()
 		c.headRevision.Store(revision)
 		n.log.Info("configuration", "version", version, "revision", revision)
