Node: requests are served by class, each from a bounded queue of its own

Cause: reports of workers, cancellations, submissions and users' questions shared one queue with the results of the node's own reads, writes and commands.

Change: requestQueues has a queue for each class, served in the order reports, cancellations, submissions, questions, registry queries, in batches, and the node's own inbox before each class. A request beyond its class's bound is refused at once with 503 and Retry-After. One whose client has gone is not begun.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,9 +48,7 @@
 	answerGrace, maxCancelStaleness, delegationTTL core.Micros
 	maxReadAge                                     core.Micros // how long a leader may act on its last read
 	inbox                                          chan func()
-	// queries holds registry queries. They are begun when inbox is empty: whatever keeps leases, tasks
-	// and confirmations goes before questions.
-	queries chan func()
+	requests                                       *requestQueues
 
 	leaseValidUntil atomic.Int64         // in Micros of now: the leader's lease is certainly valid until then
 	leadingTerm     atomic.Pointer[term] // the term whose lease that is; nil while this node does not lead
@@ -103,7 +101,7 @@
 		incarnation:  rand.Uint64(),
 		started:      time.Now(),
 		inbox:        make(chan func(), 1024),
-		queries:      make(chan func(), maxQueuedQueries),
+		requests:     newRequestQueues(),
 		core:         core.New(config.CoreConfig(p, s)),
 		electorWake:  make(chan struct{}, 1),
 		deferredWake: make(chan struct{}, 1),
@@ -195,35 +193,17 @@
 // passes to reply. It returns the zero value and false if ctx ends first.
 func call[T any](ctx context.Context, n *Node, f func(reply func(T))) (T, bool) {
 	out := make(chan T, 1)
-	var zero T
 	select {
-	case n.inbox <- func() {
-		f(func(v T) {
-			select {
-			case out <- v:
-			default:
-			}
-		})
-	}:
-	case <-ctx.Done():
-		return zero, false
-	}
-	select {
-	case v := <-out:
-		return v, true
+	case n.inbox <- func() { f(replyTo(out)) }:
 	case <-ctx.Done():
+		var zero T
 		return zero, false
 	}
+	return receive(ctx, out)
 }
 
-// maxQueuedQueries limits the registry queries that wait for the owning goroutine. More are refused.
-const maxQueuedQueries = 256
-
-// maxInboxBatch and maxQueryBatch limit what is taken from a queue before the core's next step.
-const (
-	maxInboxBatch = 256
-	maxQueryBatch = 8
-)
+// maxInboxBatch limits what is taken from the inbox before the core's next step.
+const maxInboxBatch = 256
 
 // runQueued runs up to limit queued functions.
 func runQueued(queue chan func(), limit int) {
@@ -261,10 +241,8 @@
 		case f := <-n.inbox:
 			f()
 			runQueued(n.inbox, maxInboxBatch)
-		case f := <-n.queries:
-			runQueued(n.inbox, maxInboxBatch)
-			f()
-			runQueued(n.queries, maxQueryBatch)
+		case <-n.requests.arrived:
+			n.requests.run(func() { runQueued(n.inbox, maxInboxBatch) })
 		case <-timer.C:
 			tick = n.now() + core.Micros(step/time.Microsecond)
 			n.committer.dispatch()
--- a/internal/node/nomad.go
+++ b/internal/node/nomad.go
@@ -190,15 +190,30 @@
 // callWithError runs f on the owning goroutine and waits for its reply. If ctx ends first, it
 // returns the error timeout.
 func callWithError[T any](ctx context.Context, n *Node, timeout error, f func(reply func(T, error))) (T, error) {
-	r, ok := call(ctx, n, func(reply func(valueOrError[T])) {
-		f(func(v T, err error) { reply(valueOrError[T]{v, err}) })
-	})
+	r, ok := call(ctx, n, withError(f))
 	if !ok {
 		return r.value, timeout
 	}
 	return r.value, r.err
 }
 
+// requestWithError is like callWithError for a request of a class. It returns ErrUnavailable if ctx
+// ends first or too many requests of the class wait.
+func requestWithError[T any](ctx context.Context, n *Node, class requestClass, f func(reply func(T, error))) (T, error) {
+	r, ok := request(ctx, n, class, withError(f))
+	if !ok {
+		return r.value, httpapi.ErrUnavailable
+	}
+	return r.value, r.err
+}
+
+// withError returns f with one value as its reply.
+func withError[T any](f func(reply func(T, error))) func(reply func(valueOrError[T])) {
+	return func(reply func(valueOrError[T])) {
+		f(func(v T, err error) { reply(valueOrError[T]{v, err}) })
+	}
+}
+
 // maxChangeAttempts limits the attempts of one change. It is computed again if another change was
 // written in between.
 const maxChangeAttempts = 4
@@ -206,7 +221,7 @@
 // Register registers a job of a job file. It returns once the job, its version and the native job
 // of each group are written, in one transaction.
 func (n *Node) Register(ctx context.Context, reg registry.Registration) (httpapi.RegisterResult, error) {
-	return callWithError(ctx, n, httpapi.ErrUnavailable, func(reply func(httpapi.RegisterResult, error)) {
+	return requestWithError(ctx, n, submission, func(reply func(httpapi.RegisterResult, error)) {
 		n.changeJob(maxChangeAttempts, reply, func() (*registry.Change, error) {
 			if len(n.catalog) == 0 || !n.mayDecide() {
 				return nil, httpapi.ErrUnavailable // it is not known which jobs could run
@@ -228,7 +243,7 @@
 		ch  *registry.Change
 		old *registry.Job
 	}
-	p, err := callWithError(ctx, n, httpapi.ErrUnavailable, func(reply func(planned, error)) {
+	p, err := requestWithError(ctx, n, question, func(reply func(planned, error)) {
 		n.readLinearizable(func(ok bool) {
 			if !ok || len(n.catalog) == 0 {
 				reply(planned{}, httpapi.ErrUnavailable)
@@ -248,7 +263,7 @@
 
 // Deregister stops a job, or removes it if purge is set.
 func (n *Node) Deregister(ctx context.Context, name registry.Name, purge bool) (httpapi.RegisterResult, error) {
-	return callWithError(ctx, n, httpapi.ErrUnavailable, func(reply func(httpapi.RegisterResult, error)) {
+	return requestWithError(ctx, n, cancellation, func(reply func(httpapi.RegisterResult, error)) {
 		n.changeJob(maxChangeAttempts, reply, func() (*registry.Change, error) {
 			ch, err := n.nomad.registry.Deregister(name, purge)
 			if err == nil && ch == nil {
--- a/internal/node/nomad_query.go
+++ b/internal/node/nomad_query.go
@@ -53,12 +53,10 @@
 // is recent enough: a query that waits for longer than a watch takes costs no request of its own.
 func (n *Node) ReadRegistry(ctx context.Context, q httpapi.Query, read func(*registry.Registry)) (uint64, error) {
 	query := &registryQuery{Query: q, ctx: ctx, n: n, read: read, result: make(chan queryResult, 1), recheckIn: make(chan time.Duration, 1)}
-	select {
-	case n.queries <- query.begin:
-		return query.await(ctx)
-	default:
+	if !n.requests.add(registryRead, query.begin) {
 		return 0, httpapi.ErrBusy
 	}
+	return query.await(ctx)
 }
 
 // await waits for the query's result, and has the owning goroutine end the query in time.
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -12,10 +12,10 @@
 	"aspenstall/internal/wire"
 )
 
-// awaitResponse runs f on the owning goroutine and waits for its response. If ctx ends first, the
-// client is told to retry.
-func (n *Node) awaitResponse(ctx context.Context, f func(reply func(httpapi.Response))) httpapi.Response {
-	a, ok := call(ctx, n, f)
+// awaitResponse runs f on the owning goroutine and waits for its response. If ctx ends first, or too
+// many requests of the class wait, the client is told to retry.
+func (n *Node) awaitResponse(ctx context.Context, class requestClass, f func(reply func(httpapi.Response))) httpapi.Response {
+	a, ok := request(ctx, n, class, f)
 	if !ok {
 		return httpapi.Unavailable()
 	}
@@ -77,7 +77,7 @@
 
 // Submit accepts or refuses a submission. spec is nil if the submission is malformed.
 func (n *Node) Submit(ctx context.Context, id string, spec *core.JobSpec) httpapi.Response {
-	return n.awaitResponse(ctx, func(reply func(httpapi.Response)) { n.submit(id, spec, reply) })
+	return n.awaitResponse(ctx, submission, func(reply func(httpapi.Response)) { n.submit(id, spec, reply) })
 }
 
 func (n *Node) submit(id string, spec *core.JobSpec, reply func(httpapi.Response)) {
@@ -171,7 +171,7 @@
 
 // Poll returns the state of a job.
 func (n *Node) Poll(ctx context.Context, id string) httpapi.Response {
-	return n.awaitResponse(ctx, func(reply func(httpapi.Response)) { n.poll(id, reply) })
+	return n.awaitResponse(ctx, question, func(reply func(httpapi.Response)) { n.poll(id, reply) })
 }
 
 func (n *Node) poll(id string, reply func(httpapi.Response)) {
@@ -187,7 +187,7 @@
 
 // Cancel cancels a job unless it is done, and returns its state.
 func (n *Node) Cancel(ctx context.Context, id string) httpapi.Response {
-	return n.awaitResponse(ctx, func(reply func(httpapi.Response)) { n.cancel(id, 3, reply) })
+	return n.awaitResponse(ctx, cancellation, func(reply func(httpapi.Response)) { n.cancel(id, 3, reply) })
 }
 
 // cancel cancels a job. After a conflict it reads the current state and retries, attempts times at
@@ -256,7 +256,7 @@
 
 // Report takes a worker's report and returns the commands for the worker.
 func (n *Node) Report(ctx context.Context, r *core.Report) httpapi.Response {
-	return n.awaitResponse(ctx, func(reply func(httpapi.Response)) {
+	return n.awaitResponse(ctx, workerReport, func(reply func(httpapi.Response)) {
 		n.lastReport, n.abstainUntil = n.now(), 0
 		if n.mayAnswerInGrace() {
 			if token, ok := n.core.HandleReportInGrace(n.now(), r); ok {
