--- a/internal/scale/names_test.go
+++ b/internal/scale/names_test.go
@@ -53,7 +53,7 @@
 		MachineCPUs: 130.5, TaskCPUs: 14.5, WarmUpS: 15.5, MeasureS: 16.5,
 		ReportS: 17.5, LeaseS: 180.5, CancelS: 19.5,
 		StateRPS: 20.5, StateWriteRPS: 21.5, StateValueKB: 22.5, StateTxnOps: 23, CloudRPS: 24.5, CloudListLagS: 25.5,
-		ControllerMemMB: 260.5, ControllerConnections: 270,
+		ControllerMemMB: 260.5, ControllerConnections: 270, ControllerCPU: 0.375,
 		RegionDelayMS: 28.5, ZoneDelayMS: 29.5, Loss: 0.125, ResendMS: 30.5,
 		Troubles: []Fault{
 			{Kind: "leader-ends", AtS: 31.5, ForS: 32.5, Count: 33}, {Kind: "rack", AtS: 34.5, Count: 1},
--- a/internal/scale/processes.go
+++ b/internal/scale/processes.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -152,7 +153,7 @@
 	q.Workers.GangWaitS, q.Workers.GangPeerS = 50, 8
 	q.State.RPS, q.State.WriteRPS, q.State.ValueKB, q.State.TxnOps = s.StateRPS, s.StateWriteRPS, s.StateValueKB, s.StateTxnOps
 	q.Cloud.RPS, q.Cloud.ListLagS = s.CloudRPS, s.CloudListLagS
-	q.Limits.CPU, q.Limits.MemMB, q.Limits.MaxConnections = 1, s.ControllerMemMB, s.ControllerConnections
+	q.Limits.CPU, q.Limits.MemMB, q.Limits.MaxConnections = cmp.Or(s.ControllerCPU, 1), s.ControllerMemMB, s.ControllerConnections
 	return p
 }
 
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -266,6 +266,9 @@
 		if err := c.start(ctx); err != nil {
 			return err
 		}
+		if s.ControllerCPU > 0 {
+			r.processes.Go(func() { c.throttle(ctx, s.ControllerCPU) })
+		}
 	}
 	for i := range s.RealWorkers + s.hollowProcesses() {
 		cfg.Number = i
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -47,6 +47,7 @@
 	CloudRPS, CloudListLagS  float64
 	ControllerMemMB          float64
 	ControllerConnections    int
+	ControllerCPU            float64 // share of a core that a controller is kept to; 0: it is told that it has one, and not kept to it
 
 	RegionDelayMS float64 // one way
 	ZoneDelayMS   float64 // one way
@@ -147,6 +148,7 @@
 		"cloud-list-lag-s":       ednmap.Number(0, 600, &s.CloudListLagS),
 		"controller-mem-mb":      ednmap.Number(64, 4096, &s.ControllerMemMB),
 		"controller-connections": ednmap.Integer(64, 100_000, &s.ControllerConnections),
+		"controller-cpu":         ednmap.Number(0.05, 1, &s.ControllerCPU),
 		"region-delay-ms":        ednmap.Number(0, 1000, &s.RegionDelayMS),
 		"zone-delay-ms":          ednmap.Number(0, 1000, &s.ZoneDelayMS),
 		"loss":                   ednmap.Number(0, 0.5, &s.Loss),
--- a/internal/scale/testdata/settings.sexp
+++ b/internal/scale/testdata/settings.sexp
@@ -3,7 +3,7 @@
  :machine-cpus 130.5 :task-cpus 14.5 :warm-up-s 15.5 :measure-s 16.5
  :report-s 17.5 :lease-s 180.5 :cancel-s 19.5
  :state-rps 20.5 :state-write-rps 21.5 :state-value-kb 22.5 :state-txn-ops 23 :cloud-rps 24.5 :cloud-list-lag-s 25.5
- :controller-mem-mb 260.5 :controller-connections 270
+ :controller-mem-mb 260.5 :controller-connections 270 :controller-cpu 0.375
  :region-delay-ms 28.5 :zone-delay-ms 29.5 :loss 0.125 :resend-ms 30.5
  :troubles [{:kind "leader-ends" :at-s 31.5 :for-s 32.5 :count 33} {:kind "rack" :at-s 34.5}
             {:kind "zone-cut"} {:kind "regions-apart"} {:kind "replacements"}]}
