Core: all tasks of a starving gang are booked on the spare capacity that they use

Cause: placing a task ended the job's starvation, so only the gang's first task was booked as spare.

Evidence: TestLentSpareIsNotReplaced, the row of the gang fails before (3 tasks on new capacity, want 4).

--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -109,6 +109,7 @@
 	for n, m := range plan.machines {
 		c.place(j, plan.tasks[n], m, attempt, now)
 	}
+	j.starving = false
 	c.evict(&plan.reclaim, j, now)
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -149,7 +149,10 @@
 			p.onSpare, m.spareUsed = true, m.spareUsed.Add(p.need)
 		}
 	})
-	j.lastPlacedAt, j.starving = now, false
+	j.lastPlacedAt = now
+	if j.spec.Kind != Gang { // all tasks of a gang are placed at once: see commitGang
+		j.starving = false
+	}
 	if !slices.Contains(c.reservedClasses, j.class) {
 		c.reservationSurplus = c.reservationSurplus.Sub(j.spec.Resources)
 	}
--- a/internal/core/starvation_test.go
+++ b/internal/core/starvation_test.go
@@ -80,36 +80,50 @@
 // capacity that becomes free. In an overload, that replacement made a thirtieth of all jobs miss
 // their deadlines.
 func TestLentSpareIsNotReplaced(t *testing.T) {
-	w := newWorld(t, Team{Name: "blue"}, Team{Name: "green"})
-	w.c.cfg.Tuning.SpareTasks = 4
-	w.beginTerm(100, nil, Snapshot{})
-	f := w.newWorker("n-1", "a").report()
-	submitService := func(id string) { // more services are expected after this
-		w.submit(JobSpec{ID: id, Tasks: 1, Kind: Service, Team: "green", Class: "web", Priority: Production})
-		f.executeDirect()
-		f.report()
-		w.cancel(id)
-		f.executeDirect()
-		f.report()
-	}
-	submitService("job-90")
-	w.reportRounds(10, []*fakeWorker{f})
-	submitService("job-91")
-	w.submit(JobSpec{ID: "job-1", Tasks: 1, Resources: Resources{4000, 0, 2000}})
-	for i := range 7 {
-		w.reportRounds(9, []*fakeWorker{f})
-		submitService(fmt.Sprint("job-8", i))
+	for _, c := range []struct {
+		name  string
+		job   JobSpec
+		tasks string
+	}{
+		{"an array", JobSpec{Tasks: 1, Resources: Resources{4000, 0, 2000}}, "job-1/0 "},
+		{"a gang, each of its tasks", JobSpec{Tasks: 2, Kind: Gang, Resources: Resources{2000, 0, 1000}}, "job-1/0 job-1/1 "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, Team{Name: "blue"}, Team{Name: "green"})
+			w.c.cfg.Tuning.SpareTasks = 4
+			w.beginTerm(100, nil, Snapshot{})
+			f := w.newWorker("n-1", "a").report()
+			submitService := func(id string) { // more services are expected after this
+				w.submit(JobSpec{ID: id, Tasks: 1, Kind: Service, Team: "green", Class: "web", Priority: Production})
+				f.executeDirect()
+				f.report()
+				w.cancel(id)
+				f.executeDirect()
+				f.report()
+			}
+			submitService("job-90")
+			w.reportRounds(10, []*fakeWorker{f})
+			submitService("job-91")
+			c.job.ID = "job-1"
+			w.submit(c.job)
+			for i := range 7 {
+				w.reportRounds(9, []*fakeWorker{f})
+				submitService(fmt.Sprint("job-8", i))
+			}
+			w.want("tasks on spare capacity", f.liveTasks(), c.tasks)
+			g := w.newWorker("n-2", "a").report()
+			w.submit(JobSpec{ID: "job-2", Tasks: 9})
+			w.advance(Second)
+			g.executeDirect()
+			w.want("tasks on new capacity", w.c.jobs["job-2"].occupying, 4)
+			w.want("lent", w.c.machines["n-1"].spareUsed, Resources{4000, 0, 2000})
+			for i := range c.job.Tasks {
+				f.exitTask(i, CauseDone)
+			}
+			f.report()
+			w.want("spare capacity in use after the tasks", w.c.machines["n-1"].spareUsed, Resources{})
+		})
 	}
-	w.want("tasks on spare capacity", f.liveTasks(), "job-1/0 ")
-	g := w.newWorker("n-2", "a").report()
-	w.submit(JobSpec{ID: "job-2", Tasks: 9})
-	w.advance(Second)
-	g.executeDirect()
-	w.want("tasks on new capacity", w.c.jobs["job-2"].occupying, 4)
-	w.want("lent", w.c.machines["n-1"].spareUsed, Resources{4000, 0, 2000})
-	f.exitTask(0, CauseDone)
-	f.report()
-	w.want("spare capacity in use after the task", w.c.machines["n-1"].spareUsed, Resources{})
 }
 
 // TestStarvationCountsAcrossTakeover checks that a job that starved under a former leader does not
