Core: services that may be in one of several partitioned zones move by the first end of a lease

Cause: of the zones with machines that are not reconciled, one was remembered.

Change: the earliest end of a lease among them counts.

Evidence: TestEvacuationDemandOfTwoZones fails before for one of the two orders.

--- a/internal/core/evacuation.go
+++ b/internal/core/evacuation.go
@@ -71,26 +71,27 @@
 	if len(zones) == 0 {
 		return
 	}
-	count := func(p *placement, zone string) {
-		if now+c.provisioningTime(&p.job.spec)*3/2+5*Second >= c.earliestLeaseEnd(c.zoneByName[zone]) {
+	count := func(p *placement, leaseEnd Micros) {
+		if now+c.provisioningTime(&p.job.spec)*3/2+5*Second >= leaseEnd {
 			need, tasks = need.max(p.need), tasks+1
 		}
 	}
-	unknown := "" // a partitioned zone with machines that are not reconciled
+	// An unaccounted service may be on any machine that is not reconciled.
+	unknownLeaseEnd := MaxMicros
 	for _, m := range c.sortedMachines {
 		switch {
 		case m.releasing || m.lost || !slices.Contains(zones, m.zone):
 		case !m.reconciled:
-			unknown = m.zone
+			unknownLeaseEnd = min(unknownLeaseEnd, c.earliestLeaseEnd(c.zoneByName[m.zone]))
 		default:
 			for _, p := range servicePlacements(m) {
-				count(p, m.zone)
+				count(p, c.earliestLeaseEnd(c.zoneByName[m.zone]))
 			}
 		}
 	}
-	if unknown != "" {
+	if unknownLeaseEnd < MaxMicros {
 		for _, p := range c.unaccountedServices() {
-			count(p, unknown)
+			count(p, unknownLeaseEnd)
 		}
 	}
 	return need, tasks
--- a/internal/core/partition_record_test.go
+++ b/internal/core/partition_record_test.go
@@ -117,6 +117,29 @@
 	}
 }
 
+// TestEvacuationDemandOfTwoZones checks that services which may be on machines of two partitioned zones
+// need capacity before the leases of the zone that was cut off first end. Otherwise they fail there,
+// and the capacity for them comes up later.
+func TestEvacuationDemandOfTwoZones(t *testing.T) {
+	for _, first := range []string{"a", "b"} {
+		w := newWorld(t, Team{Name: "blue"})
+		w.now, w.c.cfg.AnswerGrace = 200*Second, 60*Second
+		record := recordedMachines("n-1", "n-2")
+		record[0].Machines[1].Zone = "b"
+		service := JobSpec{ID: "job-1", Kind: Service, Tasks: 2, Team: "blue", Resources: Resources{2000, 0, 2000}, Image: "im"}
+		w.beginTerm(100, []JobRecord{{Spec: service, Revision: 3}}, Snapshot{MachineGroups: record, Started: []string{"job-1"}})
+		for _, name := range []string{"a", "b"} {
+			z := &zone{lastPartitioned: w.now, partitionStart: w.now}
+			if name == first {
+				z.partitionStart = w.now - w.c.cfg.AnswerGrace
+			}
+			w.c.zoneByName[name] = z
+		}
+		_, tasks := w.c.evacuationDemand(w.now)
+		w.want("services that need capacity soon, zone "+first+" first", tasks, 2)
+	}
+}
+
 // TestPartitionRecord checks that the tasks retained in a partitioned zone are recorded, and that a
 // new leader does not wait for the machines of that zone. Without the record all unaccounted tasks
 // of started jobs waited until the leases had expired: 23 s in a recorded scenario.
