Node: machines are rented and returned only under the term that decided it

What callers would see: a leader that stood still, or lost its lease and leads again, returns machines on which tasks have been placed meanwhile; they run again elsewhere.

Cause: a return was sent without a look at the lease, and a rental with any valid lease of the node.

Change: both look right before the request whether the node leads with the term that decided. A pause after that is still not fenced; the page allows late returns (docs/design/leader-actions.md).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -361,14 +361,7 @@
 	case core.Rent:
 		go n.rent(t, a)
 	case core.Release:
-		n.log.Info("returning machines", "machines", a.Machines, "reason", a.Reason)
-		go func() {
-			err := n.cloudClient.Release(n.ctx, a.Machines)
-			if err != nil {
-				n.log.Info("machine release failed", "machines", a.Machines, "err", err)
-			}
-			n.post(func() { n.ifCurrentTerm(t, func() { n.core.HandleReleaseResult(n.now(), a.Machines, err == nil) }) })
-		}()
+		go n.release(t, a)
 	}
 }
 
@@ -380,10 +373,27 @@
 	}
 }
 
+// errNotLeading means that nothing was requested, since this node does not lead with the term that
+// decided it, or not certainly.
+var errNotLeading = errors.New("the term's lease is not valid")
+
+// release returns machines to the cloud.
+func (n *Node) release(t *term, a core.Release) {
+	err := errNotLeading
+	if n.leads(t) {
+		n.log.Info("returning machines", "machines", a.Machines, "reason", a.Reason)
+		err = n.cloudClient.Release(n.ctx, a.Machines)
+	}
+	if err != nil {
+		n.log.Info("machine release failed", "machines", a.Machines, "err", err)
+	}
+	n.post(func() { n.ifCurrentTerm(t, func() { n.core.HandleReleaseResult(n.now(), a.Machines, err == nil) }) })
+}
+
 func (n *Node) rent(t *term, a core.Rent) {
 	var names []string
 	outcome := core.RentUnknown
-	if n.leaseValid() {
+	if n.leads(t) {
 		var err error
 		names, err = n.cloudClient.Rent(n.ctx, wire.RentRequest{RequestID: a.RequestID, Type: a.Type, Zone: a.Zone, Spot: a.Spot, Count: a.Count})
 		switch {
