--- a/internal/core/spare.go
+++ b/internal/core/spare.go
@@ -115,7 +115,8 @@
 // takesSpare reports whether a batch task on the machine would use capacity that is kept for
 // services. Spot machines keep none. Each machine keeps room for one service task, because each has
 // different images in its cache, if the zone has little spare capacity or if a service that has to
-// fetch its image would start too late.
+// fetch its image would start too late. In a zone with too little, it keeps also what is no room for a
+// service task yet, so that it becomes some; a job does not wait for it beyond starvationTimeout.
 func (c *Core) takesSpare(need Resources, m *machine) bool {
 	if m.spot || c.spareTaskResources == (Resources{}) {
 		return false
