Core: commands for one machine fit the protocol's message

Cause: a message had every command that the machine needs.

Change: at most 400 commands a message, stops first, then starts, then what is to be forgotten. The rest goes with the next direct command or answer.

Evidence: TestCommandsFitMessage (900 tasks on one machine) fails before; TestCommandsFitBody: 400 of the longest commands fit.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -18,11 +18,15 @@
 	}
 }
 
+// MaxCommands is the maximum number of commands in one message, which has to fit the protocol's 64 KiB.
+const MaxCommands = 400
+
 // commands returns the commands for a machine: the difference between the desired tasks and those
 // that it has reported. In reply to a report it returns all of them, for a direct command only
-// those that have not been sent yet.
+// those that have not been sent yet. Beyond MaxCommands, stops go first, then starts; the others are
+// sent with a later message.
 func (c *Core) commands(m *machine, now Micros, inReply bool) []Command {
-	var forget, stop, start []Command
+	var forget, forgetAndStart, stop, start []Command
 	if m.lost {
 		return nil
 	}
@@ -44,7 +48,7 @@
 				c.tokenRaiseWanted = true
 			}
 		case p.stopRequested && p.reported:
-			if p.stopSentAt == 0 || inReply && now-p.stopSentAt > 2*Second {
+			if len(stop) < MaxCommands && (p.stopSentAt == 0 || inReply && now-p.stopSentAt > 2*Second) {
 				cmd := p.command(Stop)
 				cmd.GracePeriod = p.grace
 				stop = append(stop, cmd)
@@ -56,10 +60,13 @@
 		}
 	}
 	for _, p := range m.placements {
+		if len(stop)+len(start)+len(forgetAndStart)+1 >= MaxCommands {
+			break
+		}
 		// A machine that is being released may stay up until the cloud deletes it, so it still
 		// gets stop commands, but no starts.
 		if p.retryPending && inReply && !p.stopRequested && !m.releasing {
-			forget = append(forget, p.command(Forget))
+			forgetAndStart = append(forgetAndStart, p.command(Forget))
 			start = append(start, p.command(Start))
 			continue
 		}
@@ -87,7 +94,8 @@
 	if !inReply && len(stop) == 0 && len(start) == 0 {
 		return nil // forgetting exited tasks can wait for the next report
 	}
-	return append(append(forget, stop...), start...)
+	forget = forget[:min(len(forget), MaxCommands-len(forgetAndStart)-len(stop)-len(start))]
+	return slices.Concat(forget, forgetAndStart, stop, start)
 }
 
 // command returns a command for the attempt of the placement.
--- a/internal/core/commands_test.go
+++ b/internal/core/commands_test.go
@@ -1,6 +1,9 @@
 package core
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 // TestUnansweredStart checks a direct start command without an answer. Its task counts as possibly
 // running until the machine reports it, begins a new session, or answers with a raised token. The
@@ -70,3 +73,35 @@
 	}
 	w.want("left", f.liveTasks(), "")
 }
+
+// TestCommandsFitMessage checks that a machine with more tasks than fit a message gets them in several,
+// and that all are started, stopped and forgotten. A message over the protocol's limit is refused, and
+// the machine would get no command at all.
+func TestCommandsFitMessage(t *testing.T) {
+	const tasks = 2*MaxCommands + 100
+	w := newWorld(t, Team{Name: "blue"})
+	w.beginTerm(100, nil, Snapshot{})
+	f := w.newWorker("n-1", "a").report()
+	rounds := func(n int) {
+		for range n {
+			w.advance(Second)
+			for _, s := range w.sent {
+				if len(s.Commands) > MaxCommands {
+					t.Errorf("%d direct commands in one message", len(s.Commands))
+				}
+			}
+			f.report()
+			if len(f.replyCommands) > MaxCommands {
+				t.Errorf("%d commands in one answer", len(f.replyCommands))
+			}
+		}
+	}
+	w.submit(JobSpec{ID: "job-1", Tasks: tasks, Resources: Resources{1, 0, 1}})
+	rounds(6)
+	w.want("tasks that run", strings.Count(f.liveTasks(), "job-1/"), tasks)
+	w.cancel("job-1")
+	rounds(6)
+	w.want("tasks that run after the job was cancelled", f.liveTasks(), "")
+	rounds(6)
+	w.want("tasks that the worker has not forgotten", len(f.status.Tasks), 0)
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -111,3 +111,16 @@
 		t.Error("an empty report is accepted")
 	}
 }
+
+// TestCommandsFitBody checks that the largest message of commands fits the protocol's limit.
+func TestCommandsFitBody(t *testing.T) {
+	command := core.Command{Op: core.Stop, Job: strings.Repeat("j", 64), Index: math.MaxInt32, Attempt: math.MaxUint64, GracePeriod: core.MaxMicros}
+	commands := make([]core.Command, core.MaxCommands)
+	for i := range commands {
+		commands[i] = command
+	}
+	b, err := EncodeCommands(math.MaxUint64, math.MaxUint64, commands)
+	if err != nil || len(b) > MaxBodyBytes {
+		t.Errorf("%d bytes of %d, %v", len(b), MaxBodyBytes, err)
+	}
+}
