--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -1,14 +1,10 @@
 package simulator
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"log/slog"
 	"net/http"
-	"sort"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,20 +14,6 @@
 // The names of the worker protocol are written out here again, independently of package wire, so
 // that the simulated worker does not repeat a mistake that is made there.
 
-// workerTask is a task as a worker reports it.
-type workerTask struct {
-	Task         string `msgpack:"lot"`
-	Attempt      uint64 `msgpack:"try"`
-	State        string `msgpack:"phase"`
-	Cause        string `msgpack:"cause,omitempty"`
-	Checkpointed bool   `msgpack:"kept,omitempty"`
-
-	spec      *Spec
-	onMachine bool // the image is fetched, and the observer was told that the task started
-	timer     *time.Timer
-	runningAt time.Time
-}
-
 // statusReport is a worker's report.
 type statusReport struct {
 	Machine    string        `msgpack:"stall"`
@@ -249,169 +231,6 @@
 	k.mu.Unlock()
 }
 
-// reportSoon makes the worker report before the usual interval is over.
-func (k *Worker) reportSoon() {
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
-}
-
-// dropTasks kills all tasks and forgets them; k.mu is held.
-func (k *Worker) dropTasks() {
-	for _, t := range k.tasks {
-		if t.timer != nil {
-			t.timer.Stop()
-		}
-		k.noteLeft(t)
-	}
-	k.tasks = nil
-}
-
-// noteLeft tells the observer that a task is no longer on the machine; k.mu is held.
-func (k *Worker) noteLeft(t *workerTask) {
-	if t.onMachine {
-		t.onMachine = false
-		k.env.Observer().TaskLeft(k.taskOnMachine(t))
-	}
-}
-
-// watchLease ends the worker's session exactly when its lease has passed since the last
-// acknowledged report was sent. Controllers rely on that time.
-func (k *Worker) watchLease(ctx context.Context) {
-	t := time.NewTimer(k.env.Timing().Lease)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		k.mu.Lock()
-		if time.Since(k.lastAcknowledged) >= k.env.Timing().Lease && !k.dead {
-			k.noteLeaseExpired()
-			k.dropTasks()
-			k.session++
-			k.lastAcknowledged = time.Now()
-			k.reportSoon()
-		}
-		t.Reset(time.Until(k.lastAcknowledged.Add(k.env.Timing().Lease)))
-		k.mu.Unlock()
-	}
-}
-
-// noteLeaseExpired tells the observer that the lease is over; k.mu is held.
-func (k *Worker) noteLeaseExpired() {
-	var on []TaskOnMachine
-	for _, t := range k.tasks {
-		if t.onMachine {
-			on = append(on, k.taskOnMachine(t))
-		}
-	}
-	k.env.Observer().LeaseExpired(k.Info(), k.session, on)
-}
-
-// encodeReport returns the current report, encoded, with the next sequence number; k.mu is held.
-func (k *Worker) encodeReport() []byte {
-	k.seq++
-	b, _ := wire.Marshal(&statusReport{
-		Machine: k.name, Address: k.address, Type: k.machineType.Name, Zone: k.zone, Spot: k.spot,
-		Session: k.session, Seq: k.seq, Token: k.token, SpotNotice: k.spotNotice, Tasks: k.tasks,
-	})
-	return b
-}
-
-// reportLoop sends reports. It tries the nodes in turn, or the one that a node names as the leader,
-// until one accepts the report.
-func (k *Worker) reportLoop(ctx context.Context) {
-	client := k.env.Client(k.address)
-	current := 0
-	for ctx.Err() == nil {
-		nodes := k.env.Controllers()
-		k.mu.Lock()
-		body := k.encodeReport()
-		session := k.session
-		k.mu.Unlock()
-		sent := time.Now()
-		status, answer := k.postReport(ctx, client, nodes[current%len(nodes)].Address, body)
-		pause := k.env.Timing().ReportInterval()
-		switch status {
-		case http.StatusOK:
-			var o commandBatch
-			if wire.Unmarshal(answer, &o) == nil {
-				k.mu.Lock()
-				if session == k.session && o.Token >= k.token && o.Token > 0 {
-					k.token = o.Token
-					k.lastAcknowledged = sent
-					k.execute(o.Commands)
-				}
-				k.mu.Unlock()
-			}
-		case http.StatusMisdirectedRequest:
-			var r struct {
-				Node string `msgpack:"foreman"`
-			}
-			_ = wire.Unmarshal(answer, &r)
-			current++
-			pause = time.Second
-			for i := range nodes {
-				if nodes[i].Name == r.Node && i != (current-1)%len(nodes) {
-					current, pause = i, 100*time.Millisecond
-				}
-			}
-		default:
-			current++
-			pause = time.Second
-		}
-		if time.Since(sent) < 500*time.Millisecond {
-			pause = max(pause, 100*time.Millisecond)
-		}
-		t := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		case <-k.wake:
-			time.Sleep(max(0, 500*time.Millisecond-time.Since(sent)))
-		}
-		t.Stop()
-	}
-}
-
-// postReport sends a report to a node and returns the response's status and body; the status is 0
-// if there was no response.
-func (k *Worker) postReport(ctx context.Context, c *http.Client, at string, body []byte) (int, []byte) {
-	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
-	defer cancel()
-	if k.isOutboundLost() {
-		<-ctx.Done()
-		return 0, nil
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+wire.ReportPath, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil
-	}
-	status, b := Exchange(c, req)
-	if status != 0 && k.isInboundLost() {
-		<-ctx.Done()
-		return 0, nil
-	}
-	return status, b
-}
-
-// Exchange sends a request and reads the whole response; the status is 0 if there is none.
-func Exchange(c *http.Client, req *http.Request) (status int, body []byte) {
-	resp, err := c.Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, b
-}
-
 // ServeHTTP serves direct commands.
 func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b, _ := io.ReadAll(r.Body)
@@ -448,161 +267,6 @@
 	_, _ = w.Write(k.encodeReport())
 }
 
-// findTask returns an attempt of a task, or nil; k.mu is held.
-func (k *Worker) findTask(task string, attempt uint64) *workerTask {
-	for _, t := range k.tasks {
-		if t.Task == task && t.Attempt == attempt {
-			return t
-		}
-	}
-	return nil
-}
-
-// execute executes commands in order; k.mu is held.
-func (k *Worker) execute(cmds []command) {
-	for _, o := range cmds {
-		k.env.Logger().Debug("executed", "machine", k.name, "op", o.Op, "task", o.Task, "attempt", o.Attempt, "token", k.token, "session", k.session)
-		t := k.findTask(o.Task, o.Attempt)
-		switch {
-		case o.Op == "start" && t == nil:
-			k.env.Observer().StartExecuted(o.Task)
-			k.startTask(o.Task, o.Attempt)
-		case o.Op == "halt" && t != nil && t.State != "exited":
-			if t.timer != nil {
-				t.timer.Stop()
-			}
-			if t.State == "running" && t.spec.CheckpointS > 0 && o.GracePeriod >= t.spec.SaveS {
-				t.State = "flushing"
-				t.timer = time.AfterFunc(time.Duration(t.spec.SaveS*float64(time.Second)), func() { k.exitFromTimer(t, "halted", true) })
-			} else if t.State != "flushing" || o.GracePeriod == 0 {
-				k.exitTask(t, "halted", false)
-			}
-		case o.Op == "reap" && t != nil && t.State == "exited":
-			for i := range k.tasks {
-				if k.tasks[i] == t {
-					k.tasks = append(k.tasks[:i:i], k.tasks[i+1:]...)
-					break
-				}
-			}
-		}
-	}
-}
-
-// exitTask ends a task with a cause; k.mu is held. checkpointed reports whether it saved its state.
-func (k *Worker) exitTask(t *workerTask, cause string, checkpointed bool) {
-	if g := k.env.Gangs(); g != nil {
-		cause = g.gangLeft(t, cause)
-	}
-	t.State, t.Cause, t.Checkpointed = "exited", cause, checkpointed
-	if cause == "done" {
-		k.env.Observer().TaskDone(t.Task, t.spec)
-	}
-	k.noteLeft(t)
-	k.reportSoon()
-}
-
-// exitFromTimer ends a task when its timer fires, unless it has ended before.
-func (k *Worker) exitFromTimer(t *workerTask, cause string, checkpointed bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if t.State != "exited" && k.findTask(t.Task, t.Attempt) == t {
-		k.exitTask(t, cause, checkpointed)
-	}
-}
-
-// startTask starts an attempt of a task: it fetches the image, or reports at once why the task
-// cannot start; k.mu is held.
-func (k *Worker) startTask(task string, attempt uint64) {
-	job, index, _ := strings.Cut(task, "/")
-	spec := k.env.Job(job)
-	t := &workerTask{Task: task, Attempt: attempt, State: "exited", spec: spec}
-	var cpus, gpus, mem float64
-	duplicate := false
-	for _, o := range k.tasks {
-		if o.State != "exited" {
-			cpus, gpus, mem = cpus+o.spec.CPUs, gpus+o.spec.GPUs, mem+o.spec.MemGB
-			duplicate = duplicate || o.Task == task
-		}
-	}
-	k.tasks = append(k.tasks, t)
-	i, err := strconv.Atoi(index)
-	switch {
-	case spec == nil && err == nil && k.env.ServesJobFiles():
-		// No user uploaded the job, so it may have been submitted as a job file.
-		t.State, t.spec = "fetching", &Spec{}
-		go k.fetchDescription(t, job)
-	case spec == nil || err != nil || i >= spec.Tasks:
-		t.Cause = "no_such"
-	case duplicate:
-		t.Cause = "in_use"
-	case cpus+spec.CPUs > k.machineType.CPUs || gpus+spec.GPUs > k.machineType.GPUs || mem+spec.MemGB > k.machineType.MemGB:
-		t.Cause = "no_room"
-	default:
-		t.State = "fetching"
-		fetch := time.Duration(0)
-		if !k.images[spec.Image] {
-			fetch = time.Duration(spec.ImageGB / k.machineType.FetchGBps * float64(time.Second))
-		}
-		t.timer = time.AfterFunc(fetch, func() { k.imageFetched(t) })
-	}
-	k.reportSoon()
-}
-
-// imageFetched continues a task whose image has been fetched: a gang's task waits for the others,
-// all other tasks run.
-func (k *Worker) imageFetched(t *workerTask) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if t.State != "fetching" || k.dead || k.findTask(t.Task, t.Attempt) != t {
-		return
-	}
-	k.images[t.spec.Image] = true
-	t.onMachine = true
-	k.env.Observer().TaskStarted(k.taskOnMachine(t))
-	switch {
-	case k.FailsTasks || t.spec.Broken:
-		k.exitTask(t, "error", false)
-	case t.spec.Shape == "ensemble":
-		t.State = "gathering"
-		t.timer = time.AfterFunc(k.env.Timing().GangWait, func() { k.exitFromTimer(t, "alone", false) })
-		if g := k.env.Gangs(); g != nil {
-			g.gangJoined(t, k)
-		}
-	default:
-		k.runTask(t)
-	}
-	k.reportSoon()
-}
-
-// runTask lets a task run until its run time is over, or without end if it is a service's; k.mu is
-// held.
-func (k *Worker) runTask(t *workerTask) {
-	t.State, t.runningAt = "running", time.Now()
-	if t.spec.Shape == "standing" {
-		return
-	}
-	run := t.spec.RunS
-	if _, index, _ := strings.Cut(t.Task, "/"); t.spec.RunOf != nil {
-		i, _ := strconv.Atoi(index)
-		run = t.spec.RunOf[i]
-	}
-	t.timer = time.AfterFunc(time.Duration(run*float64(time.Second)), func() { k.exitFromTimer(t, "done", false) })
-}
-
-// RunningTasks returns the names of the tasks on the machine, sorted.
-func (k *Worker) RunningTasks() []string {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var out []string
-	for _, t := range k.tasks {
-		if t.onMachine {
-			out = append(out, t.Task)
-		}
-	}
-	sort.Strings(out)
-	return out
-}
-
 // Session returns the number of the worker's session and the names of the tasks that it reports in
 // it, also of those that have exited.
 func (k *Worker) Session() (number uint64, tasks []string) {
@@ -614,19 +278,6 @@
 	return k.session, tasks
 }
 
-// ActiveTasks returns the number of tasks that have not exited.
-func (k *Worker) ActiveTasks() int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	n := 0
-	for _, t := range k.tasks {
-		if t.State != "exited" {
-			n++
-		}
-	}
-	return n
-}
-
 // Address returns the worker's address.
 func (k *Worker) Address() string { return k.address }
 
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -9,7 +9,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,7 +17,6 @@
 	"aspenstall/internal/node"
 	nomadapi "aspenstall/internal/nomad/httpapi"
 	"aspenstall/internal/peer"
-	"aspenstall/internal/wire"
 )
 
 // Spec is a job as a simulated user submits it. The fields without a name in msgpack are known to
@@ -97,14 +95,6 @@
 	userRequests   int
 }
 
-// gangState is the state of one attempt of a gang.
-type gangState struct {
-	ready   map[*workerTask]*Worker // tasks that wait for the others, or run
-	running bool
-	ended   bool // a task has exited
-	done    bool // the tasks were done
-}
-
 // Addresses of the services.
 const (
 	stateAddr = "10.2.0.1:2379"
@@ -229,41 +219,6 @@
 	return -1
 }
 
-// logGate is a log handler that can be closed. Goroutines that log while it is closed block until
-// it is open again.
-type logGate struct {
-	slog.Handler
-	mu     sync.Mutex
-	opened *sync.Cond
-	closed bool
-}
-
-// newLogGate returns an open gate in front of a handler.
-func newLogGate(h slog.Handler) *logGate {
-	g := &logGate{Handler: h}
-	g.opened = sync.NewCond(&g.mu)
-	return g
-}
-
-// setClosed closes or opens the gate.
-func (g *logGate) setClosed(closed bool) {
-	g.mu.Lock()
-	g.closed = closed
-	g.opened.Broadcast()
-	g.mu.Unlock()
-}
-
-// Enabled blocks while the gate is closed. slog calls it for each log line, also for those that are
-// discarded.
-func (g *logGate) Enabled(ctx context.Context, l slog.Level) bool {
-	g.mu.Lock()
-	for g.closed {
-		g.opened.Wait()
-	}
-	g.mu.Unlock()
-	return g.Handler.Enabled(ctx, l)
-}
-
 // Kill ends a node's process as a crash does.
 func (w *World) Kill(i int) {
 	w.nodesMu.Lock()
@@ -349,256 +304,6 @@
 	return maps.Clone(w.specs)
 }
 
-// gangJoined records that a gang's task waits for the others, and lets the gang run once all its
-// tasks wait; the worker's lock is held.
-func (w *World) gangJoined(t *workerTask, k *Worker) {
-	job, _, _ := strings.Cut(t.Task, "/")
-	key := fmt.Sprintf("%s#%d", job, t.Attempt)
-	w.mu.Lock()
-	g := w.gangs[key]
-	if g == nil {
-		g = &gangState{ready: map[*workerTask]*Worker{}}
-		w.gangs[key] = g
-	}
-	g.ready[t] = k
-	complete := len(g.ready) == t.spec.Tasks && !g.running
-	var members map[*workerTask]*Worker
-	if complete {
-		g.running = true
-		members = maps.Clone(g.ready) // a task may exit while the others begin to run
-	}
-	w.mu.Unlock()
-	if !complete {
-		return
-	}
-	go func() {
-		for t, k := range members {
-			k.mu.Lock()
-			if t.State == "gathering" {
-				t.timer.Stop()
-				k.runTask(t)
-			}
-			k.mu.Unlock()
-			k.reportSoon()
-		}
-	}()
-}
-
-// gangLeft records that a gang's task exits, lets the other tasks exit too, and returns the cause
-// that the worker reports. The tasks of a gang complete together: if one is done, all are, and no
-// task is done after another has exited with a failure. The worker's lock is held.
-func (w *World) gangLeft(t *workerTask, cause string) string {
-	if t.spec == nil || t.spec.Shape != "ensemble" {
-		return cause
-	}
-	job, _, _ := strings.Cut(t.Task, "/")
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	g := w.gangs[fmt.Sprintf("%s#%d", job, t.Attempt)]
-	if g == nil {
-		return cause
-	}
-	delete(g.ready, t)
-	if g.ended && !g.done && cause == "done" {
-		return "mates_gone"
-	}
-	if !g.running || g.ended {
-		return cause
-	}
-	g.ended = true
-	delay, peerCause := w.gangPeerTimeout/2, "mates_gone"
-	if cause == "done" {
-		delay, peerCause, g.done = 0, "done", true
-		for i := range t.spec.Tasks {
-			w.checker.TaskDone(wire.TaskName(job, i), nil)
-		}
-	}
-	for o, k := range g.ready {
-		time.AfterFunc(delay, func() { k.exitFromTimer(o, peerCause, false) })
-	}
-	return cause
-}
-
-// request sends one user request and returns the response's status and body; the status is 0 if
-// there is no response.
-func (w *World) request(method, at, path string, body []byte, timeout time.Duration) (int, []byte) {
-	ctx, cancel := context.WithTimeout(w.ctx, timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil
-	}
-	req.Close = true
-	return Exchange(w.Net.Client("user"), req)
-}
-
-// nextNodeAddr returns the address of the next node in turn, as a load balancer would.
-func (w *World) nextNodeAddr() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.userRequests++
-	return w.Nodes[w.userRequests%len(w.Nodes)].addr
-}
-
-// PostJob submits a job's body once to one node and returns the response's status, 0 for none. The
-// checker is not informed.
-func (w *World) PostJob(i int, body any) int {
-	b, _ := wire.Marshal(body)
-	status, _ := w.request(http.MethodPost, w.Nodes[i].addr, wire.JobsPath, b, 5*time.Second)
-	return status
-}
-
-// Submit submits a job as a user does, with retries for 60 s, and reports whether it was accepted.
-func (w *World) Submit(s Spec) bool {
-	w.mu.Lock()
-	w.specs[s.ID] = &s
-	w.mu.Unlock()
-	b, _ := wire.Marshal(&s)
-	for end := time.Now().Add(60 * time.Second); time.Now().Before(end) && w.ctx.Err() == nil; {
-		status, _ := w.request(http.MethodPost, w.nextNodeAddr(), wire.JobsPath, b, 5*time.Second)
-		switch status {
-		case http.StatusOK, http.StatusCreated:
-			w.checker.JobAccepted(s.ID)
-			w.notifyUserState(s.ID)
-			return true
-		case http.StatusBadRequest, http.StatusUnprocessableEntity:
-			w.checker.JobRefused(s.ID, status)
-			return false
-		}
-		time.Sleep(time.Second)
-	}
-	return false
-}
-
-// Poll requests a job's state once from the next node, and returns the state that the user is told:
-// "" if there was no answer, "unknown" if there is no such job.
-func (w *World) Poll(id string) string { return w.pollAddr(w.nextNodeAddr(), id) }
-
-// PollAt is like Poll, but sends the request to a given node.
-func (w *World) PollAt(i int, id string) string { return w.pollAddr(w.Nodes[i].addr, id) }
-
-// pollAddr requests a job's state once from an address.
-func (w *World) pollAddr(at, id string) string {
-	before := w.checker.LastObserved(id)
-	status, b := w.request(http.MethodGet, at, wire.JobsPath+"/"+id, nil, 2*time.Second)
-	return w.noteAnswer(id, status, b, before)
-}
-
-// noteAnswer passes an answer about a job to the checker and returns the state that the user is
-// told, as Poll does. before is what had been observed when the request was sent.
-func (w *World) noteAnswer(id string, status int, body []byte, before ObservedState) string {
-	var s wire.JobState
-	switch {
-	case (status == http.StatusOK || status == http.StatusCreated) && wire.Unmarshal(body, &s) == nil:
-		w.checker.noteState(id, s.State, before)
-		return s.State
-	case status == http.StatusNotFound:
-		w.checker.noteState(id, "unknown", before)
-		return "unknown"
-	}
-	w.checker.noteUnanswered(id)
-	return ""
-}
-
-// Resubmit submits a job again to one node, with another body if one is given, and returns the
-// response's status and the state that the user is told.
-func (w *World) Resubmit(i int, id string, body any) (int, string) {
-	if body == nil {
-		body = w.spec(id)
-	}
-	before := w.checker.LastObserved(id)
-	b, _ := wire.Marshal(body)
-	status, answer := w.request(http.MethodPost, w.Nodes[i].addr, wire.JobsPath, b, 5*time.Second)
-	if before.accepted && (status == http.StatusBadRequest || status == http.StatusUnprocessableEntity) {
-		w.checker.JobRefused(id, status)
-	}
-	if status == http.StatusCreated && before.accepted {
-		w.checker.acceptedTwice(id)
-	}
-	return status, w.noteAnswer(id, status, answer, before)
-}
-
-// CancelAt sends one request to cancel a job to one node, and returns the state that the user is
-// told.
-func (w *World) CancelAt(i int, id string) string {
-	w.checker.CancelRequested(id)
-	before := w.checker.LastObserved(id)
-	status, b := w.request(http.MethodPost, w.Nodes[i].addr, wire.JobsPath+"/"+id+"/"+wire.CancelSuffix, nil, 5*time.Second)
-	return w.noteAnswer(id, status, b, before)
-}
-
-// SendReportCopy sends a copy of a worker's report to a node and returns the response's status. The
-// worker does not get the response.
-func (w *World) SendReportCopy(i int, body []byte) int {
-	status, _ := w.request(http.MethodPost, w.Nodes[i].addr, wire.ReportPath, body, 4*time.Second)
-	return status
-}
-
-// AwaitState polls until the job is in the state, and reports whether it was within the time.
-func (w *World) AwaitState(id, state string, within time.Duration) bool {
-	for end := time.Now().Add(within); time.Now().Before(end); {
-		switch w.Poll(id) {
-		case state:
-			return true
-		case "aborted":
-			return false // cancelled: the state is final
-		}
-		time.Sleep(time.Second)
-	}
-	return false
-}
-
-// Cancel cancels a job as a user does, with retries for 60 s, and returns its state, or "" if no
-// request was answered.
-func (w *World) Cancel(id string) string {
-	w.checker.CancelRequested(id)
-	before := w.checker.LastObserved(id)
-	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); {
-		status, b := w.request(http.MethodPost, w.nextNodeAddr(), wire.JobsPath+"/"+id+"/"+wire.CancelSuffix, nil, 5*time.Second)
-		if state := w.noteAnswer(id, status, b, before); state != "" && state != "unknown" {
-			return state
-		}
-		time.Sleep(time.Second)
-	}
-	return ""
-}
-
-// OnUserState sets a function that is called right after a user was told that a job is accepted,
-// done or cancelled. nil removes it.
-func (w *World) OnUserState(f func(id string)) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.onUserState = f
-}
-
-// OnLastTaskDone sets a function that is called when the last task of a job is done. nil removes
-// it.
-func (w *World) OnLastTaskDone(f func(id string)) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.onLastTaskDone = f
-}
-
-// notifyUserState calls the function that OnUserState set.
-func (w *World) notifyUserState(id string) {
-	w.mu.Lock()
-	f := w.onUserState
-	w.mu.Unlock()
-	if f != nil {
-		f(id)
-	}
-}
-
-// notifyLastTaskDone calls the function that OnLastTaskDone set.
-func (w *World) notifyLastTaskDone(id string) {
-	w.mu.Lock()
-	f := w.onLastTaskDone
-	w.mu.Unlock()
-	if f != nil {
-		f(id)
-	}
-}
-
 // ReportViolation records a violation that a test found.
 func (w *World) ReportViolation(format string, args ...any) {
 	w.checker.mu.Lock()
