--- a/internal/scale/operator.go
+++ b/internal/scale/operator.go
@@ -33,7 +33,7 @@
 func newOperator(r *Run, p *config.Platform) *operator {
 	const connections = 2
 	c := &configclient.Client{
-		Store: statestore.New(stateAddress(operatorIndex), 0, 0, connections, netdial.TCP(time.Second)),
+		Store: statestore.New(r.at.state(operatorIndex), 0, 0, connections, netdial.TCP(time.Second)),
 		Base:  config.ClusterConfigBase(p, config.DefaultSettings()), Limits: p.ConfigLimits(),
 	}
 	for _, k := range r.controllers {
--- a/internal/scale/processes.go
+++ b/internal/scale/processes.go
@@ -20,29 +20,6 @@
 	"aspenstall/internal/wait"
 )
 
-// Loopback addresses, in 127.0.0.0/8.
-const (
-	firstZoneOctet   = 10 // workers of the nth zone have addresses in 127.(10+n).0.0/16
-	workerPort       = 9000
-	workersPerSubnet = 250 // of 256 addresses in a /24
-)
-
-// workerAddress returns the address of the nth worker, in the zone with an index.
-func workerAddress(zone, n int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", firstZoneOctet+zone, n/workersPerSubnet, n%workersPerSubnet+1, workerPort)
-}
-
-// controllerAddress returns the address at which controller i serves users and workers. The functions
-// below return its address for other controllers, and those at which it reaches the state service and
-// the cloud.
-func controllerAddress(i int) string { return fmt.Sprintf("127.0.1.%d:8080", i+1) }
-func clusterAddress(i int) string    { return fmt.Sprintf("127.0.1.%d:8081", i+1) }
-func stateAddress(i int) string      { return fmt.Sprintf("127.0.2.%d:2379", i+1) }
-func cloudAddress(i int) string      { return fmt.Sprintf("127.0.2.%d:8443", i+1) }
-
-// peerAddress returns the address at which controller i reaches controller j over the network.
-func peerAddress(i, j int) string { return fmt.Sprintf("127.0.3.%d:8081", 16*i+j+1) }
-
 // childCommand returns a command whose process is killed when ctx ends or this process ends.
 func childCommand(ctx context.Context, log io.Writer, name string, args ...string) *exec.Cmd {
 	c := exec.CommandContext(ctx, name, args...)
@@ -54,6 +31,7 @@
 // controller is a controller process.
 type controller struct {
 	index        int
+	at           addresses
 	name         string
 	zone         string
 	binary       string
@@ -136,13 +114,13 @@
 func (c *controller) platformConfig(s *Settings, all []*controller, teams []Team) *config.Platform {
 	p := &config.Platform{}
 	p.Member, p.Zone = c.name, c.zone
-	p.Listen, p.ClusterListen = controllerAddress(c.index), clusterAddress(c.index)
+	p.Listen, p.ClusterListen = c.at.controller(c.index), c.at.cluster(c.index)
 	for _, o := range all {
 		if o != c {
-			p.Peers = append(p.Peers, config.Peer{Member: o.name, Zone: o.zone, Endpoint: peerAddress(c.index, o.index)})
+			p.Peers = append(p.Peers, config.Peer{Member: o.name, Zone: o.zone, Endpoint: c.at.peer(c.index, o.index)})
 		}
 	}
-	p.Services.State, p.Services.Cloud = stateAddress(c.index), cloudAddress(c.index)
+	p.Services.State, p.Services.Cloud = c.at.state(c.index), c.at.cloud(c.index)
 	q := &p.Params
 	q.Zones = s.Zones
 	for _, t := range teams {
--- a/internal/scale/questions.go
+++ b/internal/scale/questions.go
@@ -39,9 +39,6 @@
 	stormServiceTasks = 1
 )
 
-// nomadAddress returns the address at which controller i serves Nomad's clients.
-func nomadAddress(i int) string { return fmt.Sprintf("127.0.1.%d:4646", i+1) }
-
 // StormResult counts the answers to the question storm.
 type StormResult struct {
 	Answered   int `json:"answered"`
@@ -94,7 +91,7 @@
 		return "", err
 	}
 	hash := httpapi.HashToken(key, q.token)
-	return fmt.Sprintf(`:nomad {:listen %q :token-key-file %q :tokens {%q [%q]}}`, nomadAddress(i), stormKeyFile, stormTeam, hex.EncodeToString(hash[:])), nil
+	return fmt.Sprintf(`:nomad {:listen %q :token-key-file %q :tokens {%q [%q]}}`, q.run.at.nomad(i), stormKeyFile, stormTeam, hex.EncodeToString(hash[:])), nil
 }
 
 // prepare has the team use up its maximum, and registers the job file's versions.
@@ -174,7 +171,7 @@
 	if leader < 0 {
 		return 0
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+nomadAddress(leader)+path, strings.NewReader(string(body)))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+q.run.at.nomad(leader)+path, strings.NewReader(string(body)))
 	if err != nil {
 		return 0
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -33,6 +33,7 @@
 	timeline   timeline
 	progress   io.Writer // progress log
 	processLog *os.File  // standard error of the processes
+	at         addresses // set when the run is executed
 
 	controllers []*controller
 	hosts       []*hostProcess
@@ -123,6 +124,11 @@
 	}
 	defer r.processLog.Close()
 	defer r.closeListeners()
+	at, reservation, err := reserveAddresses()
+	if err != nil {
+		return nil, err
+	}
+	r.at, r.listeners = at, append(r.listeners, reservation)
 	if err := r.startServices(programs, dir); err != nil {
 		return nil, err
 	}
@@ -172,7 +178,7 @@
 	s := &r.settings
 	for i := range s.Controllers {
 		r.controllers = append(r.controllers, &controller{
-			index: i, name: fmt.Sprintf("controller-%d", i), zone: s.Zones[i%len(s.Zones)], binary: programs.forController(i, s.Controllers), logFile: r.processLog, processes: &r.processes,
+			index: i, at: r.at, name: fmt.Sprintf("controller-%d", i), zone: s.Zones[i%len(s.Zones)], binary: programs.forController(i, s.Controllers), logFile: r.processLog, processes: &r.processes,
 		})
 	}
 	r.cloud = simulator.NewCloud([]simulator.MachineType{r.newMachineType()}, s.Workers, r.workerAddress, r.startWorker)
@@ -199,35 +205,32 @@
 			return err
 		}
 		zone := func() string { return c.zone }
-		if err := r.listen(stateAddress(c.index), zone, r.messages.middleware("state", r.state), &r.traffic.state); err != nil {
+		if err := r.listen(r.at.state(c.index), zone, r.messages.middleware("state", r.state), &r.traffic.state); err != nil {
 			return err
 		}
-		if err := r.listen(cloudAddress(c.index), zone, r.messages.middleware("cloud", r.cloud), &r.traffic.cloud); err != nil {
+		if err := r.listen(r.at.cloud(c.index), zone, r.messages.middleware("cloud", r.cloud), &r.traffic.cloud); err != nil {
 			return err
 		}
 		for _, o := range r.controllers {
 			if o == c {
 				continue
 			}
-			in, err := r.network.Listen(peerAddress(c.index, o.index), c.zone, zone, &TrafficCounter{})
+			in, err := r.network.Listen(r.at.peer(c.index, o.index), c.zone, zone, &TrafficCounter{})
 			if err != nil {
 				return err
 			}
 			r.listeners = append(r.listeners, in)
-			go r.network.Forward(in, c.zone, o.zone, clusterAddress(o.index), &r.traffic.peers)
+			go r.network.Forward(in, c.zone, o.zone, r.at.cluster(o.index), &r.traffic.peers)
 		}
 	}
 	r.operator = newOperator(r, r.controllers[0].platformConfig(s, r.controllers, r.teams))
 	regional := func() string { return "" }
-	if err := r.listen(stateAddress(operatorIndex), regional, r.messages.middleware("operator", r.state), &TrafficCounter{}); err != nil {
+	if err := r.listen(r.at.state(operatorIndex), regional, r.messages.middleware("operator", r.state), &TrafficCounter{}); err != nil {
 		return err
 	}
-	return r.listen(descriptionsAddress, regional, r.users, &TrafficCounter{})
+	return r.listen(r.at.descriptions(), regional, r.users, &TrafficCounter{})
 }
 
-// descriptionsAddress is the address of the server of job descriptions.
-const descriptionsAddress = "127.0.2.100:8000"
-
 // listen serves a handler that has no zone, to clients in remoteZone.
 func (r *Run) listen(address string, remoteZone func() string, h http.Handler, t *TrafficCounter) error {
 	l, err := r.network.Listen(address, "", remoteZone, t)
@@ -251,18 +254,18 @@
 func (r *Run) workerAddress(n int, zone string) string {
 	for i, z := range r.settings.Zones {
 		if z == zone {
-			return workerAddress(i, n)
+			return r.at.worker(i, n)
 		}
 	}
-	return workerAddress(0, n)
+	return r.at.worker(0, n)
 }
 
 // startProcesses starts the controllers and the worker hosts.
 func (r *Run) startProcesses(ctx context.Context) error {
 	s := &r.settings
-	cfg := HostConfig{Settings: *s, Descriptions: descriptionsAddress, Type: r.newMachineType()}
+	cfg := HostConfig{Settings: *s, Descriptions: r.at.descriptions(), Type: r.newMachineType()}
 	for _, c := range r.controllers {
-		cfg.Controllers = append(cfg.Controllers, ControllerInfo{Name: c.name, Zone: c.zone, Address: controllerAddress(c.index)})
+		cfg.Controllers = append(cfg.Controllers, ControllerInfo{Name: c.name, Zone: c.zone, Address: r.at.controller(c.index)})
 		if err := c.start(ctx); err != nil {
 			return err
 		}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -33,8 +33,8 @@
 	os.Exit(m.Run())
 }
 
-// TestSmoke runs built controllers with a few workers for some seconds. Its assertions do not
-// depend on the speed of the machine.
+// TestSmoke runs built controllers with a few workers for some seconds, beside the addresses of another
+// run. Its assertions do not depend on the speed of the machine.
 func TestSmoke(t *testing.T) {
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "aspenstall")
@@ -47,7 +47,13 @@
 	if err := s.check(); err != nil {
 		t.Fatal(err)
 	}
-	res, err := New(s, io.Discard).Execute(t.Context(), Programs{Binary: binary}, dir)
+	_, otherRun, err := reserveAddresses()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer otherRun.Close()
+	run := New(s, io.Discard)
+	res, err := run.Execute(t.Context(), Programs{Binary: binary}, dir)
 	if err != nil {
 		log, _ := os.ReadFile(filepath.Join(dir, "processes.log"))
 		t.Fatalf("%v\n%s", err, log)
@@ -65,13 +71,38 @@
 	if reread, err := ReadResult(path); err != nil || reread.Workers != res.Workers {
 		t.Errorf("result read back: %v, %v", reread, err)
 	}
-	if l, err := net.Listen("tcp", controllerAddress(0)); err != nil {
+	if l, err := net.Listen("tcp", run.at.controller(0)); err != nil {
 		t.Errorf("a controller is still running: %v", err)
 	} else {
 		_ = l.Close()
 	}
 }
 
+// TestRunsAtOnce checks that runs at the same time have different addresses, and that one more than
+// possible is refused.
+func TestRunsAtOnce(t *testing.T) {
+	used := map[string]bool{}
+	for {
+		at, reservation, err := reserveAddresses()
+		if err != nil {
+			break
+		}
+		defer reservation.Close()
+		for _, address := range []string{at.controller(0), at.cluster(0), at.nomad(0), at.state(0), at.cloud(0), at.peer(0, 1), at.descriptions(), at.worker(11, 19_999)} {
+			if _, err := net.ResolveTCPAddr("tcp", address); err != nil || used[address] {
+				t.Errorf("address %s is used %v, %v", address, used[address], err)
+			}
+			used[address] = true
+		}
+		if len(used) > 8*maxRunsAtOnce {
+			t.Fatal("more runs at once than possible")
+		}
+	}
+	if len(used) == 0 {
+		t.Error("no addresses are free")
+	}
+}
+
 // TestSettings checks the validation of settings, and loads the settings files under deploy/.
 func TestSettings(t *testing.T) {
 	for _, c := range []struct{ name, text, want string }{
--- a/internal/scale/watch.go
+++ b/internal/scale/watch.go
@@ -36,10 +36,10 @@
 		for wait.For(ctx, healthProbeInterval/2) {
 			var healthy []string
 			for _, c := range r.controllers {
-				if resp, err := client.Get("http://" + controllerAddress(c.index) + wire.HealthPath); err == nil {
+				if resp, err := client.Get("http://" + c.at.controller(c.index) + wire.HealthPath); err == nil {
 					_ = resp.Body.Close()
 					if resp.StatusCode == http.StatusOK {
-						healthy = append(healthy, controllerAddress(c.index))
+						healthy = append(healthy, c.at.controller(c.index))
 					}
 				}
 			}
