Chains: jobs wait for others, and are cancelled with them

Change: internal/jobgraph follows who waits for whom. Every node works it out from the records: the core is given a job once all that it names is recorded as done, and a job counts as cancelled once something that it needs is; the leader writes that into its record. A name that was never accepted is 422 after a read begun since.

Evidence: TestChains plays chains, a diamond, a gang, a service behind it and cancellations under five kinds of faults with the checker's new rules (too_early, orphaned); TestUnknownDependencies; each of four guards was seen failing when taken out. ./test.sh passes. Not built: order by the last job's deadline and priority.

--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -124,7 +124,7 @@
 	provisioning := d.c.provisioningTime(&j.spec)
 	for _, objective := range j.class.startObjectives {
 		if objective > provisioning {
-			if d.now+wait+5*Second+provisioning > j.submitted+objective {
+			if d.now+wait+5*Second+provisioning > j.readyAt+objective {
 				return false
 			}
 			break
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -21,6 +21,7 @@
 	deadline     Micros // monotonic clock; 0: none
 	rank         int    // 0: can meet its deadline or has none; higher ranks come later; see rankJobs
 	submitted    Micros // monotonic clock
+	readyAt      Micros // monotonic clock: from when on its tasks could start
 	lastPlacedAt Micros // when a task was last placed
 	starving     bool   // see updateStarving
 
@@ -70,7 +71,7 @@
 // monotonic clock.
 func newJob(rec JobRecord, submitted Micros) *job {
 	j := &job{
-		spec: rec.Spec, record: rec, submitted: submitted, typesKey: strings.Join(rec.Spec.Types, " "),
+		spec: rec.Spec, record: rec, submitted: submitted, readyAt: submitted + rec.ReadyAt() - rec.SubmittedAt, typesKey: strings.Join(rec.Spec.Types, " "),
 		status:         make([]taskStatus, rec.Spec.Tasks),
 		live:           map[int]*placement{},
 		placedByZone:   map[string]int{},
--- a/internal/core/job_stats.go
+++ b/internal/core/job_stats.go
@@ -27,6 +27,14 @@
 // largestDivisor defines the largest jobs of a class: one in largestDivisor, by number of tasks.
 const largestDivisor = 8
 
+// readyFor returns how long a job's tasks could have started; 0 while it waits for other jobs.
+func (r *JobRecord) readyFor(wall Micros) Micros {
+	if r.Spec.Chain != nil && r.Spec.Chain.ReadyAt == 0 {
+		return 0
+	}
+	return wall - r.ReadyAt()
+}
+
 // largestStats counts the largest of the jobs, which it sorts by number of tasks.
 func largestStats(jobs []JobRecord, wall Micros, started func(id string) bool) LargestStats {
 	slices.SortStableFunc(jobs, func(a, b JobRecord) int { return cmp.Compare(b.Spec.Tasks, a.Spec.Tasks) })
@@ -41,7 +49,7 @@
 		case started(r.Spec.ID):
 			s.Started++
 		default:
-			s.LongestWait = max(s.LongestWait, wall-r.SubmittedAt)
+			s.LongestWait = max(s.LongestWait, r.readyFor(wall))
 		}
 		s.Jobs++
 	}
@@ -73,7 +81,7 @@
 			t.Started++
 		default:
 			t.Waiting++
-			t.LongestWait = max(t.LongestWait, wall-r.SubmittedAt)
+			t.LongestWait = max(t.LongestWait, r.readyFor(wall))
 		}
 	}
 	out := make([]JobStats, 0, len(stats))
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -35,7 +35,7 @@
 	// running. A job therefore counts as starving no earlier than a third of the timeout into
 	// the term.
 	earliest := c.termBeganAt - starvationTimeout*2/3
-	j.starving = j.occupying == 0 && now-max(j.submitted, j.lastPlacedAt, earliest) >= starvationTimeout
+	j.starving = j.occupying == 0 && now-max(j.readyAt, j.lastPlacedAt, earliest) >= starvationTimeout
 }
 
 // schedule runs one placement pass: it places waiting tasks in the order of the queue.
@@ -109,9 +109,9 @@
 // long that one of its tasks has to be placed ahead of the queue.
 func (j *job) startOverdue(now Micros) bool {
 	if j.spec.Tasks >= smallArrayTasks {
-		return j.spec.Tasks >= j.class.largeSize && now-j.submitted >= maxStartWait
+		return j.spec.Tasks >= j.class.largeSize && now-j.readyAt >= maxStartWait
 	}
-	return j.spec.Tasks >= j.class.largeSize && j.spec.Tasks > j.class.medianSize && now-j.submitted >= maxStartWaitSmall
+	return j.spec.Tasks >= j.class.largeSize && j.spec.Tasks > j.class.medianSize && now-j.readyAt >= maxStartWaitSmall
 }
 
 // startOverdueArrays places one task of each array that is overdue to start and has the priority
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -242,7 +242,7 @@
 		if j := p.job; j != nil && !j.allStarted && j.running+j.done == len(j.status) {
 			j.allStarted = true
 			c.actions = append(c.actions, LogEntry{Message: "all tasks started", Debug: true, Args: []any{
-				"job", j.spec.ID, "class", j.spec.Class, "team", j.spec.Team, "tasks", len(j.status), "after_ms", (now - j.submitted) / Millisecond}})
+				"job", j.spec.ID, "class", j.spec.Class, "team", j.spec.Team, "tasks", len(j.status), "after_ms", (now - j.readyAt) / Millisecond}})
 		}
 		return
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -126,6 +126,33 @@
 	CheckpointInterval Micros // 0: tasks do not write checkpoints
 	CheckpointCost     Micros // time that writing a checkpoint takes
 	Deadline           Micros // relative to the submission; 0: no deadline
+	Chain              *Chain // nil: the job waits for no others
+}
+
+// Chain is what a job waits for.
+type Chain struct {
+	// Dependencies are the jobs that have to be done before a task of this one starts. The core is given
+	// a job once they are.
+	Dependencies []string
+	// ReadyAt is when the last of them was done, on the wall clock; 0 before. It is not stored, but
+	// follows from their records.
+	ReadyAt Micros
+}
+
+// Dependencies returns the jobs that have to be done before a task of this one starts.
+func (s *JobSpec) Dependencies() []string {
+	if s.Chain == nil {
+		return nil
+	}
+	return s.Chain.Dependencies
+}
+
+// ReadyAt returns the wall-clock time from which a job's tasks could start.
+func (r *JobRecord) ReadyAt() Micros {
+	if r.Spec.Chain == nil {
+		return r.SubmittedAt
+	}
+	return max(r.SubmittedAt, r.Spec.Chain.ReadyAt)
 }
 
 // Limits of a job submission, independent of its format.
@@ -134,6 +161,7 @@
 	MaxTaskResource = 1e6 // units of a resource per task
 	MaxSeconds      = 1e8
 	MaxNameBytes    = 200
+	MaxDependencies = 64
 )
 
 // MilliUnits converts a requested amount to thousandths of a unit. It rounds up, so that a request
@@ -167,7 +195,7 @@
 	if r.AcceptedRevision == 0 {
 		r.AcceptedRevision = r.Revision
 	}
-	r.Phase, r.EndedAt = p, wall
+	r.Phase, r.EndedAt, r.Spec.Chain = p, wall, nil
 	return r
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,7 @@
 	readWaiters     []func(ok bool)
 
 	clusterConfig clusterConfig
+	chains        chains
 
 	catalog  []core.MachineType
 	nomad    *nomadState // nil if job files are not served
@@ -249,6 +250,7 @@
 			n.updateHealth()
 			n.resignIfUninformed()
 			n.acknowledgeConfig()
+			n.recordOrphans()
 			if time.Since(lastStats) >= jobStatsInterval {
 				lastStats = time.Now()
 				n.logJobStats()
--- a/internal/node/notify.go
+++ b/internal/node/notify.go
@@ -232,6 +232,9 @@
 		}
 	}
 	add(notify.Accepted, cmp.Or(rec.AcceptedRevision, rec.Revision), rec.SubmittedAt)
+	if !endRecorded(rec) {
+		return out // its own record comes
+	}
 	switch rec.Phase {
 	case core.Done:
 		add(notify.Done, rec.Revision, rec.EndedAt)
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -94,6 +94,8 @@
 		reply(httpapi.Unavailable())
 	case !n.clusterConfig.follower.Current():
 		n.lookup(id, reply, refuseWith(http.StatusServiceUnavailable))
+	case n.unknownDependency(spec):
+		n.refuseUnknownDependency(spec, receivedAt, reply)
 	case n.infeasibleReason(spec) != "":
 		n.lookup(id, reply, func() { n.refuseOrCreate(spec, receivedAt, reply) })
 	default:
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -210,7 +210,7 @@
 				t.begunAt = n.now()
 				jobs := make([]core.JobRecord, 0, len(n.view.jobs))
 				for _, r := range n.view.jobs {
-					if r.Phase != core.Done {
+					if r.Phase != core.Done && !n.chains.graph.Waits(r.Spec.ID) {
 						jobs = append(jobs, r)
 					}
 				}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -168,12 +168,19 @@
 	if old, ok := n.view.jobs[id]; ok && old.Revision >= rec.Revision {
 		return
 	}
-	n.core.HandleJob(n.now(), wallClock(), rec)
+	if rec.Phase != core.Pending {
+		delete(n.chains.unrecorded, id)
+	}
+	rec, forCore := n.admitToView(rec)
+	if forCore {
+		n.core.HandleJob(n.now(), wallClock(), rec)
+	}
 	n.view.jobs[id] = rec
 	if rec.Phase != core.Pending {
 		delete(n.leaderCounts, id)
+		n.settleDependents(rec)
 	}
-	if rec.Phase == core.Cancelled {
+	if rec.Phase == core.Cancelled && endRecorded(&rec) {
 		n.cancellations.add(peer.Cancellation{Job: id, Revision: rec.Revision, At: int64(rec.EndedAt)})
 	}
 }
--- a/internal/simulator/late_test.go
+++ b/internal/simulator/late_test.go
@@ -84,7 +84,7 @@
 }
 
 // meetLateTransactions has a submission meet its repetition, a cancellation the end of its job, and the
-// other way round, and has the leader's writes about notifications held up, so that it raises its token.
+// other way round, has the record of a job that is cancelled with another one held up, and the leader's writes about notifications held up, so that it raises its token.
 func meetLateTransactions(w *simulator.World, round int) {
 	const settle = 20 * time.Second
 	first := 1000*(round+1) + 10
@@ -105,6 +105,14 @@
 	holdUp(w, doneLate.ID, func() { time.Sleep(2 * time.Second) })
 	w.Cancel(doneLate.ID)
 	w.OnLastTaskDone(nil)
+	parent := array(first+4, 1, 300)
+	child := after(array(first+5, 1, 1), parent)
+	w.Submit(parent)
+	w.Submit(child)
+	holdUp(w, child.ID, func() {
+		w.Cancel(parent.ID)
+		time.Sleep(2 * time.Second)
+	})
 	time.Sleep(settle)
 	holdUp(w, "o/marks", func() {
 		w.Submit(array(first+3, 1, 1))
--- a/internal/simulator/liveness.go
+++ b/internal/simulator/liveness.go
@@ -117,6 +117,10 @@
 	sort.Strings(ids)
 	for _, id := range ids {
 		s := specs[id]
+		if s != nil && c.waitsForOthers(s, specs) {
+			delete(c.waitingSince, id)
+			continue
+		}
 		if s == nil || s.Broken || c.finalStates[id] != "" || placed[id]+len(c.doneTasks[id]) >= s.Tasks || !c.couldStart(s, placed[id], zones[id], machines) {
 			delete(c.waitingSince, id)
 			continue
@@ -131,6 +135,16 @@
 	}
 }
 
+// waitsForOthers reports whether a job that the job depends on is not done; c.mu is held.
+func (c *worldChecker) waitsForOthers(s *Spec, specs map[string]*Spec) bool {
+	for _, id := range s.Awaits {
+		if dependency := specs[id]; dependency != nil && len(c.doneTasks[id]) < dependency.Tasks {
+			return true
+		}
+	}
+	return false
+}
+
 // couldStart reports whether one more task of a job could start, or all tasks of a gang, within the
 // team's limit. placed and zones count the job's tasks on machines, in all and by zone.
 func (c *worldChecker) couldStart(s *Spec, placed int, zones map[string]int, machines []*freeMachine) bool {
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -43,6 +43,8 @@
 	SaveS       float64 `msgpack:"pin_cost_s"`
 	DueS        any     `msgpack:"due_s"`
 
+	Awaits []string `msgpack:"awaits,omitempty"` // the jobs that have to be done before
+
 	RunS   float64         `msgpack:"-"` // the real run time of a task
 	RunOf  map[int]float64 `msgpack:"-"` // run times by task index, in place of RunS
 	Broken bool            `msgpack:"-"` // its tasks fail on every machine
--- a/internal/txn/infos.go
+++ b/internal/txn/infos.go
@@ -6,7 +6,7 @@
 		Name: "submission", Guard: Revisions,
 		Late:     "the job is accepted after all: records of jobs are never deleted, so its absence holds once at most",
 		Tests:    []string{"TestWriteResponseLost", "TestReadsAfterConfirmation"},
-		Changers: []Kind{Submission, Cancellation, Completion},
+		Changers: []Kind{Submission, Cancellation, OrphanCancellation, Completion},
 	},
 	Cancellation: {
 		Name: "cancellation", Guard: Revisions,
@@ -14,6 +14,11 @@
 		Tests:    []string{"TestCancellationDuringTakeover"},
 		Changers: []Kind{Completion},
 	},
+	OrphanCancellation: {
+		Name: "orphan cancellation", Guard: Revisions,
+		Late:  "the job is cancelled, which every node says already, or its user cancelled it",
+		Tests: []string{"TestChains"},
+	},
 	Completion: {
 		Name: "completion", Guard: Revisions,
 		Late:     "the job is done, which is true, or it is cancelled and stays so",
--- a/internal/txn/kind.go
+++ b/internal/txn/kind.go
@@ -14,6 +14,7 @@
 	Unlisted               Kind = iota
 	Submission                  // the record of a new job
 	Cancellation                // a job's record, cancelled by a user
+	OrphanCancellation          // a job's record, cancelled with a job that it depends on
 	Completion                  // a job's record, done
 	JobStarted                  // that tasks of a job may have been started
 	CompletedTasks              // the completed tasks of a job
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -41,6 +41,7 @@
 	Deadline           int64    `msgpack:"du,omitempty"`
 	AcceptedRevision   uint64   `msgpack:"b,omitempty"`
 	EndedAt            int64    `msgpack:"e,omitempty"`
+	Dependencies       []string `msgpack:"w,omitempty"` // of a pending job
 }
 
 // EncodeJob encodes a job record, without the job's id, which is in the key.
@@ -52,7 +53,7 @@
 		CPU: s.Resources.CPU, GPU: s.Resources.GPU, Mem: s.Resources.Mem, Types: s.Types, Zone: s.Zone,
 		OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, Image: s.Image, ImageMB: s.ImageMB,
 		EstimatedRun: int64(s.EstimatedRun), CheckpointInterval: int64(s.CheckpointInterval), CheckpointCost: int64(s.CheckpointCost), Deadline: int64(s.Deadline),
-		AcceptedRevision: r.AcceptedRevision, EndedAt: int64(r.EndedAt),
+		AcceptedRevision: r.AcceptedRevision, EndedAt: int64(r.EndedAt), Dependencies: s.Dependencies(),
 	}
 	return Marshal(&w)
 }
@@ -68,6 +69,10 @@
 	if err := Unmarshal(b, &w); err != nil {
 		return core.JobRecord{}, fmt.Errorf("job %s: %w", id, err)
 	}
+	var chain *core.Chain
+	if len(w.Dependencies) > 0 {
+		chain = &core.Chain{Dependencies: w.Dependencies}
+	}
 	return core.JobRecord{
 		Phase: core.Phase(w.Phase), SubmittedAt: core.Micros(w.SubmittedAt), Revision: revision, AcceptedRevision: w.AcceptedRevision, EndedAt: core.Micros(w.EndedAt),
 		Spec: core.JobSpec{
@@ -75,6 +80,7 @@
 			Tasks: w.Tasks, Resources: core.Resources{CPU: w.CPU, GPU: w.GPU, Mem: w.Mem}, Types: w.Types, Zone: intern(w.Zone),
 			OneZone: w.OneZone, Spread: w.Spread, Spot: w.Spot, Image: intern(w.Image), ImageMB: w.ImageMB,
 			EstimatedRun: core.Micros(w.EstimatedRun), CheckpointInterval: core.Micros(w.CheckpointInterval), CheckpointCost: core.Micros(w.CheckpointCost), Deadline: core.Micros(w.Deadline),
+			Chain: chain,
 		},
 	}, nil
 }
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -127,6 +128,33 @@
 	return v
 }
 
+// readDependencies reads a list of other jobs' ids, each once, for the job with an id. A missing field
+// or null is an empty list.
+func (f *fieldReader) readDependencies(name, id string) []string {
+	if f.values[name] == nil {
+		return nil
+	}
+	list, ok := f.values[name].([]any)
+	if !ok || len(list) > core.MaxDependencies {
+		f.fail(name, fmt.Sprintf("want a list of at most %d job ids", core.MaxDependencies))
+		return nil
+	}
+	var out []string
+	for _, v := range list {
+		other, _ := v.(string)
+		switch {
+		case !ValidID(other):
+			f.fail(name, "not a job id")
+		case other == id:
+			f.fail(name, "a job can't wait for itself")
+		case slices.Contains(out, other):
+			f.fail(name, "a job is named twice")
+		}
+		out = append(out, other)
+	}
+	return out
+}
+
 // SubmissionID returns only the job id of a submission, so that a retry of an accepted job is
 // answered even if the rest of the submission is invalid. It returns "" if there is no valid id.
 func SubmissionID(b []byte) string {
@@ -192,6 +220,9 @@
 	s.EstimatedRun = core.Seconds(f.readNumber("expect_s", 0, core.MaxSeconds))
 	s.CheckpointInterval = core.Seconds(f.readNumber("pin_every_s", 0, core.MaxSeconds))
 	s.CheckpointCost = core.Seconds(f.readNumber("pin_cost_s", 0, core.MaxSeconds))
+	if dependencies := f.readDependencies("awaits", s.ID); len(dependencies) > 0 {
+		s.Chain = &core.Chain{Dependencies: dependencies}
+	}
 	if m["due_s"] != nil {
 		s.Deadline = core.Seconds(f.readNumber("due_s", 0, core.MaxSeconds))
 	}
