--- a/internal/jobgraph/graph.go
+++ b/internal/jobgraph/graph.go
@@ -5,6 +5,8 @@
 // Records may be read in any order, though: a dependency that is not known yet is waited for.
 package jobgraph
 
+import "slices"
+
 // State is the state of a job as far as its dependents are concerned.
 type State uint8
 
@@ -64,6 +66,11 @@
 // Waits reports whether a job waits for others.
 func (g *Graph) Waits(id string) bool { return g.missing[id] > 0 }
 
+// Dependents returns the jobs that wait for a job.
+func (g *Graph) Dependents(id string) []string {
+	return slices.DeleteFunc(slices.Clone(g.dependents[id]), func(dependent string) bool { return !g.Waits(dependent) })
+}
+
 // Size returns the number of jobs that wait.
 func (g *Graph) Size() int { return len(g.missing) }
 
--- a/internal/node/chains.go
+++ b/internal/node/chains.go
@@ -17,6 +17,7 @@
 	// unrecorded holds jobs that are cancelled because a job that they depend on is, and whose records do
 	// not say so yet. The leader writes them; a value is the term in which a write is under way, or nil.
 	unrecorded map[string]*term
+	urgency    map[string]core.Urgency // of pending jobs that others wait for, if it is not their own
 }
 
 // maxOrphanWrites limits the records of orphaned jobs that the leader writes at a time.
@@ -42,7 +43,7 @@
 	}
 	switch n.chains.graph.Add(rec.Spec.ID, rec.Spec.Dependencies(), n.dependencyState) {
 	case jobgraph.Waiting:
-		return rec, false
+		return rec, false // its urgency counts once it is in the view: see applyJob
 	case jobgraph.Orphaned:
 		return n.orphan(rec), true
 	}
@@ -82,10 +83,16 @@
 			ready := n.markReady(n.view.jobs[id])
 			n.view.jobs[id] = ready
 			n.core.HandleJob(n.now(), wallClock(), ready)
+			if u, ok := n.chains.urgency[id]; ok {
+				n.core.SetUrgency(n.now(), id, u)
+			}
 		}
 	case core.Cancelled:
 		for _, id := range n.chains.graph.Cancel(rec.Spec.ID) {
-			n.view.jobs[id] = n.orphan(n.view.jobs[id])
+			orphan := n.view.jobs[id]
+			n.view.jobs[id] = n.orphan(orphan)
+			delete(n.chains.urgency, id)
+			n.updateUrgency(orphan.Spec.Dependencies())
 			n.log.Info("cancelled with a job that it depends on", "job", id, "cancelled", rec.Spec.ID)
 		}
 	}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -215,6 +215,7 @@
 					}
 				}
 				n.core.BeginTerm(n.now(), wallClock(), t.token, jobs, snap)
+				n.restoreUrgency()
 			})
 			go n.pollCloud(ctx, t)
 			if n.notifier != nil {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -165,21 +165,27 @@
 // applyJob applies a job's record that this node has read or written.
 func (n *Node) applyJob(rec core.JobRecord) {
 	id := rec.Spec.ID
-	if old, ok := n.view.jobs[id]; ok && old.Revision >= rec.Revision {
+	old, known := n.view.jobs[id]
+	if known && old.Revision >= rec.Revision {
 		return
 	}
 	if rec.Phase != core.Pending {
 		delete(n.chains.unrecorded, id)
 	}
+	dependencies := old.Spec.Dependencies()
 	rec, forCore := n.admitToView(rec)
 	if forCore {
 		n.core.HandleJob(n.now(), wallClock(), rec)
 	}
 	n.view.jobs[id] = rec
-	if rec.Phase != core.Pending {
+	if rec.Phase == core.Pending {
+		dependencies = append([]string{id}, rec.Spec.Dependencies()...) // others may wait for it already
+	} else {
 		delete(n.leaderCounts, id)
+		delete(n.chains.urgency, id)
 		n.settleDependents(rec)
 	}
+	n.updateUrgency(dependencies)
 	if rec.Phase == core.Cancelled && endRecorded(&rec) {
 		n.cancellations.add(peer.Cancellation{Job: id, Revision: rec.Revision, At: int64(rec.EndedAt)})
 	}
