--- a/internal/jobgraph/graph.go
+++ b/internal/jobgraph/graph.go
@@ -66,6 +66,9 @@
 // Waits reports whether a job waits for others.
 func (g *Graph) Waits(id string) bool { return g.missing[id] > 0 }
 
+// HasDependents reports whether jobs wait for a job, or did so.
+func (g *Graph) HasDependents(id string) bool { return len(g.dependents[id]) > 0 }
+
 // Dependents returns the jobs that wait for a job.
 func (g *Graph) Dependents(id string) []string {
 	return slices.DeleteFunc(slices.Clone(g.dependents[id]), func(dependent string) bool { return !g.Waits(dependent) })
--- a/internal/node/chains.go
+++ b/internal/node/chains.go
@@ -92,7 +92,7 @@
 			orphan := n.view.jobs[id]
 			n.view.jobs[id] = n.orphan(orphan)
 			delete(n.chains.urgency, id)
-			n.updateUrgency(orphan.Spec.Dependencies())
+			n.updateUrgency(orphan.Spec.Dependencies(), n.urgencyOf)
 			n.log.Info("cancelled with a job that it depends on", "job", id, "cancelled", rec.Spec.ID)
 		}
 	}
--- a/internal/node/notify_test.go
+++ b/internal/node/notify_test.go
@@ -28,7 +28,8 @@
 		{done, 10, "done@20 at 99"},
 		{done, 20, ""},
 		{cancelled, 12, "cancelled@15 at 77"},
-		{done.Final(core.Done, 99), 10, "done@20 at 99"}, // the revision of its submission is kept
+		{pending.Final(core.Cancelled, 77), 9, "accepted@10 at 5"}, // with another job: its own record comes
+		{done.Final(core.Done, 99), 10, "done@20 at 99"},           // the revision of its submission is kept
 	} {
 		var got []string
 		for _, e := range jobEvents(&c.rec, c.after) {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -172,20 +172,19 @@
 	if rec.Phase != core.Pending {
 		delete(n.chains.unrecorded, id)
 	}
-	dependencies := old.Spec.Dependencies()
 	rec, forCore := n.admitToView(rec)
 	if forCore {
 		n.core.HandleJob(n.now(), wallClock(), rec)
 	}
 	n.view.jobs[id] = rec
 	if rec.Phase == core.Pending {
-		dependencies = append([]string{id}, rec.Spec.Dependencies()...) // others may wait for it already
+		n.addUrgency(&rec)
 	} else {
 		delete(n.leaderCounts, id)
 		delete(n.chains.urgency, id)
 		n.settleDependents(rec)
+		n.updateUrgency(old.Spec.Dependencies(), n.urgencyOf)
 	}
-	n.updateUrgency(dependencies)
 	if rec.Phase == core.Cancelled && endRecorded(&rec) {
 		n.cancellations.add(peer.Cancellation{Job: id, Revision: rec.Revision, At: int64(rec.EndedAt)})
 	}
--- a/internal/simulator/chains_test.go
+++ b/internal/simulator/chains_test.go
@@ -1,8 +1,11 @@
 package simulator_test
 
 import (
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -121,6 +124,62 @@
 	})
 }
 
+// chainRuns is the number of random scenarios of TestRandomChains.
+var chainRuns = flag.Int("chains", 3, "the number of random scenarios with chains of jobs")
+
+// TestRandomChains runs random scenarios, by seed, in which two or three faults begin in the same half
+// minute while users submit random chains of jobs and cancel some. The long form, outside CI:
+//
+//	go test ./internal/simulator -run TestRandomChains -chains 500
+func TestRandomChains(t *testing.T) {
+	kinds := slices.Concat(combinationFaults, raceFaults, partitionFaults)
+	for seed := range *chainRuns {
+		random := rand.New(rand.NewPCG(uint64(seed), 35))
+		var faults []faultKind
+		for _, k := range random.Perm(len(kinds))[:2+random.IntN(2)] {
+			faults = append(faults, kinds[k])
+		}
+		sc := randomScenario(random, seed, uint64(8000+seed), faults, 40, 70)
+		t.Run(sc.name, func(t *testing.T) { runScenario(t, sc, platform(), machineTypes, randomChains) })
+	}
+}
+
+// randomChains submits random chains of jobs. Each job waits for one or two earlier ones of its chain; a
+// job of every third chain is cancelled at a random time.
+func randomChains(_ *testing.T, u *users) {
+	for chain := range 8 {
+		jobs := make([]simulator.Spec, 2+u.random.IntN(5))
+		for n := range jobs {
+			id := 1000 + 10*chain + n
+			jobs[n] = array(id, 1+u.random.IntN(4), 2+12*u.random.Float64())
+			if u.random.IntN(5) == 0 {
+				jobs[n] = gang(id, 2, 2+8*u.random.Float64())
+			}
+			if n > 0 {
+				jobs[n] = after(jobs[n], jobs[n-1])
+			}
+			if n > 1 && u.random.IntN(2) == 0 {
+				jobs[n] = after(jobs[n], jobs[u.random.IntN(n-1)])
+			}
+		}
+		cancelled, cancelAfter := -1, time.Duration(u.random.IntN(40))*time.Second
+		if chain%3 == 0 {
+			cancelled = u.random.IntN(len(jobs))
+		}
+		u.afterRandom(70, func() {
+			for n, job := range jobs {
+				if !u.w.Submit(job) {
+					return
+				}
+				if n == cancelled {
+					u.after(cancelAfter, func() { u.w.Cancel(job.ID) })
+				}
+			}
+			u.expectState(jobs[len(jobs)-1].ID, "done")
+		})
+	}
+}
+
 // TestUnknownDependencies checks that a submission that names a job which was never accepted is refused
 // with 422 by every node, also by one that has just started, and is accepted once that job is; and that
 // lists which can't be right are refused with 400.
--- a/internal/simulator/dependencies.go
+++ b/internal/simulator/dependencies.go
@@ -69,3 +69,17 @@
 	}
 	return c.cancelRequested[id]
 }
+
+// dependenciesRefused reports a job that was refused although all jobs that it names were accepted.
+func (c *Checker) dependenciesRefused(s *Spec, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range s.Awaits {
+		if !c.accepted[id] {
+			return
+		}
+	}
+	if len(s.Awaits) > 0 {
+		c.reportViolation("forgotten: %s, which waits for %v, is answered with %d", s.ID, s.Awaits, status)
+	}
+}
--- a/internal/simulator/users.go
+++ b/internal/simulator/users.go
@@ -53,6 +53,7 @@
 			return true
 		case http.StatusBadRequest, http.StatusUnprocessableEntity:
 			w.checker.JobRefused(s.ID, status)
+			w.checker.dependenciesRefused(&s, status)
 			return false
 		}
 		time.Sleep(time.Second)
