--- a/internal/simulator/users.go
+++ b/internal/simulator/users.go
@@ -189,3 +189,11 @@
 		f(id)
 	}
 }
+
+// AddAccepted adds a job that users were told is accepted before the world began.
+func (w *World) AddAccepted(s Spec) {
+	w.mu.Lock()
+	w.specs[s.ID] = &s
+	w.mu.Unlock()
+	w.checker.JobAccepted(s.ID)
+}
