Chains: what orphans needed is worked out once for all of them

Found on rereading. When a job was cancelled, each of its dependents had the urgency of everything that it waits for worked out anew, from all that wait for it. The result is the same.

--- a/internal/node/chains.go
+++ b/internal/node/chains.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/httpapi"
@@ -88,13 +89,16 @@
 			}
 		}
 	case core.Cancelled:
+		var needed []string // by the orphans, until now
 		for _, id := range n.chains.graph.Cancel(rec.Spec.ID) {
 			orphan := n.view.jobs[id]
+			needed = append(needed, orphan.Spec.Dependencies()...)
 			n.view.jobs[id] = n.orphan(orphan)
 			delete(n.chains.urgency, id)
-			n.updateUrgency(orphan.Spec.Dependencies(), n.urgencyOf)
 			n.log.Info("cancelled with a job that it depends on", "job", id, "cancelled", rec.Spec.ID)
 		}
+		slices.Sort(needed)
+		n.updateUrgency(slices.Compact(needed), n.urgencyOf)
 	}
 }
 
