Core: placement asks one function whether a machine takes new tasks

Found on rereading. Five places put "being emptied" beside schedulable by hand, and WithheldMachines did so again, though what withholds a machine was to be one value. withholding has all reasons; acceptsTasks is what placement, reclaim, evacuation and consolidation ask. Nothing else is changed.

--- a/internal/core/consolidate.go
+++ b/internal/core/consolidate.go
@@ -207,7 +207,7 @@
 	// The remaining capacity has to suffice for the expected services.
 	spareLeft := 0
 	for _, o := range c.sortedMachines {
-		if o != m && !o.spot && !o.vacating && c.schedulable(o, now) {
+		if o != m && !o.spot && c.acceptsTasks(o, now) {
 			spareLeft += c.spareTaskResources.countIn(plan.freeOn(o))
 		}
 	}
--- a/internal/core/evacuation.go
+++ b/internal/core/evacuation.go
@@ -135,7 +135,7 @@
 	}
 	plan := newMovePlan(nil)
 	for _, target := range c.sortedMachines {
-		if !target.vacating && !slices.Contains(zones, target.zone) && c.schedulable(target, now) {
+		if !slices.Contains(zones, target.zone) && c.acceptsTasks(target, now) {
 			plan.targets = append(plan.targets, target)
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -179,7 +179,7 @@
 	c.updateSpare(now)
 	c.candidates = c.candidates[:0]
 	for _, m := range c.sortedMachines {
-		if !m.vacating && c.schedulable(m, now) && smallest.Fits(m.free()) {
+		if c.acceptsTasks(m, now) && smallest.Fits(m.free()) {
 			c.candidates = append(c.candidates, m)
 		}
 	}
@@ -208,7 +208,7 @@
 	key.cachedOnly = requireCached
 	cost := func(m *machine) (int64, bool) {
 		free := m.free()
-		if !j.spec.Resources.Fits(free) || !c.machineTypeAllowed(j, m) || requireCached && !m.hasImage(j.imageID) || m.vacating || !c.schedulable(m, now) {
+		if !j.spec.Resources.Fits(free) || !c.machineTypeAllowed(j, m) || requireCached && !m.hasImage(j.imageID) || !c.acceptsTasks(m, now) {
 			return 0, false
 		}
 		if j.spec.Kind != Service && !j.starving && c.takesSpare(j.spec.Resources, m) {
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -53,7 +53,7 @@
 // machine for a task of the job, and false if that is not possible. It ignores the zone
 // constraints, which depend on the job's other tasks.
 func (c *Core) evictionCost(j *job, m *machine, guaranteed bool, now Micros, plan *reclaimPlan) (int64, bool) {
-	if m.vacating || !c.schedulable(m, now) || !c.machineTypeAllowed(j, m) || !j.spec.Resources.Fits(m.typ.Capacity) {
+	if !c.acceptsTasks(m, now) || !c.machineTypeAllowed(j, m) || !j.spec.Resources.Fits(m.typ.Capacity) {
 		return 0, false
 	}
 	victims, cost := c.selectVictims(j, m, guaranteed, now, plan)
--- a/internal/core/withheld.go
+++ b/internal/core/withheld.go
@@ -42,11 +42,12 @@
 func (c *Core) WithheldMachines(now Micros) []WithheldMachine {
 	var out []WithheldMachine
 	for _, m := range c.sortedMachines {
-		switch reason := c.withheldBy(m, now); {
-		case reason != NotWithheld:
+		switch reason := c.withholding(m, now); reason {
+		case NotWithheld:
+		case WithheldVacating:
+			out = append(out, WithheldMachine{Machine: m.name, Reason: reason, ProgressAt: m.vacatingSince})
+		default:
 			out = append(out, WithheldMachine{Machine: m.name, Reason: reason})
-		case m.vacating:
-			out = append(out, WithheldMachine{Machine: m.name, Reason: WithheldVacating, ProgressAt: m.vacatingSince})
 		}
 	}
 	return out
@@ -87,5 +88,17 @@
 	return NotWithheld
 }
 
-// schedulable reports whether tasks may be placed on the machine now, unless it is being emptied.
+// withholding returns the first reason why no new task is placed on the machine now.
+func (c *Core) withholding(m *machine, now Micros) Withholding {
+	if reason := c.withheldBy(m, now); reason != NotWithheld || !m.vacating {
+		return reason
+	}
+	return WithheldVacating
+}
+
+// acceptsTasks reports whether new tasks may be placed on the machine now.
+func (c *Core) acceptsTasks(m *machine, now Micros) bool { return c.withholding(m, now) == NotWithheld }
+
+// schedulable reports whether the machine counts as capacity: new tasks may be placed on it now, unless
+// it is being emptied.
 func (c *Core) schedulable(m *machine, now Micros) bool { return c.withheldBy(m, now) == NotWithheld }
