--- a/internal/simulator/world_test.go
+++ b/internal/simulator/world_test.go
@@ -473,17 +473,23 @@
 	}
 }
 
+// newLiveWorld returns a world in which a service runs and liveness is expected.
+func newLiveWorld(seed uint64) *simulator.World {
+	w := simulator.NewWorld(seed, platform(), machineTypes[:1])
+	startAllNodes(w)
+	time.Sleep(10 * time.Second)
+	w.Submit(service(1, 1))
+	time.Sleep(60 * time.Second)
+	w.ExpectLiveness()
+	return w
+}
+
 // TestLivenessChecker tests that the checker reports a job about which no controller answers, and a
 // job that waits although there is room for it, once faults are over.
 func TestLivenessChecker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := simulator.NewWorld(62, platform(), machineTypes[:1])
+		w := newLiveWorld(62)
 		defer w.Close()
-		startAllNodes(w)
-		time.Sleep(10 * time.Second)
-		w.Submit(service(1, 1))
-		time.Sleep(60 * time.Second)
-		w.ExpectLiveness()
 		waiting := service(2, 1)
 		for i := range 3 { // the leader must not start the task before it is killed
 			partitionNodeFromWorkers(w, i, true)
@@ -506,13 +512,8 @@
 // leader does not hear from it, and the cloud does not take it back.
 func TestWithheldChecker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := simulator.NewWorld(63, platform(), machineTypes[:1])
+		w := newLiveWorld(63)
 		defer w.Close()
-		startAllNodes(w)
-		time.Sleep(10 * time.Second)
-		w.Submit(service(1, 1))
-		time.Sleep(60 * time.Second)
-		w.ExpectLiveness()
 		w.CloudFaults.Update(func(f *simulator.Faults) { f.Down = true })
 		for _, k := range w.Cloud.Workers() {
 			partitionWorker(w, k, true)
