Core: a worker forgets an attempt only once copies of its start are refused

Cause: a worker that was told to forget an attempt runs it again if a start of it arrives. The leader kept an attempt only while a direct start had no answer. A network may deliver a message that was executed and answered once more; the forget went out under the token of the start, so the worker still accepted the copy. The class: the answer to a request was taken for the end of the time in which it can be executed.

Change: each placement has the highest token under which a direct start of it was sent. Its forget is sent only under a higher token, so the worker that executes the forget refuses every copy from then on, however late, under any leader. Starts in answers to reports need no raise, since such answers can't be executed late. Exited tasks that wait are kept beside the placements, so they withhold no room, quota, gang or machine (a stopped gang restarts when its last task has exited, no longer when it is forgotten). The token is raised 60 s after the last raise if any wait, and after half a worker's lease if 64 wait on one machine; from 256 on, starts for that machine go out in answers only, so that its report keeps within 64 KiB while the token can't be raised. Forgets go in answers only: a copy of one could remove a later result of a gang's attempt.

Log: the commands of each message with token, session and seq (debug); counts of starts sent directly and in answers, forgets, and the most that wait on a machine (each minute); an attempt of this term that is reported and not known; both attempts of a task on two machines; starts refused because another attempt is there.

Tests that expected a forget under the token of the start raise the token first.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -21,81 +21,117 @@
 // MaxCommands is the maximum number of commands in one message, which has to fit the protocol's 64 KiB.
 const MaxCommands = 400
 
+// messageBuilder collects the commands of one message to a machine.
+type messageBuilder struct {
+	c       *Core
+	m       *machine
+	now     Micros
+	inReply bool // the message is the answer to a report
+
+	forgets  []Command // exited tasks
+	restarts []Command // forgets of tasks that are in starts, too
+	stops    []Command
+	starts   []Command
+	occupied Resources // by the tasks that the worker may count as using resources
+}
+
 // commands returns the commands for a machine: the difference between the desired tasks and those
 // that it has reported. In reply to a report it returns all of them, for a direct command only
 // those that have not been sent yet. Beyond MaxCommands, stops go first, then starts; the others are
 // sent with a later message.
 func (c *Core) commands(m *machine, now Micros, inReply bool) []Command {
-	var forget, forgetAndStart, stop, start []Command
 	if m.lost {
 		return nil
 	}
-	var occupied Resources
+	b := &messageBuilder{c: c, m: m, now: now, inReply: inReply}
 	for _, p := range m.placements {
 		if p.mayOccupyWorker() {
-			occupied = occupied.Add(p.need)
+			b.occupied = b.occupied.Add(p.need)
 		}
 	}
-	for _, p := range m.placements {
-		switch {
-		case p.inDirectCommand:
-		case p.reported && p.state == Exited:
-			// If a start of the attempt may still arrive, the worker must not forget the
-			// attempt: it would run the attempt again.
-			if p.completionRecorded && !(p.startUnanswered && m.reportedToken <= p.startUnansweredToken) {
-				forget = append(forget, p.command(Forget))
-			} else if p.completionRecorded && inReply {
-				c.tokenRaiseWanted = true
-			}
-		case p.stopRequested && p.reported:
-			if len(stop) < MaxCommands && (p.stopSentAt == 0 || inReply && now-p.stopSentAt > 2*Second) {
-				cmd := p.command(Stop)
-				cmd.GracePeriod = p.grace
-				stop = append(stop, cmd)
-				p.stopSentAt = now
-				if p.job == nil || p.job.spec.CheckpointInterval == 0 || p.grace < p.job.spec.CheckpointCost {
-					occupied = occupied.Sub(p.need)
-				}
-			}
-		}
+	b.addStops()
+	pendingForgets := m.pendingForgets(c.token)
+	c.notePendingForgets(pendingForgets)
+	if inReply || pendingForgets < maxPendingForgets {
+		b.addStarts()
 	}
-	for _, p := range m.placements {
-		if len(stop)+len(start)+len(forgetAndStart)+1 >= MaxCommands {
-			break
-		}
-		// A machine that is being released may stay up until the cloud deletes it, so it still
-		// gets stop commands, but no starts.
-		if p.retryPending && inReply && !p.stopRequested && !m.releasing {
-			forgetAndStart = append(forgetAndStart, p.command(Forget))
-			start = append(start, p.command(Start))
+	if inReply {
+		forgets := m.forgets(c.token)
+		b.forgets = forgets[:min(len(forgets), MaxCommands-b.size())]
+	}
+	c.logCommands(b)
+	return slices.Concat(b.forgets, b.restarts, b.stops, b.starts)
+}
+
+// size returns the number of commands.
+func (b *messageBuilder) size() int {
+	return len(b.forgets) + len(b.restarts) + len(b.stops) + len(b.starts)
+}
+
+// addStops adds the stop commands that are due.
+func (b *messageBuilder) addStops() {
+	for _, p := range b.m.placements {
+		if p.inDirectCommand || !p.reported || p.state == Exited || !p.stopRequested || len(b.stops) >= MaxCommands {
 			continue
 		}
-		if m.releasing || p.inDirectCommand || p.reported || p.stopRequested || p.startSent && !(inReply && p.resendStart) {
+		if p.stopSentAt != 0 && !(b.inReply && b.now-p.stopSentAt > 2*Second) {
 			continue
 		}
-		if !m.recorded() || p.job == nil || !c.ensureStartedRecord(p.job, now) {
-			continue
+		cmd := p.command(Stop)
+		cmd.GracePeriod = p.grace
+		b.stops = append(b.stops, cmd)
+		p.stopSentAt = b.now
+		if p.job == nil || p.job.spec.CheckpointInterval == 0 || p.grace < p.job.spec.CheckpointCost {
+			b.occupied = b.occupied.Sub(p.need)
 		}
-		if !p.startSent {
-			if m.typ == nil || !occupied.Add(p.need).Fits(m.typ.Capacity) {
-				continue
-			}
-			occupied = occupied.Add(p.need)
+	}
+}
+
+// addStarts adds the start commands that are due, as far as the worker has room for the tasks. A
+// machine that is being released may stay up until the cloud deletes it, so it still gets stop
+// commands, but no starts.
+func (b *messageBuilder) addStarts() {
+	if b.m.releasing {
+		return
+	}
+	for _, p := range b.m.placements {
+		if b.size()+1 >= MaxCommands {
+			return
 		}
-		p.resendStart = false
-		p.startSent = true
-		if inReply {
-			p.startReportSeq = m.seq
-		} else {
-			p.inDirectCommand = true
+		switch {
+		case p.retryPending && b.inReply && !p.stopRequested:
+			b.restarts = append(b.restarts, p.command(Forget))
+			b.starts = append(b.starts, p.command(Start))
+		case b.mayStart(p):
+			b.addStart(p)
 		}
-		start = append(start, p.command(Start))
 	}
-	if !inReply && len(stop) == 0 && len(start) == 0 {
-		return nil // forgetting exited tasks can wait for the next report
+}
+
+// mayStart reports whether the start of a placement is due and its task has room on the worker.
+func (b *messageBuilder) mayStart(p *placement) bool {
+	if p.inDirectCommand || p.reported || p.stopRequested || p.startSent && !(b.inReply && p.resendStart) {
+		return false
+	}
+	if !b.m.recorded() || p.job == nil || !b.c.ensureStartedRecord(p.job, b.now) {
+		return false
+	}
+	return p.startSent || b.m.typ != nil && b.occupied.Add(p.need).Fits(b.m.typ.Capacity)
+}
+
+// addStart adds the start of a placement.
+func (b *messageBuilder) addStart(p *placement) {
+	if !p.startSent {
+		b.occupied = b.occupied.Add(p.need)
+	}
+	p.resendStart = false
+	p.startSent = true
+	if b.inReply {
+		p.startReportSeq = b.m.seq
+	} else {
+		p.inDirectCommand, p.directStartToken = true, b.c.token
 	}
-	forget = forget[:min(len(forget), MaxCommands-len(forgetAndStart)-len(stop)-len(start))]
-	return slices.Concat(forget, forgetAndStart, stop, start)
+	b.starts = append(b.starts, p.command(Start))
 }
 
 // command returns a command for the attempt of the placement.
@@ -181,7 +217,7 @@
 		case Refused, NotSent:
 			p.startSent = p.startUnanswered
 		case Unanswered:
-			p.startUnanswered, p.startUnansweredToken = true, max(p.startUnansweredToken, token)
+			p.startUnanswered = true
 		}
 	}
 	c.removeUnsentStopped(m, now)
--- a/internal/core/commands_test.go
+++ b/internal/core/commands_test.go
@@ -102,6 +102,8 @@
 	w.cancel("job-1")
 	rounds(6)
 	w.want("tasks that run after the job was cancelled", f.liveTasks(), "")
+	w.want("requests a new token", w.tokenRaises > 0, true)
+	w.raiseToken()
 	rounds(6)
 	w.want("tasks that the worker has not forgotten", len(f.status.Tasks), 0)
 }
--- a/internal/core/completions.go
+++ b/internal/core/completions.go
@@ -10,7 +10,7 @@
 func (c *Core) taskExited(p *placement, now Micros) {
 	j := p.job
 	if j == nil || c.jobs[p.jobID] != j {
-		p.completionRecorded = true
+		c.awaitForget(p)
 		return
 	}
 	if p.cause == CauseDone && !j.cancelled && j.spec.Kind != Service {
@@ -27,13 +27,15 @@
 		}
 		return
 	}
-	p.completionRecorded = true
+	c.awaitForget(p)
 	switch p.cause {
 	case CauseError:
 		c.recordFailure(p, now)
 	case CauseNoCapacity:
 		p.machine.blockedUntil = now + 2*Second
 		c.log("worker refused to start a task: insufficient resources", "machine", p.machine.name, "job", p.jobID, "task", p.index)
+	case CauseAlreadyPresent:
+		c.log("worker refused to start a task: another attempt is there", "machine", p.machine.name, "job", p.jobID, "task", p.index, "attempt", p.attempt)
 	case CauseUnknownTask:
 		j.notBefore = now + Second
 	}
@@ -77,12 +79,11 @@
 	}
 }
 
-// completionsRecorded marks the completions of placements as recorded, so that their workers are
-// told to forget them.
+// completionsRecorded handles that the completions of placements are recorded: their workers may
+// forget them.
 func (c *Core) completionsRecorded(completed []*placement) {
 	for _, p := range completed {
-		p.completionRecorded = true
-		c.queueCommands(p.machine)
+		c.awaitForget(p)
 	}
 }
 
--- a/internal/core/completions_test.go
+++ b/internal/core/completions_test.go
@@ -25,6 +25,7 @@
 	w.want("tasks reported until recorded", len(f.status.Tasks), 4)
 	w.failWrites = false
 	w.advance(12 * Second)
+	w.raiseToken()
 	f.report()
 	rec, _ := w.puts[CompletionKey("job-1", 16, 0, 0)].(CompletionRecord)
 	want := map[int]string{0: "[1 3]", 1: "[0 0 2 3]", 2: "[0 1 3 3]", 3: "[0 2]"}[left]
@@ -40,6 +41,8 @@
 	w.want("records of the job deleted", w.deletes[CompletionKey("job-1", 16, 0, 0)] && w.deletes[StartedPrefix+"job-1"], true)
 
 	// A write of completions without an answer does not delay the final record.
+	w.raiseToken()
+	f.report()
 	w.submit(JobSpec{ID: "job-2", Tasks: 2})
 	f.executeDirect()
 	f.report()
@@ -56,6 +59,7 @@
 		w.c.HandleWriteResult(w.now, id, WriteRefused)
 	}
 	w.advance(3 * Second)
+	w.raiseToken()
 	f.report()
 	w.want("forgotten", len(w.heldWrites) > 0 && len(f.status.Tasks) == 0, true)
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,6 +96,10 @@
 	c.actions = append(c.actions, LogEntry{Message: message, Args: args})
 }
 
+func (c *Core) logDebug(message string, args ...any) {
+	c.actions = append(c.actions, LogEntry{Message: message, Args: args, Debug: true})
+}
+
 // Leading reports whether this node leads.
 func (c *Core) Leading() bool { return c.leading }
 
@@ -126,11 +130,7 @@
 	c.flushCompletions(now)
 	c.flushGroups(now)
 	c.sendDirectCommands(now)
-	if c.tokenRaiseWanted && now >= c.nextTokenRaiseAt {
-		c.nextTokenRaiseAt = now + 10*Second
-		c.tokenRaiseWanted = false
-		c.actions = append(c.actions, RaiseToken{})
-	}
+	c.raiseTokenIfDue(now)
 	out := c.actions
 	c.actions = nil
 	return out
--- a/internal/core/fault_combinations_test.go
+++ b/internal/core/fault_combinations_test.go
@@ -235,6 +235,7 @@
 	f.report()
 	w.failPrefix = ""
 	w.advance(11 * Second)
+	w.raiseToken()
 	f.report()
 	if got := completions(); len(got) != 1 || got[0].Key == late.Key || fmt.Sprint(got[0].Ranges) == fmt.Sprint(late.Ranges) {
 		t.Fatalf("the next completion record is %v", got)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -56,7 +56,6 @@
 	c.dequeue(j)
 	for _, p := range j.livePlacements() {
 		c.stopPlacement(p, now, 0)
-		p.completionRecorded = true
 	}
 	c.completionsRecorded(j.unrecorded)
 	j.unrecorded = nil
@@ -69,7 +68,6 @@
 	c.dequeue(j)
 	delete(c.jobs, j.spec.ID)
 	for _, p := range j.livePlacements() {
-		p.completionRecorded = true
 		c.stopPlacement(p, now, 0)
 	}
 	c.completionsRecorded(j.unrecorded)
--- a/internal/core/partition_record.go
+++ b/internal/core/partition_record.go
@@ -168,7 +168,7 @@
 			p := c.adopt(m, &TaskReport{Job: t.Job, Index: t.Index, Attempt: t.Attempt, State: Fetching}, now)
 			// The former leader's start may still arrive until the worker has seen this
 			// leader's token.
-			p.fromPartitionRecord, p.startUnanswered, p.startUnansweredToken = true, true, c.token-1
+			p.fromPartitionRecord, p.startUnanswered, p.directStartToken = true, true, c.token-1
 			c.addPlacement(p)
 		}
 	}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -12,20 +12,19 @@
 	machine *machine
 	need    Resources
 
-	startSent            bool   // a start was sent, in the answer to a report or directly
-	startReportSeq       uint64 // sequence number of the report whose answer last carried the start
-	inDirectCommand      bool   // the start is in the direct command that is in flight
-	startUnanswered      bool   // a direct start was not answered and may still arrive
-	startUnansweredToken uint64 // the token of that start
-	reported             bool   // the machine has reported it
-	state                TaskState
-	cause                Cause
-	countedRunning       bool // included in the job's count of running tasks
+	startSent        bool   // a start was sent, in the answer to a report or directly
+	startReportSeq   uint64 // sequence number of the report whose answer last carried the start
+	inDirectCommand  bool   // the start is in the direct command that is in flight
+	startUnanswered  bool   // a direct start was not answered and may still arrive
+	directStartToken uint64 // highest token under which a direct start may have been sent; 0: none was
+	reported         bool   // the machine has reported it
+	state            TaskState
+	cause            Cause
+	countedRunning   bool // included in the job's count of running tasks
 
 	stopRequested       bool
 	grace               Micros
 	stopSentAt          Micros // 0: never
-	completionRecorded  bool   // the completion is stored, or need not be
 	placedAt            Micros // when the placement was decided
 	runningAt           Micros // when the task was first reported as running; 0: never
 	inCurrentReport     bool   // listed in the report that is being applied
@@ -37,6 +36,10 @@
 	onSpare             bool   // uses spare capacity, because its job was starving
 }
 
+// copiesRefused reports whether a worker that has seen the token refuses every direct start of the
+// attempt, also a copy of one that it has executed.
+func (p *placement) copiesRefused(token uint64) bool { return token > p.directStartToken }
+
 // occupies reports whether the placement occupies its resources: it does until the machine
 // reports that the task has exited.
 func (p *placement) occupies() bool { return !(p.reported && p.state == Exited) }
@@ -150,5 +153,6 @@
 	for len(m.placements) > 0 {
 		c.removePlacement(m.placements[len(m.placements)-1], now)
 	}
+	m.exited = nil
 	m.fetchingTasks = 0
 }
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -67,7 +67,7 @@
 // done. A new leader would learn of them only from the reports of the machine.
 func (c *Core) hasUnrecordedCompletions(m *machine) bool {
 	for _, p := range m.placements {
-		if p.reported && p.state == Exited && p.cause == CauseDone && !p.completionRecorded {
+		if p.reported && p.state == Exited && p.cause == CauseDone {
 			return true
 		}
 	}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -21,7 +21,7 @@
 		return nil, 0, false
 	}
 	if c.mayStartCancelled(m, r, now) {
-		c.tokenRaiseWanted = true
+		c.wantTokenRaise()
 		return nil, 0, false
 	}
 	if !m.isNewer(r) {
@@ -53,7 +53,7 @@
 func (c *Core) mayStartCancelled(m *machine, r *Report, now Micros) bool {
 	for _, p := range m.placements {
 		if p.startUnanswered && p.job != nil && p.job.cancelled && now-p.job.cancelledAt >= c.cfg.MaxCancelStaleness &&
-			r.Session == m.session && max(r.Token, c.token) <= p.startUnansweredToken {
+			r.Session == m.session && !p.copiesRefused(max(r.Token, c.token)) {
 			return true
 		}
 	}
@@ -163,9 +163,13 @@
 		p.inCurrentReport = false
 	}
 	m.fetchingTasks = 0
+	m.resetListed()
 	for i := range r.Tasks {
-		c.applyTaskReport(m, &r.Tasks[i], now)
+		if !m.listsExited(&r.Tasks[i]) {
+			c.applyTaskReport(m, &r.Tasks[i], now)
+		}
 	}
+	m.dropUnlisted()
 	c.handleUnreportedTasks(m, r, periodic, now)
 	if m.used == (Resources{}) && m.idleSince == 0 {
 		m.idleSince = now // adopted from a former leader without tasks
@@ -241,8 +245,8 @@
 		c.setRunning(p, t.State == Running)
 		if j := p.job; j != nil && !j.allStarted && j.running+j.done == len(j.status) {
 			j.allStarted = true
-			c.actions = append(c.actions, LogEntry{Message: "all tasks started", Debug: true, Args: []any{
-				"job", j.spec.ID, "class", j.spec.Class, "team", j.spec.Team, "tasks", len(j.status), "after_ms", (now - j.readyAt) / Millisecond}})
+			c.logDebug("all tasks started", "job", j.spec.ID, "class", j.spec.Class, "team", j.spec.Team, "tasks", len(j.status),
+				"after_ms", (now-j.readyAt)/Millisecond)
 		}
 		return
 	}
@@ -266,10 +270,12 @@
 // It marks the task to be stopped if its job is finished or cancelled, or if the same or a later
 // attempt is known on another machine.
 func (c *Core) adopt(m *machine, t *TaskReport, now Micros) *placement {
-	p := &placement{jobID: t.Job, index: t.Index, attempt: t.Attempt, machine: m, startSent: true, placedAt: now}
 	j := c.jobs[t.Job]
+	p := &placement{jobID: t.Job, index: t.Index, attempt: t.Attempt, machine: m, startSent: true, placedAt: now,
+		directStartToken: c.adoptedStartToken(j, t.Attempt)}
+	c.logUnexpectedAttempt(m, t)
 	if j == nil || t.Index >= len(j.status) {
-		p.stopRequested, p.completionRecorded = true, true
+		p.stopRequested = true
 		c.queueCommands(m)
 		return p
 	}
@@ -287,11 +293,11 @@
 			// Until this machine reports that the attempt is gone, the placement occupies
 			// resources and keeps the task from being started elsewhere (see deallocate).
 			p.stopRequested = true
-			c.log("task reported on two machines", "job", t.Job, "task", t.Index, "machine", m.name, "other", q.machine.name)
+			c.log("task reported on two machines", "job", t.Job, "task", t.Index, "machine", m.name, "attempt", t.Attempt, "other", q.machine.name, "other_attempt", q.attempt)
 		case q.fromPartitionRecord:
 			c.dropRecordedPlacement(q, now) // the task was restarted after the record was written
 		default:
-			c.log("task reported on two machines", "job", t.Job, "task", t.Index, "machine", q.machine.name, "other", m.name)
+			c.log("task reported on two machines", "job", t.Job, "task", t.Index, "machine", q.machine.name, "attempt", q.attempt, "other", m.name, "other_attempt", t.Attempt)
 			delete(j.live, t.Index)
 			j.duplicates = append(j.duplicates, q)
 			c.stopPlacement(q, now, 0)
@@ -324,11 +330,11 @@
 			c.removePlacement(p, now)
 		case p.inDirectCommand:
 			// The worker may execute the direct command after it made this report.
-		case p.startUnanswered && m.reportedToken <= p.startUnansweredToken:
+		case p.startUnanswered && !p.copiesRefused(m.reportedToken):
 			// An unanswered direct command can still arrive as long as the worker accepts its
 			// token.
 			if p.stopRequested {
-				c.tokenRaiseWanted = true
+				c.wantTokenRaise()
 			} else {
 				p.resendStart = periodic
 				unexecuted = unexecuted || periodic && p.startReportSeq > 0 && r.Seq > p.startReportSeq
--- a/internal/core/starvation_test.go
+++ b/internal/core/starvation_test.go
@@ -117,8 +117,10 @@
 			g.executeDirect()
 			w.want("tasks on new capacity", w.c.jobs["job-2"].occupying, 4)
 			w.want("lent", w.c.machines["n-1"].spareUsed, Resources{4000, 0, 2000})
-			for i := range c.job.Tasks {
-				f.exitTask(i, CauseDone)
+			for i, task := range f.status.Tasks {
+				if task.Job == c.job.ID {
+					f.exitTask(i, CauseDone)
+				}
 			}
 			f.report()
 			w.want("spare capacity in use after the tasks", w.c.machines["n-1"].spareUsed, Resources{})
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -70,13 +70,14 @@
 	for _, j := range c.queue {
 		waiting += j.pending
 	}
-	c.actions = append(c.actions, LogEntry{Message: "fleet", Debug: true, Args: []any{
-		"up", up, "booting", booting, "idle", idle, "ordinary_cpus", cpus[0] / 1000, "used", used[0] / 1000,
-		"spot_cpus", cpus[1] / 1000, "spot_used", used[1] / 1000, "jobs", len(c.queue), "tasks_waiting", waiting,
+	c.logDebug("fleet",
+		"up", up, "booting", booting, "idle", idle, "ordinary_cpus", cpus[0]/1000, "used", used[0]/1000,
+		"spot_cpus", cpus[1]/1000, "spot_used", used[1]/1000, "jobs", len(c.queue), "tasks_waiting", waiting,
 		"spare", c.spareByZone, "spare_want", c.spareTarget, "looked_at", c.machinesExamined,
 		"cost_boot", roundToCents(cost.booting), "cost_idle", roundToCents(cost.idle), "cost_run", roundToCents(cost.running),
 		"cost_wait", roundToCents(cost.waiting), "cost_service", roundToCents(cost.service), "cost_left", roundToCents(cost.unused),
-	}})
+	)
+	c.logCommandCounts()
 }
 
 // roundToCents rounds an amount of money for the log.
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -33,8 +33,8 @@
 	usageUpdatedAt        Micros      // last time at which the usage of objectiveClasses was recorded
 	termBeganAt           Micros
 	reservationsUnknown   bool // the term has not determined yet what to reserve
-	tokenRaiseWanted      bool
-	nextTokenRaiseAt      Micros
+	tokenRaise            tokenRaiseState
+	commandCounts         commandCounts
 	nextFleetReviewAt     Micros
 	nextLeaseCheckAt      Micros
 	refusedUntil          map[offer]Micros // end of the back-off after a refused rental
@@ -226,28 +226,3 @@
 	c.needsPlacement = true
 	c.cleanUpCancelled(j)
 }
-
-// HandleTokenRaised applies the result of RaiseToken: the leader key was written again, and token
-// is the new token.
-func (c *Core) HandleTokenRaised(now Micros, token uint64) {
-	c.nextTokenRaiseAt = 0
-	if token > c.token {
-		c.log("token raised", "from", c.token, "to", token)
-		c.token, c.attemptCount = token, 0
-		c.tokenRaiseWanted = false
-		for _, m := range c.sortedMachines {
-			// Other machines see the token in the answer to their next report, which is soon
-			// enough.
-			if m.hasUnansweredStart() {
-				c.queueProbe(m)
-			}
-		}
-	}
-}
-
-// nextAttempt returns an attempt number that no leader has used or will use.
-func (c *Core) nextAttempt() uint64 {
-	c.attemptCount++
-	// Tokens are unique across leaders, and so are attempts that contain them.
-	return c.token<<24 | c.attemptCount
-}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -119,6 +119,12 @@
 	w.step()
 }
 
+// raiseToken raises the token, as the node does for a RaiseToken action.
+func (w *world) raiseToken() {
+	w.c.HandleTokenRaised(w.now, w.c.token+1)
+	w.step()
+}
+
 func (w *world) cancel(id string) {
 	rec := w.c.jobs[id].record
 	rec.Phase = Cancelled
