Node: writes that meet a raise of the token are sent again at once

Cause: the leader's writes are on condition of its key's version. A write that was under way while the token was raised failed, and was tried again half a second later, or by itself. Since exited tasks are forgotten under a higher token, the token is raised about once a minute. Change: a write of the term that fails while a raise is under way, or was sent under an earlier token, is sent again once the raise has a result. A second failure counts.

--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"aspenstall/internal/core"
 	"aspenstall/internal/nomad/registry"
@@ -177,14 +178,16 @@
 }
 
 // send commits the requests in one transaction. When the response arrives it calls finished, and
-// then done of each request. It doesn't call done of requests that are queued again, nor of
+// then done of each request. It doesn't call done of requests that are sent again, nor of
 // refused background writes of a term that is over, which are dropped.
 func (c *committer) send(reqs []*writeRequest, finished func()) {
 	transaction := &wire.Txn{If: []wire.Cond{}}
 	included := map[wire.Cond]bool{}
+	var fence uint64
 	for _, req := range reqs {
 		conds := req.conds
 		if req.term != nil {
+			fence = req.term.token
 			// The token may have been raised since the request was queued.
 			conds = append(conds[:len(conds):len(conds)], wire.Cond{Key: leaderKey, ModRevision: req.term.token})
 		}
@@ -207,13 +210,16 @@
 				}
 				return
 			}
+			if errors.Is(err, statestore.ErrConflict) && c.retryAfterRaise(reqs, fence) {
+				return
+			}
 			if len(reqs) > 1 && (errors.Is(err, statestore.ErrConflict) || errors.Is(err, statestore.ErrInvalid)) {
 				// One of the requests is at fault. Retry each by itself, so that the others do not
 				// fail with it.
 				for _, req := range reqs {
 					req.unbatched = true
 				}
-				c.userQueue = append(append([]*writeRequest(nil), reqs...), c.userQueue...)
+				c.userQueue = slices.Concat(reqs, c.userQueue)
 				c.dispatch()
 				return
 			}
@@ -228,6 +234,28 @@
 	}()
 }
 
+// retryAfterRaise sends requests again that were sent under an earlier token of the present term, and
+// reports whether it does. Their conditions may have failed only because the token was raised
+// meanwhile. fence is the token that they were sent under.
+func (c *committer) retryAfterRaise(reqs []*writeRequest, fence uint64) bool {
+	t := c.n.term
+	if t == nil || !t.raising && t.token == fence {
+		return false
+	}
+	if !slices.ContainsFunc(reqs, func(req *writeRequest) bool { return req.term == t }) {
+		return false
+	}
+	t.whenRaiseEnded(func() {
+		if reqs[0].background {
+			c.backgroundQueue = slices.Concat(reqs, c.backgroundQueue)
+		} else {
+			c.userQueue = slices.Concat(reqs, c.userQueue)
+		}
+		c.dispatch()
+	})
+	return true
+}
+
 // logInvalid logs, once per key, a write that the service found invalid, with the size of its
 // largest value: it may exceed a limit that is lower than the known ones.
 func (c *committer) logInvalid(req *writeRequest, err error) {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -23,6 +23,7 @@
 	raiseCount uint64
 	raising    bool
 	afterRaise []func() // called once the token is raised
+	raiseEnded []func() // called once the raise that is in flight has a result
 
 	begunAt  core.Micros
 	cancel   context.CancelFunc
@@ -286,18 +287,37 @@
 		token, err := n.stateClient.Commit(n.ctx, transaction)
 		n.post(func() {
 			t.raising = false
-			if err != nil {
+			if err == nil {
+				n.ifCurrentTerm(t, func() { t.tokenRaised(token) })
+			} else {
 				n.log.Info("raising the token failed", "err", err)
 				if len(t.afterRaise) > 0 {
 					time.AfterFunc(raiseRetryPause, func() { n.post(func() { n.ifCurrentTerm(t, t.raiseToken) }) })
 				}
-				return
 			}
-			n.ifCurrentTerm(t, func() { t.tokenRaised(token) })
+			t.endRaise()
 		})
 	}()
 }
 
+// whenRaiseEnded calls f once the raise that is in flight has a result, or now if none is.
+func (t *term) whenRaiseEnded(f func()) {
+	if !t.raising {
+		f()
+		return
+	}
+	t.raiseEnded = append(t.raiseEnded, f)
+}
+
+// endRaise runs the callbacks of whenRaiseEnded.
+func (t *term) endRaise() {
+	callbacks := t.raiseEnded
+	t.raiseEnded = nil
+	for _, f := range callbacks {
+		f()
+	}
+}
+
 // raiseRetryPause is the pause between two attempts to raise the token while callbacks of
 // fenceWrites wait for it.
 const raiseRetryPause = 200 * time.Millisecond
