State: a copy of the leader's answered write can't replace a newer record

Cause: machine groups and completion records are written again under one key, on condition of the leader's key alone. The leader used another key only after a write without an answer. A copied write of an earlier list of machines holds its condition within the term, so the record loses machines that have tasks; a new leader does not wait for them.

Change: such a write is also on condition of the revision of the record that it replaces, as last read or stored. New guard "term and revisions" in the list of kinds; the simulated state service checks after each change that no transaction sent before could replace a newer record of a kind with it. No further writes or requests: the condition is in the same transaction.

Evidence: TestCopyOfAnsweredTransaction failed: "machines" with ran_twice for four tasks, "completed tasks" with the copy answered 200; both copies are now refused with 409.

Open: notification state and the catalog are still guarded by the term alone against copies of answered writes (suspected, not tried).

--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -317,9 +317,12 @@
 	if w.IfAbsent != "" {
 		req.conds = append(req.conds, wire.Cond{Key: w.IfAbsent})
 	}
+	req.conds = append(req.conds, t.records.conditions(req.ops)...)
 	req.done = func(rev uint64, err error) {
 		if err != nil {
 			n.log.Debug("write failed", "err", err, "job", w.IfJob)
+		} else {
+			t.records.noteStored(req.ops, rev)
 		}
 		n.ifCurrentTerm(t, func() { n.core.HandleWriteResult(n.now(), w.ID, writeOutcome(err)) })
 		if err == nil && w.IfJob != "" {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -24,6 +24,7 @@
 	raising    bool
 	afterRaise []func() // called once the token is raised
 	raiseEnded []func() // called once the raise that is in flight has a result
+	records    recordRevisions
 
 	begunAt  core.Micros
 	cancel   context.CancelFunc
@@ -201,14 +202,14 @@
 // beginTerm reads all records of the leader and hands them to the core. It retries until ctx ends.
 func (n *Node) beginTerm(ctx context.Context, t *term) {
 	for ctx.Err() == nil {
-		snap, err := n.readSnapshot(ctx)
+		snap, revisions, err := n.readSnapshot(ctx)
 		if err == nil && n.refreshView(ctx) {
 			n.post(func() {
 				if ctx.Err() != nil {
 					return
 				}
 				n.term = t
-				t.begunAt = n.now()
+				t.begunAt, t.records = n.now(), revisions
 				jobs := make([]core.JobRecord, 0, len(n.view.jobs))
 				for _, r := range n.view.jobs {
 					if r.Phase != core.Done && !n.chains.graph.Waits(r.Spec.ID) {
@@ -229,12 +230,13 @@
 	}
 }
 
-// readSnapshot reads the leader's records from the state service.
-func (n *Node) readSnapshot(ctx context.Context) (core.Snapshot, error) {
+// readSnapshot reads the leader's records and their revisions from the state service.
+func (n *Node) readSnapshot(ctx context.Context) (core.Snapshot, recordRevisions, error) {
 	var s core.Snapshot
+	revisions := recordRevisions{}
 	entries, _, err := n.stateClient.List(ctx, "b/")
 	if err != nil {
-		return s, err
+		return s, nil, err
 	}
 	for _, e := range entries {
 		var err error
@@ -242,6 +244,7 @@
 		case strings.HasPrefix(e.Key, core.MachinePrefix):
 			var r core.MachineGroupRecord
 			r, err = wire.DecodeMachineGroup(e.Key, e.Value)
+			revisions[e.Key] = e.ModRevision
 			s.MachineGroups = append(s.MachineGroups, r)
 		case strings.HasPrefix(e.Key, core.RentalPrefix):
 			var r core.RentalRecord
@@ -250,6 +253,7 @@
 		case strings.HasPrefix(e.Key, core.CompletionPrefix):
 			var r core.CompletionRecord
 			r, err = wire.DecodeCompletion(e.Key, e.Value)
+			revisions[e.Key] = e.ModRevision
 			s.Completions = append(s.Completions, r)
 		case strings.HasPrefix(e.Key, core.PartitionPrefix):
 			var r core.PartitionRecord
@@ -259,10 +263,10 @@
 			s.Started = append(s.Started, e.Key[len(core.StartedPrefix):])
 		}
 		if err != nil {
-			return s, fmt.Errorf("record %s: %w", e.Key, err)
+			return s, nil, fmt.Errorf("record %s: %w", e.Key, err)
 		}
 	}
-	return s, nil
+	return s, revisions, nil
 }
 
 // raiseToken rewrites the leader's key. The new revision is a new fencing token, which invalidates
--- a/internal/simulator/late.go
+++ b/internal/simulator/late.go
@@ -59,7 +59,7 @@
 		l.byKey[key] = append(l.byKey[key], sent)
 	}
 	for _, op := range sent.Then {
-		if info, _ := txn.Describe(op.Kind); info.Guard == txn.Term && !sent.hasCondition(wire.LeaderKey) {
+		if info, _ := txn.Describe(op.Kind); info.Guard.ByTerm() && !sent.hasCondition(wire.LeaderKey) {
 			l.findings = append(l.findings, fmt.Sprintf("late: a write of the kind %q is not on condition of the leader's key", op.Kind))
 		}
 	}
@@ -134,7 +134,8 @@
 }
 
 // undoneBy returns a write of a transaction, of a kind that is guarded by revisions, that would undo a
-// newer change if the transaction were executed now, or nil; s.mu is held.
+// newer change if the transaction were executed now, or nil; s.mu is held. A record of the leader that
+// comes back after its deletion is dropped by the next one.
 func (s *State) undoneBy(t *sentTransaction) *wire.Write {
 	if !s.executable(&t.Txn) {
 		return nil
@@ -142,7 +143,8 @@
 	for i := range t.Then {
 		op := &t.Then[i]
 		info, _ := txn.Describe(op.Kind)
-		if info.Guard == txn.Revisions && s.late.changedAt[op.Put+op.Delete] > t.revision && s.changes(op) {
+		guarded := info.Guard == txn.Revisions || info.Guard == txn.TermAndRevisions && s.replaces(op)
+		if guarded && s.late.changedAt[op.Put+op.Delete] > t.revision && s.changes(op) {
 			return op
 		}
 	}
@@ -169,6 +171,12 @@
 	return !exists || !bytes.Equal(e.Value, op.Value)
 }
 
+// replaces reports whether a write would put a key that exists; s.mu is held.
+func (s *State) replaces(op *wire.Write) bool {
+	_, exists := s.keys[op.Put]
+	return op.Put != "" && exists
+}
+
 // checkLateTransactions reports what the state service has found.
 func (c *worldChecker) checkLateTransactions() {
 	for _, finding := range c.w.State.LateFindings() {
@@ -216,7 +224,7 @@
 	for i := range t.Then {
 		op := &t.Then[i]
 		info, _ := txn.Describe(op.Kind)
-		if !outOfBounds && (info.Guard == txn.Term || info.Guard == txn.Lease) {
+		if !outOfBounds && (info.Guard.ByTerm() || info.Guard == txn.Lease) {
 			return nil
 		}
 		e := byKind[op.Kind]
--- a/internal/simulator/late_test.go
+++ b/internal/simulator/late_test.go
@@ -161,7 +161,7 @@
 		if c.executions[kind] == 0 {
 			t.Errorf("no write of the kind %q was executed late", kind)
 		}
-		if (info.Guard == txn.Term || info.Guard == txn.Lease) && c.outOfBounds[kind] == 0 {
+		if (info.Guard.ByTerm() || info.Guard == txn.Lease) && c.outOfBounds[kind] == 0 {
 			t.Errorf("no write of the kind %q was executed after its term or lease", kind)
 		}
 		for _, changer := range info.Changers {
--- a/internal/txn/infos.go
+++ b/internal/txn/infos.go
@@ -32,9 +32,9 @@
 		Changers: []Kind{JobRecordsDropped},
 	},
 	CompletedTasks: {
-		Name: "completed tasks", Guard: Term,
-		Late:     "after a write without an answer the next one has a key of its own, and both are read",
-		Tests:    []string{"TestLateCompletionWrite"},
+		Name: "completed tasks", Guard: TermAndRevisions,
+		Late:     "nothing once the record is replaced; after a write without an answer the next one has a key of its own, and both are read",
+		Tests:    []string{"TestLateCompletionWrite", "TestCopyOfAnsweredTransaction"},
 		Changers: []Kind{CompletedTasks, JobRecordsDropped},
 	},
 	JobRecordsDropped: {
@@ -44,9 +44,9 @@
 		Changers: []Kind{JobRecordsDropped},
 	},
 	MachineGroup: {
-		Name: "machine group", Guard: Term,
-		Late:     "the next one has a key of its own; a machine that comes back into a record is found gone by the cloud's list or its lease",
-		Tests:    []string{"TestMachineRecords"},
+		Name: "machine group", Guard: TermAndRevisions,
+		Late:     "nothing once the record is replaced; after a write without an answer the next one has a key of its own; a machine that comes back into a record is found gone by the cloud's list or its lease",
+		Tests:    []string{"TestMachineRecords", "TestCopyOfAnsweredTransaction"},
 		Changers: []Kind{MachineGroup, MachineGroupDropped},
 	},
 	MachineGroupDropped: {
--- a/internal/txn/kind.go
+++ b/internal/txn/kind.go
@@ -53,6 +53,9 @@
 	Term
 	// Lease: the record is bound to a lease, and is not written once that has ended.
 	Lease
+	// TermAndRevisions: the same as Term, and the transaction is also on condition of the revision of
+	// each record that it replaces.
+	TermAndRevisions
 	// Unguarded: it may be executed at any time, and does no harm.
 	Unguarded
 )
@@ -78,8 +81,11 @@
 	return infos[k], true
 }
 
+// ByTerm reports whether writes with the guard are on condition of the leader's key.
+func (g Guard) ByTerm() bool { return g == Term || g == TermAndRevisions }
+
 func (g Guard) String() string {
-	return [...]string{"", "revisions", "term", "lease", "none"}[g]
+	return [...]string{"", "revisions", "term", "lease", "term and revisions", "none"}[g]
 }
 
 func (k Kind) String() string {
