--- a/internal/core/forget_test.go
+++ b/internal/core/forget_test.go
@@ -149,3 +149,31 @@
 	f.report()
 	w.want("attempts listed under a higher token", len(f.status.Tasks), 0)
 }
+
+// TestForgetsGoInAnswersOnly guards against a copy of a forget that removes a later result of the same
+// attempt of a gang: an answer can't be executed late.
+func TestForgetsGoInAnswersOnly(t *testing.T) {
+	w := newWorld(t, blue)
+	w.beginTerm(100, nil, Snapshot{})
+	f := w.newWorker("n-1", "a").report()
+	w.submit(JobSpec{ID: "job-1", Tasks: 2})
+	f.executeDirect()
+	f.report()
+	w.c.jobs["job-1"].notBefore = MaxMicros
+	f.exitTask(0, CauseError)
+	f.exitTask(1, CauseError)
+	f.report()
+	w.raiseToken()
+	w.submit(JobSpec{ID: "job-2", Tasks: 1})
+	direct := 0
+	for _, s := range w.sent {
+		for _, cmd := range s.Commands {
+			direct++
+			w.want("direct command", cmd.Op, Start)
+		}
+	}
+	w.want("direct commands", direct, 1)
+	f.executeDirect()
+	f.report()
+	w.want("attempts listed", len(f.status.Tasks), 1)
+}
--- a/internal/simulator/copied_commands_test.go
+++ b/internal/simulator/copied_commands_test.go
@@ -30,6 +30,21 @@
 	}
 }
 
+// copyRequests returns the actions of a fault in which copies of a share of the requests to a service
+// arrive again.
+func copyRequests(of func(*simulator.World) *simulator.Faults) func(*rand.Rand, time.Duration) []action {
+	set := func(share float64) func(*simulator.World) {
+		return func(w *simulator.World) {
+			of(w).Update(func(f *simulator.Faults) {
+				f.Duplicate, f.LateDelay, f.LateJitter = share, earliestCopy, 30*time.Second
+			})
+		}
+	}
+	return func(r *rand.Rand, at time.Duration) []action {
+		return []action{{at, set(0.1 + 0.9*r.Float64())}, {at + randomDuration(r, 10, 40), set(0)}}
+	}
+}
+
 // copyCounter counts the copies of direct commands that arrived at machines, by the status of their
 // answer.
 type copyCounter struct{ byStatus map[int]int }
@@ -191,6 +206,9 @@
 		}},
 	}
 	others = append(others, combinationFaults...)
+	others = append(others,
+		faultKind{"copies of requests to the state service", copyRequests(func(w *simulator.World) *simulator.Faults { return w.StateFaults })},
+		faultKind{"copies of requests to the cloud", copyRequests(func(w *simulator.World) *simulator.Faults { return w.CloudFaults })})
 	for seed := range *copiedCommandRuns {
 		r := rand.New(rand.NewPCG(uint64(seed), 34))
 		share, latest := 0.1+0.9*r.Float64(), 2*s+time.Duration(r.Int64N(int64(88*s)))
--- a/internal/txn/kind.go
+++ b/internal/txn/kind.go
@@ -66,8 +66,6 @@
 	Guard Guard
 	// Late says what a late execution within the guard's bounds does.
 	Late string
-	// Tests are the names of tests that execute the kind late, besides TestLateTransactions.
-	Tests []string
 	// Changers are the kinds that may change the records after a write of this kind was sent. Unlisted
 	// stands for the end of a lease.
 	Changers []Kind
--- a/internal/txn/kind_test.go
+++ b/internal/txn/kind_test.go
@@ -1,62 +1,59 @@
 package txn_test
 
 import (
-	"io/fs"
-	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 
+	"aspenstall/internal/designdoc"
 	"aspenstall/internal/txn"
 )
 
 // designPage is the page with the table of the kinds.
 const designPage = "../../docs/design/late-writes.md"
 
-// testSources returns the text of all test files of the module's internal packages.
-func testSources(t *testing.T) string {
-	t.Helper()
-	var all strings.Builder
-	err := filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, "_test.go") {
-			return err
-		}
-		text, err := os.ReadFile(path)
-		all.Write(text)
-		return err
-	})
+// TestKinds checks that every kind is described, in the list and on the page, and that the tests exist
+// that the page names. A kind that is left out of the list can't be sent.
+func TestKinds(t *testing.T) {
+	rows, err := designdoc.Rows(designPage, "kind")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return all.String()
-}
-
-// TestKinds checks that every kind is described, in the list and on the page, and that the tests exist
-// that are said to execute it late. A kind that is left out of the list can't be sent.
-func TestKinds(t *testing.T) {
-	page, err := os.ReadFile(designPage)
+	tests, err := designdoc.Tests("..")
 	if err != nil {
 		t.Fatal(err)
 	}
-	tests := testSources(t)
-	names := map[string]bool{}
+	byName := map[string][]string{}
+	for _, row := range rows {
+		if len(row) != 4 || byName[row[0]] != nil {
+			t.Errorf("incomplete or repeated row %q", row)
+			continue
+		}
+		byName[row[0]] = row
+	}
 	for kind := txn.Unlisted + 1; kind < txn.NumKinds; kind++ {
 		info, listed := txn.Describe(kind)
-		if !listed || info.Name == "" || info.Late == "" || len(info.Tests) == 0 || names[info.Name] {
-			t.Errorf("kind %d has no complete description of its own: %+v", kind, info)
+		if !listed || info.Name == "" || info.Late == "" {
+			t.Errorf("kind %d has no complete description: %+v", kind, info)
 			continue
 		}
-		names[info.Name] = true
-		row := "| " + strings.Join([]string{info.Name, info.Guard.String(), info.Late, strings.Join(info.Tests, ", ")}, " | ") + " |\n"
-		if !strings.Contains(string(page), row) {
-			t.Errorf("the page has no row %s", row)
+		row := byName[info.Name]
+		delete(byName, info.Name)
+		if row == nil || row[1] != info.Guard.String() || row[2] != info.Late {
+			t.Errorf("kind %q (%s): %s\nthe page has %q", info.Name, info.Guard, info.Late, row)
+			continue
+		}
+		named := designdoc.List(row[3])
+		if len(named) == 0 {
+			t.Errorf("kind %q: no test is named", info.Name)
 		}
-		for _, name := range info.Tests {
-			if !strings.Contains(tests, "func "+name+"(") {
+		for _, name := range named {
+			if !tests[name] {
 				t.Errorf("kind %q: there is no test %s", info.Name, name)
 			}
 		}
 	}
+	for name := range byName {
+		t.Errorf("the page has a row of an unknown kind, or of a name that two kinds have: %q", name)
+	}
 	for _, kind := range []txn.Kind{txn.Unlisted, txn.NumKinds} {
 		if _, listed := txn.Describe(kind); listed {
 			t.Errorf("kind %d is listed", kind)
