--- a/internal/core/command_log.go
+++ b/internal/core/command_log.go
@@ -2,8 +2,12 @@
 
 import "fmt"
 
-// commandCounts counts commands since the last summary.
+// commandCountsInterval is the time between two entries of the log with the counts of commands.
+const commandCountsInterval = 60 * Second
+
+// commandCounts counts commands since they were last logged.
 type commandCounts struct {
+	loggedAt           Micros
 	directStarts       int
 	answerStarts       int
 	forgets            int
@@ -31,12 +35,15 @@
 		"forgets", b.forgets, "restarts", b.restarts, "starts", b.starts)
 }
 
-// logCommandCounts logs the counts of commands since the last summary, and begins to count anew.
-func (c *Core) logCommandCounts() {
+// logCommandCounts logs the counts of commands if they are due, and begins to count anew.
+func (c *Core) logCommandCounts(now Micros) {
 	counts := &c.commandCounts
-	c.log("commands since the last summary", "token", c.token, "direct_starts", counts.directStarts, "starts_in_answers", counts.answerStarts,
+	if now-max(counts.loggedAt, c.termBeganAt) < commandCountsInterval {
+		return
+	}
+	c.log("commands sent", "token", c.token, "direct_starts", counts.directStarts, "starts_in_answers", counts.answerStarts,
 		"forgets", counts.forgets, "most_waiting_to_be_forgotten", counts.mostPendingForgets)
-	*counts = commandCounts{}
+	*counts = commandCounts{loggedAt: now}
 }
 
 // logUnexpectedAttempt logs that a machine reports an attempt of this term which this leader does not
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -77,7 +77,7 @@
 		"cost_boot", roundToCents(cost.booting), "cost_idle", roundToCents(cost.idle), "cost_run", roundToCents(cost.running),
 		"cost_wait", roundToCents(cost.waiting), "cost_service", roundToCents(cost.service), "cost_left", roundToCents(cost.unused),
 	)
-	c.logCommandCounts()
+	c.logCommandCounts(now)
 }
 
 // roundToCents rounds an amount of money for the log.
