Core: a gang's missing task is replaced on a machine that does not know its attempt

Cause: an exited task stays known to its worker until the token is raised. The search for a replacement with the same attempt gave up at the first machine that knows it, and the gang was stopped after ten seconds without another try. Change: such machines are left out of the search. Result: TestGangTaskIsNotReplacedWhereItIsListed failed before (no task on the other machine). TestUnknownAttemptOfThisTerm: attempts that this leader does not know wait for a higher token, too.

--- a/internal/core/forget_test.go
+++ b/internal/core/forget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -177,3 +178,61 @@
 	f.report()
 	w.want("attempts listed", len(f.status.Tasks), 1)
 }
+
+// TestUnknownAttemptOfThisTerm guards against copies of starts of which this leader knows nothing any
+// more: the attempt may have been started directly under the present token.
+func TestUnknownAttemptOfThisTerm(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		kind      Kind
+		attempt   uint64
+		forgotten bool // under the present token
+	}{
+		{"of an earlier term", Array, 90<<attemptTokenShift | 5, true},
+		{"of this term", Array, 100<<attemptTokenShift | 5, false},
+		{"of an earlier term, of a gang that is completed in this one", Gang, 90<<attemptTokenShift | 5, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, blue)
+			spec := JobSpec{ID: "job-1", Team: "blue", Kind: c.kind, Tasks: 2, Resources: Resources{2000, 0, 2000}, Image: "im"}
+			w.beginTerm(100, []JobRecord{{Spec: spec, Revision: 3}}, Snapshot{Started: []string{"job-1"}})
+			w.c.jobs["job-1"].notBefore = MaxMicros
+			f := w.newWorker("n-1", "a")
+			f.status.Tasks = []TaskReport{{Job: "job-1", Index: 0, Attempt: c.attempt, State: Exited, Cause: CauseError}}
+			f.report()
+			f.report()
+			w.want("forgotten", len(f.status.Tasks) == 0, c.forgotten)
+			w.want("logged", slices.Contains(w.logs, "an attempt of this term is reported that is not known"), c.attempt>>attemptTokenShift >= 100)
+			w.raiseToken()
+			f.report()
+			w.want("attempts listed under a higher token", len(f.status.Tasks), 0)
+		})
+	}
+}
+
+// TestGangTaskIsNotReplacedWhereItIsListed guards against a replacement that its worker ignores, since it
+// knows the attempt.
+func TestGangTaskIsNotReplacedWhereItIsListed(t *testing.T) {
+	w := newWorld(t, Team{Name: "blue"})
+	w.beginTerm(100, nil, Snapshot{})
+	f := w.newWorker("n-1", "a").report()
+	f.fetchesImage = true
+	w.submit(JobSpec{ID: "job-1", Kind: Gang, Tasks: 2, Resources: Resources{2000, 0, 1000}})
+	f.executeDirect()
+	f.report()
+	w.want("fetching", f.liveTasks(), "job-1/0 job-1/1 ")
+	f.exitTask(0, CauseNoCapacity) // one task of the gang has to be replaced with the same attempt
+	f.report()
+	w.c.machines["n-1"].blockedUntil = 0
+	for range 5 {
+		w.advance(Second)
+		f.report()
+	}
+	w.want("tasks on the machine that knows the attempt", f.liveTasks(), "job-1/1 ")
+	g := w.newWorker("n-2", "a").report()
+	g.fetchesImage = true
+	w.advance(Second)
+	g.executeDirect()
+	g.report()
+	w.want("tasks on the other machine", g.liveTasks(), "job-1/0 ")
+}
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -78,12 +78,13 @@
 	plan.tasks = j.pendingTasks()
 	chosen := make([]*machine, 0, len(plan.tasks))
 	for _, i := range plan.tasks {
-		m := c.pickMachine(j, now, zone, options.cachedOnly)
+		// A worker that already has this attempt of the task would not start it.
+		hasAttempt := func(m *machine) bool { return m.hasAttempt(j, i, attempt) }
+		m := c.pickMachineExcept(j, now, zone, options.cachedOnly, hasAttempt)
 		if m == nil && options.evict {
 			m = c.planReclaim(j, usage, now, zone, &plan.reclaim)
 		}
-		// A worker that already has this attempt of the task would not start it.
-		if m == nil || m.hasAttempt(j, i, attempt) {
+		if m == nil || hasAttempt(m) {
 			break
 		}
 		plan.slowestFetch = max(plan.slowestFetch, c.imageFetchDelay(j, m))
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -204,6 +204,11 @@
 // of them or the job is starving. zoneFilter, unless empty, restricts the search to a zone, and
 // requireCached to machines that have the job's image.
 func (c *Core) pickMachine(j *job, now Micros, zoneFilter string, requireCached bool) *machine {
+	return c.pickMachineExcept(j, now, zoneFilter, requireCached, func(*machine) bool { return false })
+}
+
+// pickMachineExcept is pickMachine without the machines for which excluded returns true.
+func (c *Core) pickMachineExcept(j *job, now Micros, zoneFilter string, requireCached bool, excluded func(*machine) bool) *machine {
 	key := newSearchKey(j)
 	key.cachedOnly = requireCached
 	cost := func(m *machine) (int64, bool) {
@@ -221,9 +226,9 @@
 		remaining := free.Sub(j.spec.Resources)
 		return cost + remaining.CPU*int64(20*Millisecond)/1000, true
 	}
-	best := c.cheapestCandidate(key, c.candidates, j, zoneFilter, cost, func(m *machine) bool { return j.failedOn[m.name] })
+	best := c.cheapestCandidate(key, c.candidates, j, zoneFilter, cost, func(m *machine) bool { return j.failedOn[m.name] || excluded(m) })
 	if best == nil && (len(j.failedOn) >= suspectThreshold || j.starving && j.failedOn != nil) {
-		best = c.cheapestCandidate(key, c.candidates, j, zoneFilter, cost, func(*machine) bool { return false })
+		best = c.cheapestCandidate(key, c.candidates, j, zoneFilter, cost, excluded)
 	}
 	return best
 }
