--- a/internal/scale/events.go
+++ b/internal/scale/events.go
@@ -45,6 +45,7 @@
 	Commands             int64 `json:"commands"`
 	CommandBytesSent     int64 `json:"commands_sent_bytes"`
 	CommandBytesReceived int64 `json:"commands_received_bytes"`
+	CopiedCommands       int64 `json:"copied_commands"` // copies that arrived again
 }
 
 // CommandKind is the kind of a Command.
@@ -57,6 +58,7 @@
 	CommandLeaderZone       CommandKind = "leader" // sets the zone that direct commands come from
 	CommandPartitionZone    CommandKind = "cut-zone"
 	CommandPartitionRegions CommandKind = "apart"
+	CommandCopyCommands     CommandKind = "copies" // copies of direct commands arrive again
 )
 
 // Command is an instruction from the run to a worker host process.
--- a/internal/scale/fault.go
+++ b/internal/scale/fault.go
@@ -101,6 +101,8 @@
 			r.network.SetZonePartitioned(zone, on)
 			r.sendToHosts(Command{Kind: CommandPartitionZone, Zone: zone, On: on})
 		})
+	case FaultCommandCopies:
+		r.enableFor(ctx, t, func(on bool) { r.sendToHosts(Command{Kind: CommandCopyCommands, On: on}) })
 	case FaultRegionPartition:
 		r.enableFor(ctx, t, func(on bool) {
 			r.network.SetRegionsPartitioned(on)
--- a/internal/scale/host.go
+++ b/internal/scale/host.go
@@ -51,6 +51,9 @@
 	commandCount      atomic.Int64
 	reportTraffic     TrafficCounter
 	commandTraffic    TrafficCounter
+	copies            *simulator.Faults // of direct commands
+	copying           atomic.Bool
+	copyCount         atomic.Int64
 	descriptionClient *http.Client
 }
 
@@ -65,6 +68,7 @@
 		random:            rand.New(rand.NewPCG(uint64(cfg.Settings.Seed), uint64(1000+cfg.Number))),
 		descriptionClient: &http.Client{Timeout: 5 * time.Second},
 	}
+	h.copies = newCommandCopies(cfg, &h.copyCount)
 	for _, c := range cfg.Controllers {
 		h.controllerZones[c.Address] = c.Zone
 	}
@@ -104,11 +108,28 @@
 		h.leaderZone.Store(&c.Zone)
 	case CommandPartitionZone:
 		h.network.SetZonePartitioned(c.Zone, c.On)
+	case CommandCopyCommands:
+		h.copying.Store(c.On)
 	case CommandPartitionRegions:
 		h.network.SetRegionsPartitioned(c.On)
 	}
 }
 
+// The time after which the copy of a direct command arrives.
+const (
+	earliestCommandCopy = 500 * time.Millisecond
+	latestCommandCopy   = 15 * time.Second
+)
+
+// newCommandCopies returns a fault injector that has a copy of each request arrive again, and counts the
+// copies.
+func newCommandCopies(cfg HostConfig, count *atomic.Int64) *simulator.Faults {
+	copies := simulator.NewFaults(uint64(cfg.Settings.Seed) + uint64(cfg.Number))
+	copies.Duplicate, copies.LateDelay, copies.LateJitter = 1, earliestCommandCopy, latestCommandCopy-earliestCommandCopy
+	copies.OnRepeated = func(string, int) { count.Add(1) }
+	return copies
+}
+
 // emit sends an event to the run, with the current time.
 func (h *host) emit(e Event) {
 	e.AtNS = time.Now().UnixNano()
@@ -136,7 +157,8 @@
 		h.mu.Unlock()
 		h.emit(Event{Kind: EventTraffic, Traffic: &WorkerTraffic{
 			Workers: workers, Reports: h.reportCount.Load(), ReportBytesSent: h.reportTraffic.Sent.Load(), ReportBytesReceived: h.reportTraffic.Received.Load(),
-			Commands: h.commandCount.Load(), CommandBytesSent: h.commandTraffic.Sent.Load(), CommandBytesReceived: h.commandTraffic.Received.Load(),
+			CopiedCommands: h.copyCount.Load(),
+			Commands:       h.commandCount.Load(), CommandBytesSent: h.commandTraffic.Sent.Load(), CommandBytesReceived: h.commandTraffic.Received.Load(),
 		}})
 	}
 }
@@ -191,9 +213,14 @@
 	if err != nil {
 		return func() {}
 	}
+	copied := s.h.copies.Wrap(worker)
 	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.h.commandCount.Add(1)
-		worker.ServeHTTP(w, r)
+		if s.h.copying.Load() {
+			copied.ServeHTTP(w, r)
+		} else {
+			worker.ServeHTTP(w, r)
+		}
 	})
 	srv := &http.Server{Handler: counted, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 	go func() { _ = srv.Serve(l) }()
--- a/internal/scale/measurement.go
+++ b/internal/scale/measurement.go
@@ -23,6 +23,7 @@
 		sum.Commands += s.Commands
 		sum.CommandBytesSent += s.CommandBytesSent
 		sum.CommandBytesReceived += s.CommandBytesReceived
+		sum.CopiedCommands += s.CopiedCommands
 	}
 	return sum
 }
@@ -143,6 +144,7 @@
 		Workers: b.traffic.Workers, Reports: b.traffic.Reports - a.traffic.Reports,
 		ReportBytesSent: b.traffic.ReportBytesSent - a.traffic.ReportBytesSent, ReportBytesReceived: b.traffic.ReportBytesReceived - a.traffic.ReportBytesReceived,
 		Commands: b.traffic.Commands - a.traffic.Commands, CommandBytesSent: b.traffic.CommandBytesSent - a.traffic.CommandBytesSent, CommandBytesReceived: b.traffic.CommandBytesReceived - a.traffic.CommandBytesReceived,
+		CopiedCommands: b.traffic.CopiedCommands - a.traffic.CopiedCommands,
 	}
 	res.PeerTraffic, res.StateTraffic, res.CloudTraffic = b.peerTraffic.minus(a.peerTraffic), b.stateTraffic.minus(a.stateTraffic), b.cloudTraffic.minus(a.cloudTraffic)
 	res.MessageCounts, res.StateWrites = map[string]MessageCount{}, map[string]int64{}
--- a/internal/scale/names_test.go
+++ b/internal/scale/names_test.go
@@ -83,7 +83,7 @@
 			t.Errorf(":%s is not in the file", name)
 		}
 	}
-	if want := []string{"leader-ends", "rack", "zone-cut", "regions-apart", "replacements"}; !slices.Equal(faultKinds, want) {
+	if want := []string{"leader-ends", "rack", "zone-cut", "regions-apart", "replacements", "command-copies"}; !slices.Equal(faultKinds, want) {
 		t.Errorf("kinds of faults %q, want %q", faultKinds, want)
 	}
 }
@@ -99,7 +99,7 @@
 			{Role: "leader", Name: "n", Workers: 14, Cores: 15.5, PeakCores: 16.5, MemMB: 17.5, PeakMemMB: 18.5, Threads: 19, Sockets: 20},
 		},
 		MessageCounts: map[string]MessageCount{"k": {Requests: 21, BytesIn: 22, BytesOut: 23}}, StateWrites: map[string]int64{"p": 24},
-		WorkerTraffic: WorkerTraffic{Workers: 25, Reports: 26, ReportBytesSent: 27, ReportBytesReceived: 28, Commands: 29, CommandBytesSent: 30, CommandBytesReceived: 31},
+		WorkerTraffic: WorkerTraffic{Workers: 25, Reports: 26, ReportBytesSent: 27, ReportBytesReceived: 28, Commands: 29, CommandBytesSent: 30, CommandBytesReceived: 31, CopiedCommands: 69},
 		PeerTraffic:   TrafficBytes{Sent: 32, Received: 33}, StateTraffic: TrafficBytes{Sent: 34, Received: 35}, CloudTraffic: TrafficBytes{Sent: 36, Received: 37},
 		Records: 38, RecordBytes: 39,
 		SubmissionLatency: Latency{Count: 40, P50: 41.5, P99: 42.5, Max: 43.5}, UrgentLatency: Latency{Count: 44, P50: 45.5, P99: 46.5, Max: 47.5}, UrgentLate: 48,
@@ -137,12 +137,12 @@
 		got, want any
 	}{
 		{"roles", []Role{RoleLeader, RoleFollower, RoleWorker, RoleHollow, RoleRun}, []Role{"leader", "follower", "worker", "hollow", "run"}},
-		{"fault kinds", []string{FaultLeaderKilled, FaultRack, FaultZonePartition, FaultRegionPartition, FaultRollingReplacement},
-			[]string{"leader-ends", "rack", "zone-cut", "regions-apart", "replacements"}},
+		{"fault kinds", []string{FaultLeaderKilled, FaultRack, FaultZonePartition, FaultRegionPartition, FaultRollingReplacement, FaultCommandCopies},
+			[]string{"leader-ends", "rack", "zone-cut", "regions-apart", "replacements", "command-copies"}},
 		{"events", []EventKind{EventStarted, EventLeft, EventDone, EventOrdered, EventForgottenStart, EventExpired, EventTraffic},
 			[]EventKind{"started", "left", "done", "ordered", "forgotten-start", "expired", "traffic"}},
-		{"commands", []CommandKind{CommandStart, CommandKill, CommandLeaderZone, CommandPartitionZone, CommandPartitionRegions},
-			[]CommandKind{"start", "die", "leader", "cut-zone", "apart"}},
+		{"commands", []CommandKind{CommandStart, CommandKill, CommandLeaderZone, CommandPartitionZone, CommandPartitionRegions, CommandCopyCommands},
+			[]CommandKind{"start", "die", "leader", "cut-zone", "apart", "copies"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if !reflect.DeepEqual(c.got, c.want) {
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -67,15 +67,16 @@
 
 // Kinds of faults.
 const (
-	FaultLeaderKilled       = "leader-ends"   // the leader's process is killed and restarted after ForS
-	FaultRack               = "rack"          // Count machines of one zone fail at once
-	FaultZonePartition      = "zone-cut"      // a zone is partitioned from the others for ForS
-	FaultRegionPartition    = "regions-apart" // the regions are partitioned from each other for ForS
-	FaultRollingReplacement = "replacements"  // Count machines fail one after the other, spread over ForS
+	FaultLeaderKilled       = "leader-ends"    // the leader's process is killed and restarted after ForS
+	FaultRack               = "rack"           // Count machines of one zone fail at once
+	FaultZonePartition      = "zone-cut"       // a zone is partitioned from the others for ForS
+	FaultRegionPartition    = "regions-apart"  // the regions are partitioned from each other for ForS
+	FaultRollingReplacement = "replacements"   // Count machines fail one after the other, spread over ForS
+	FaultCommandCopies      = "command-copies" // for ForS, a copy of each direct command arrives again later
 )
 
 // faultKinds lists all kinds of faults.
-var faultKinds = []string{FaultLeaderKilled, FaultRack, FaultZonePartition, FaultRegionPartition, FaultRollingReplacement}
+var faultKinds = []string{FaultLeaderKilled, FaultRack, FaultZonePartition, FaultRegionPartition, FaultRollingReplacement, FaultCommandCopies}
 
 // Limits of a run, which has one machine for all its processes.
 const (
