--- a/internal/simulator/copied_commands_test.go
+++ b/internal/simulator/copied_commands_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -154,6 +155,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			copies := &copyCounter{}
 			refused := 0
 			sc := scenario{seed: uint64(900 + i), setup: func(w *simulator.World) { copies.observe(w); copyCommands(1, latestCopy)(w) }, actions: c.actions}
@@ -187,7 +189,8 @@
 }
 
 // TestRandomCopiedCommands runs random scenarios, by seed, in which copies of answered commands arrive
-// up to 90 s late beside one or two other faults. The long form, outside CI:
+// up to 90 s late beside one or two other faults, with work in three zones or with gangs and cancelled
+// jobs. The long form, outside CI:
 //
 //	go test ./internal/simulator -run TestRandomCopiedCommands -copies 500
 func TestRandomCopiedCommands(t *testing.T) {
@@ -205,7 +208,7 @@
 			return []action{{at, refuseLeader}, {at + randomDuration(r, 5, 60), refuseNobody}}
 		}},
 	}
-	others = append(others, combinationFaults...)
+	others = slices.Concat(others, combinationFaults, raceFaults, partitionFaults)
 	others = append(others,
 		faultKind{"copies of requests to the state service", copyRequests(func(w *simulator.World) *simulator.Faults { return w.StateFaults })},
 		faultKind{"copies of requests to the cloud", copyRequests(func(w *simulator.World) *simulator.Faults { return w.CloudFaults })})
@@ -219,6 +222,13 @@
 			faults = append(faults, others[r.IntN(len(others))])
 		}
 		sc := randomScenario(r, seed, uint64(9000+seed), faults, 20, 60)
-		t.Run(sc.name, func(t *testing.T) { runPartitionScenario(t, sc) })
+		t.Run(sc.name, func(t *testing.T) {
+			t.Parallel()
+			if seed%2 == 0 {
+				runPartitionScenario(t, sc)
+			} else {
+				runScenario(t, sc, platform(), machineTypes, mixedWorkload)
+			}
+		})
 	}
 }
--- a/internal/simulator/fault_combinations_budget_test.go
+++ b/internal/simulator/fault_combinations_budget_test.go
@@ -292,6 +292,7 @@
 	} {
 		for n, budget := range stateBudgets {
 			t.Run(c.name+"/"+budget.name, func(t *testing.T) {
+				t.Parallel()
 				seed := raceSeeds[n]
 				m := c.build(seed)
 				m.seed = seed
--- a/internal/simulator/fault_combinations_random_test.go
+++ b/internal/simulator/fault_combinations_random_test.go
@@ -168,7 +168,10 @@
 		case strings.HasPrefix(c.name, "machines hang"):
 			d.extraActions = []action{{s, h.hangWorkers}, {12 * s, h.resumeWorkers}, {30 * s, h.hangWorkers}, {40 * s, h.resumeWorkers}}
 		}
-		t.Run(c.name, func(t *testing.T) { d.run(t, 80) })
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d.run(t, 80)
+		})
 	}
 }
 
@@ -426,6 +429,9 @@
 			faults = append(faults, kinds[k])
 		}
 		sc := randomScenario(r, seed, uint64(7000+seed), faults, 40, 70)
-		t.Run(sc.name, func(t *testing.T) { runPartitionScenario(t, sc) })
+		t.Run(sc.name, func(t *testing.T) {
+			t.Parallel()
+			runPartitionScenario(t, sc)
+		})
 	}
 }
--- a/internal/simulator/races_test.go
+++ b/internal/simulator/races_test.go
@@ -41,21 +41,25 @@
 // raceSeeds are the seeds that runAtEachBudget uses.
 var raceSeeds = []uint64{401, 402}
 
-// runAtEachBudget runs a scenario at both state budgets with each seed. build returns the scenario, its
-// workload, and a function that reports afterwards what did not occur; "" if all occurred.
+// runAtEachBudget runs a scenario at both state budgets with each seed, side by side, and returns when all
+// have ended. build returns the scenario, its workload, and a function that reports afterwards what did
+// not occur; "" if all occurred. What the scenarios share must be safe for concurrent use.
 func runAtEachBudget(t *testing.T, build func(seed uint64) (scenario, func(*testing.T, *users), func() string)) {
-	for _, budget := range stateBudgets {
-		for _, seed := range raceSeeds {
-			t.Run(fmt.Sprint(budget.name, "-", seed), func(t *testing.T) {
-				sc, jobs, missing := build(seed)
-				sc.seed = seed
-				runScenario(t, sc, budget.platform(), machineTypes[:1], jobs)
-				if what := missing(); what != "" {
-					t.Errorf("the scenario lacks %s", what)
-				}
-			})
+	t.Run("budgets", func(t *testing.T) {
+		for _, budget := range stateBudgets {
+			for _, seed := range raceSeeds {
+				t.Run(fmt.Sprint(budget.name, "-", seed), func(t *testing.T) {
+					t.Parallel()
+					sc, jobs, missing := build(seed)
+					sc.seed = seed
+					runScenario(t, sc, budget.platform(), machineTypes[:1], jobs)
+					if what := missing(); what != "" {
+						t.Errorf("the scenario lacks %s", what)
+					}
+				})
+			}
 		}
-	}
+	})
 }
 
 // submitShortJobs submits jobs of a few tasks at regular intervals between two times since the start.
@@ -120,6 +124,7 @@
 // neither reports nor acts as if the write had failed, and a retry finds its own write by reading it.
 func TestWriteResponseLost(t *testing.T) {
 	const s, ms = time.Second, time.Millisecond
+	var mu sync.Mutex
 	lostByKind := map[string]int{}
 	runAtEachBudget(t, func(seed uint64) (scenario, func(*testing.T, *users), func() string) {
 		l := &followUpRequests{random: simulator.NewStreams(seed), cancels: true}
@@ -135,9 +140,11 @@
 			w.StateFaults.OnUnanswered = func(_ string, status int, body []byte) {
 				if status == http.StatusOK {
 					lost++
+					mu.Lock()
 					for _, k := range writeKinds(body) {
 						lostByKind[k]++
 					}
+					mu.Unlock()
 				}
 			}
 			lose(0.4)(w)
--- a/internal/simulator/token_raise_test.go
+++ b/internal/simulator/token_raise_test.go
@@ -89,6 +89,7 @@
 func TestZonePartitionAfterTokenRaise(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			c := &activeFaults{}
 			raises := 0
 			setup := func(w *simulator.World) {
