Node: a record that has an unexpected revision is written under another key

Cause: a write that replaces a record is on condition of the revision that the leader knows. Had the record another one for whatever reason, each further write of it would fail, and new machines of that group would get no task. Change: a write that fails on its conditions counts as one of unknown outcome, after which the core uses another key, as it does after a write without an answer. Result: TestRecordWithUnexpectedRevision: without it two jobs wait beside free machines for good.

--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -317,14 +317,21 @@
 	if w.IfAbsent != "" {
 		req.conds = append(req.conds, wire.Cond{Key: w.IfAbsent})
 	}
-	req.conds = append(req.conds, t.records.conditions(req.ops)...)
+	replaced := t.records.conditions(req.ops)
+	req.conds = append(req.conds, replaced...)
 	req.done = func(rev uint64, err error) {
 		if err != nil {
 			n.log.Debug("write failed", "err", err, "job", w.IfJob)
 		} else {
 			t.records.noteStored(req.ops, rev)
 		}
-		n.ifCurrentTerm(t, func() { n.core.HandleWriteResult(n.now(), w.ID, writeOutcome(err)) })
+		outcome := writeOutcome(err)
+		if len(replaced) > 0 && errors.Is(err, statestore.ErrConflict) {
+			// The record is not as this leader knows it, so its next write has to use another key.
+			n.log.Info("a record was not replaced: it or the leader's key has changed", "key", replaced[0].Key, "revision", replaced[0].ModRevision)
+			outcome = core.WriteUnknown
+		}
+		n.ifCurrentTerm(t, func() { n.core.HandleWriteResult(n.now(), w.ID, outcome) })
 		if err == nil && w.IfJob != "" {
 			n.applyFinalRecords(w, rev)
 		}
--- a/internal/simulator/copied_transactions_test.go
+++ b/internal/simulator/copied_transactions_test.go
@@ -87,3 +87,45 @@
 		})
 	}
 }
+
+// sendWithoutConditions writes what the last of the transactions wrote once more, without its conditions,
+// so that the records get another revision.
+func (c *commitRecorder) sendWithoutConditions(w *simulator.World) (status int) {
+	c.mu.Lock()
+	var transaction wire.Txn
+	err := wire.Unmarshal(c.bodies[len(c.bodies)-1], &transaction)
+	c.mu.Unlock()
+	if err != nil {
+		return 0
+	}
+	transaction.If = []wire.Cond{}
+	body, err := wire.Marshal(&transaction)
+	if err != nil {
+		return 0
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+w.StateAddr()+wire.CommitPath, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	status, _ = simulator.Exchange(w.Net.Client("10.9.0.1:1"), request)
+	return status
+}
+
+// TestRecordWithUnexpectedRevision guards against machines that are never recorded, and so get no task,
+// because their record has a revision that the leader does not know.
+func TestRecordWithUnexpectedRevision(t *testing.T) {
+	const s = time.Second
+	recorder := &commitRecorder{prefix: "b/machine/"}
+	status := 0
+	sc := scenario{seed: 951, setup: recorder.observe, setupFaultsEnd: true, actions: []action{
+		{30 * s, func(w *simulator.World) { status = recorder.sendWithoutConditions(w) }},
+	}}
+	runScenario(t, sc, twoTeams(), machineTypes[:1], func(_ *testing.T, u *users) {
+		for i := range 3 {
+			u.after(time.Duration(20*i)*s, func() { u.runToDone(array(100+i, 6, 120)) })
+		}
+	})
+	if status != http.StatusOK {
+		t.Errorf("the record was not changed: status %d", status)
+	}
+}
