--- a/internal/simulator/races_test.go
+++ b/internal/simulator/races_test.go
@@ -148,7 +148,7 @@
 				}
 			}
 			lose(0.4)(w)
-			w.WorkerFaults.ExecuteLate, w.WorkerFaults.LateDelay, w.WorkerFaults.LateJitter, w.WorkerFaults.LatePath = 0.2, s, 20*s, wire.CommandsPath
+			w.WorkerFaults.ExecuteLate, w.WorkerFaults.LateDelay, w.WorkerFaults.LateJitter, w.WorkerFaults.LatePath = 0.5, s, 20*s, wire.CommandsPath
 		}, actions: []action{{45 * s, killAllNodes}, {45*s + 300*ms, startAllNodes}, {60 * s, h.hangWorkers}, {70 * s, h.resumeWorkers}, {75 * s, killAllNodes}, {75*s + 300*ms, startAllNodes}, {100 * s, lose(0)}, {100 * s, func(w *simulator.World) {
 			w.WorkerFaults.Update(func(f *simulator.Faults) { f.ExecuteLate = 0 })
 		}}}}
