Core and node: one piece for what stood twice after the copied starts

On rereading; behaviour is meant to be the same. - What refuses copies of a start stood for placements and for exited tasks: startToken has it. - An attempt's identity was a new type beside RetainedTask, which is TaskAttempt now and serves both. - A placement was taken from its machine's list in three ways: detach. The one with slices.Delete would have left a nil behind for a loop over the list. - "No start was sent" was written out in four places beside unsent(). - The wait for a wake-up or a time, and the signal, stood in the elector and in the exchange of statuses: wait.ForOrWake and wait.Wake. - Requests went back to the head of their queue in two places: requeue.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -140,11 +140,11 @@
 // RetainedMachine is a machine in a partitioned zone and the tasks that can be on it.
 type RetainedMachine struct {
 	Name  string
-	Tasks []RetainedTask
+	Tasks []TaskAttempt
 }
 
-// RetainedTask identifies an attempt of a task.
-type RetainedTask struct {
+// TaskAttempt identifies an attempt of a task.
+type TaskAttempt struct {
 	Job     string
 	Index   int
 	Attempt uint64
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -129,7 +129,7 @@
 	if b.inReply {
 		p.startReportSeq = b.m.seq
 	} else {
-		p.inDirectCommand, p.directStartToken = true, b.c.token
+		p.inDirectCommand, p.directStart = true, startToken(b.c.token)
 	}
 	b.starts = append(b.starts, p.command(Start))
 }
--- a/internal/core/configure.go
+++ b/internal/core/configure.go
@@ -32,7 +32,7 @@
 		if !c.exceedsMax(j.team) {
 			continue
 		}
-		placements := slices.DeleteFunc(j.livePlacements(), func(p *placement) bool { return !p.unsent() })
+		placements := slices.DeleteFunc(j.livePlacements(), func(p *placement) bool { return !p.unsent() || p.stopRequested })
 		if j.spec.Kind != Gang || len(placements) == j.occupying {
 			unsent = append(unsent, placements...)
 		}
@@ -54,11 +54,6 @@
 // exceedsMax reports whether the team uses more than its maximum.
 func (c *Core) exceedsMax(t *team) bool { return overMax(c.teamUsage(t), Resources{}, t.Max) }
 
-// unsent reports whether no start of the placement was sent.
-func (p *placement) unsent() bool {
-	return !p.startSent && !p.inDirectCommand && !p.reported && !p.stopRequested
-}
-
 // SetPlacementEnabled sets whether tasks may be placed and others preempted for them. Placement is
 // disabled while this node cannot know the quotas that are in force. Everything else continues.
 func (c *Core) SetPlacementEnabled(enabled bool) {
--- a/internal/core/forget.go
+++ b/internal/core/forget.go
@@ -5,36 +5,23 @@
 	"slices"
 )
 
-// attemptID identifies an attempt of a task.
-type attemptID struct {
-	job     string
-	index   int
-	attempt uint64
-}
-
 // exitedTask is an attempt that has exited and whose completion is stored, or need not be. Its worker
 // knows it until it is told to forget it, and would run it again if a start of it arrived after that.
 type exitedTask struct {
-	directStartToken uint64 // highest token under which a direct start may have been sent; 0: none was
-	listed           bool   // in the report that is being applied
+	directStart startToken
+	listed      bool // in the report that is being applied
 }
 
-// copiesRefused reports whether a worker that has seen the token refuses every direct start of the
-// attempt, also a copy of one that it has executed.
-func (e *exitedTask) copiesRefused(token uint64) bool { return token > e.directStartToken }
-
 // awaitForget turns the placement of an exited task whose completion is stored into an exitedTask.
 func (c *Core) awaitForget(p *placement) {
 	m := p.machine
-	i := slices.Index(m.placements, p)
-	if i < 0 {
+	if !m.detach(p) {
 		return // the machine was cleared meanwhile
 	}
-	m.placements = slices.Delete(m.placements, i, i+1)
 	if m.exited == nil {
-		m.exited = map[attemptID]*exitedTask{}
+		m.exited = map[TaskAttempt]*exitedTask{}
 	}
-	m.exited[attemptID{p.jobID, p.index, p.attempt}] = &exitedTask{directStartToken: p.directStartToken, listed: true}
+	m.exited[p.taskAttempt()] = &exitedTask{directStart: p.directStart, listed: true}
 	if p.job != nil && p.job.stopping {
 		c.finishGangStop(p.job)
 	}
@@ -45,7 +32,7 @@
 	if len(m.exited) == 0 || t.State != Exited {
 		return false
 	}
-	e := m.exited[attemptID{t.Job, t.Index, t.Attempt}]
+	e := m.exited[TaskAttempt{t.Job, t.Index, t.Attempt}]
 	if e == nil {
 		return false
 	}
@@ -74,7 +61,7 @@
 func (m *machine) pendingForgets(token uint64) int {
 	n := 0
 	for _, e := range m.exited {
-		if !e.copiesRefused(token) {
+		if !e.directStart.copiesRefused(token) {
 			n++
 		}
 	}
@@ -86,8 +73,8 @@
 func (m *machine) forgets(token uint64) []Command {
 	var out []Command
 	for id, e := range m.exited {
-		if e.copiesRefused(token) {
-			out = append(out, Command{Op: Forget, Job: id.job, Index: id.index, Attempt: id.attempt})
+		if e.directStart.copiesRefused(token) {
+			out = append(out, Command{Op: Forget, Job: id.Job, Index: id.Index, Attempt: id.Attempt})
 		}
 	}
 	slices.SortFunc(out, func(a, b Command) int {
--- a/internal/core/inbound_loss.go
+++ b/internal/core/inbound_loss.go
@@ -47,7 +47,7 @@
 		c.log("machine does not hear", "machine", m.name, "reason", reason, "tasks", len(m.placements))
 	}
 	for _, p := range slices.Clone(m.placements) {
-		if !p.startSent && !p.reported && !p.inDirectCommand && !p.startUnanswered {
+		if p.unsent() && !p.startUnanswered {
 			c.removePlacement(p, now)
 		}
 	}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -28,15 +28,15 @@
 	idleSince          Micros // since when no task occupies it; 0: some does
 
 	placements          []*placement
-	exited              map[attemptID]*exitedTask // exited tasks that the worker has not forgotten yet
-	used                Resources                 // by the placements that occupy resources
-	spareUsed           Resources                 // the part of used that was placed on spare capacity; see spareSlots
-	commandInFlight     bool                      // a direct command has no result yet
-	directCommandFailed bool                      // the last one; until the next periodic report only probes are sent
-	probeQueued         bool                      // in Core.probeQueue
-	probeStarted        Micros                    // when the probe in flight was sent; 0: none is in flight
-	commandFailures     int                       // consecutive direct commands without a reply
-	unreachable         bool                      // a probe failed, or its zone is partitioned; a report clears it
+	exited              map[TaskAttempt]*exitedTask // exited tasks that the worker has not forgotten yet
+	used                Resources                   // by the placements that occupy resources
+	spareUsed           Resources                   // the part of used that was placed on spare capacity; see spareSlots
+	commandInFlight     bool                        // a direct command has no result yet
+	directCommandFailed bool                        // the last one; until the next periodic report only probes are sent
+	probeQueued         bool                        // in Core.probeQueue
+	probeStarted        Micros                      // when the probe in flight was sent; 0: none is in flight
+	commandFailures     int                         // consecutive direct commands without a reply
+	unreachable         bool                        // a probe failed, or its zone is partitioned; a report clears it
 
 	// Detection of inbound loss; see inbound_loss.go.
 	inboundLost       bool
@@ -75,9 +75,8 @@
 
 // hasAttempt reports whether the worker knows this attempt of a task, or may come to know it.
 func (m *machine) hasAttempt(j *job, index int, attempt uint64) bool {
-	return m.exited[attemptID{j.spec.ID, index, attempt}] != nil || slices.ContainsFunc(m.placements, func(p *placement) bool {
-		return p.jobID == j.spec.ID && p.index == index && p.attempt == attempt
-	})
+	id := TaskAttempt{j.spec.ID, index, attempt}
+	return m.exited[id] != nil || slices.ContainsFunc(m.placements, func(p *placement) bool { return p.taskAttempt() == id })
 }
 
 // hourlyPrice returns the machine's price per hour.
--- a/internal/core/partition_record.go
+++ b/internal/core/partition_record.go
@@ -96,7 +96,7 @@
 		retained := RetainedMachine{Name: m.name}
 		for _, p := range m.placements {
 			if p.occupies() {
-				retained.Tasks = append(retained.Tasks, RetainedTask{p.jobID, p.index, p.attempt})
+				retained.Tasks = append(retained.Tasks, p.taskAttempt())
 			}
 		}
 		rec.Machines = append(rec.Machines, retained)
@@ -153,7 +153,7 @@
 	z.partitionStart, z.partitionUntil = min(z.partitionStart, now-max(wall-rec.BeganAt, 0)), now+c.partitionMergeTime()
 	for _, retained := range rec.Machines {
 		m := c.machines[retained.Name]
-		if m == nil || m.reconciled || slices.ContainsFunc(retained.Tasks, func(t RetainedTask) bool { return c.liveAttempt(t) == t.Attempt }) {
+		if m == nil || m.reconciled || slices.ContainsFunc(retained.Tasks, func(t TaskAttempt) bool { return c.liveAttempt(t) == t.Attempt }) {
 			// The machine is gone, or another machine has the same attempt of a gang's task that
 			// was replaced. Which of the two really has it is not known.
 			continue
@@ -168,14 +168,14 @@
 			p := c.adopt(m, &TaskReport{Job: t.Job, Index: t.Index, Attempt: t.Attempt, State: Fetching}, now)
 			// The former leader's start may still arrive until the worker has seen this
 			// leader's token.
-			p.fromPartitionRecord, p.startUnanswered, p.directStartToken = true, true, c.token-1
+			p.fromPartitionRecord, p.startUnanswered, p.directStart = true, true, startToken(c.token-1)
 			c.addPlacement(p)
 		}
 	}
 }
 
 // liveAttempt returns the attempt of the task's current placement, or 0 if it has none.
-func (c *Core) liveAttempt(t RetainedTask) uint64 {
+func (c *Core) liveAttempt(t TaskAttempt) uint64 {
 	if j := c.jobs[t.Job]; j != nil && j.live[t.Index] != nil {
 		return j.live[t.Index].attempt
 	}
@@ -186,5 +186,5 @@
 // on another machine.
 func (c *Core) dropRecordedPlacement(p *placement, now Micros) {
 	c.deallocate(p, now)
-	p.machine.placements = slices.DeleteFunc(p.machine.placements, func(o *placement) bool { return o == p })
+	p.machine.detach(p)
 }
--- a/internal/core/partition_record_test.go
+++ b/internal/core/partition_record_test.go
@@ -248,14 +248,14 @@
 	w.want("commands to stop it", len(moved.replyCommands), 0)
 	w.want("tasks in b", next.tasksIn("b"), 11)
 
-	w.puts[PartitionPrefix+"0"] = PartitionRecord{Key: PartitionPrefix + "0", Zone: "a", Machines: []RetainedMachine{{"a-00", []RetainedTask{{"job-1", b[3].status.Tasks[0].Index, attempt + 1}}}}}
+	w.puts[PartitionPrefix+"0"] = PartitionRecord{Key: PartitionPrefix + "0", Zone: "a", Machines: []RetainedMachine{{"a-00", []TaskAttempt{{"job-1", b[3].status.Tasks[0].Index, attempt + 1}}}}}
 	next = w.nextLeader(spec)
 	w.want("tasks in both zones", next.tasksIn("a")+next.tasksIn("b"), 12)
 	w.want("tasks in a, the zone of the later attempt", next.tasksIn("a"), 1)
 
 	// A gang's task is replaced under the same attempt. Which of the two records is right is not
 	// known, so one of the machines must not count as reconciled.
-	w.puts[PartitionPrefix+"0"] = PartitionRecord{Key: PartitionPrefix + "0", Zone: "a", Machines: []RetainedMachine{{"a-00", []RetainedTask{{"job-1", b[3].status.Tasks[0].Index, attempt}}}}}
+	w.puts[PartitionPrefix+"0"] = PartitionRecord{Key: PartitionPrefix + "0", Zone: "a", Machines: []RetainedMachine{{"a-00", []TaskAttempt{{"job-1", b[3].status.Tasks[0].Index, attempt}}}}}
 	next = w.nextLeader(spec)
 	w.want("unreconciled machines", next.c.unreconciled, 12)
 	w.want("both machines are reconciled", next.c.machines["a-00"].reconciled && next.c.machines["b-03"].reconciled, false)
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -12,15 +12,15 @@
 	machine *machine
 	need    Resources
 
-	startSent        bool   // a start was sent, in the answer to a report or directly
-	startReportSeq   uint64 // sequence number of the report whose answer last carried the start
-	inDirectCommand  bool   // the start is in the direct command that is in flight
-	startUnanswered  bool   // a direct start was not answered and may still arrive
-	directStartToken uint64 // highest token under which a direct start may have been sent; 0: none was
-	reported         bool   // the machine has reported it
-	state            TaskState
-	cause            Cause
-	countedRunning   bool // included in the job's count of running tasks
+	startSent       bool   // a start was sent, in the answer to a report or directly
+	startReportSeq  uint64 // sequence number of the report whose answer last carried the start
+	inDirectCommand bool   // the start is in the direct command that is in flight
+	startUnanswered bool   // a direct start was not answered and may still arrive
+	directStart     startToken
+	reported        bool // the machine has reported it
+	state           TaskState
+	cause           Cause
+	countedRunning  bool // included in the job's count of running tasks
 
 	stopRequested       bool
 	grace               Micros
@@ -36,9 +36,11 @@
 	onSpare             bool   // uses spare capacity, because its job was starving
 }
 
-// copiesRefused reports whether a worker that has seen the token refuses every direct start of the
-// attempt, also a copy of one that it has executed.
-func (p *placement) copiesRefused(token uint64) bool { return token > p.directStartToken }
+// taskAttempt identifies the attempt.
+func (p *placement) taskAttempt() TaskAttempt { return TaskAttempt{p.jobID, p.index, p.attempt} }
+
+// unsent reports whether no start of the placement was sent and no machine has reported it.
+func (p *placement) unsent() bool { return !p.startSent && !p.inDirectCommand && !p.reported }
 
 // occupies reports whether the placement occupies its resources: it does until the machine
 // reports that the task has exited.
@@ -136,18 +138,22 @@
 		c.deallocate(p, now)
 		c.handleGangTaskLost(p, now)
 	}
-	all := p.machine.placements
-	for i, o := range all {
-		if o == p {
-			p.machine.placements = append(all[:i], all[i+1:]...)
-			break
-		}
-	}
+	p.machine.detach(p)
 	if p.job != nil && p.job.stopping {
 		c.finishGangStop(p.job)
 	}
 }
 
+// detach removes a placement from the machine's list, and reports whether it was there.
+func (m *machine) detach(p *placement) bool {
+	i := slices.Index(m.placements, p)
+	if i < 0 {
+		return false
+	}
+	m.placements = append(m.placements[:i], m.placements[i+1:]...)
+	return true
+}
+
 // clearMachine removes all placements of a machine whose lease is over or that is gone.
 func (c *Core) clearMachine(m *machine, now Micros) {
 	for len(m.placements) > 0 {
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -83,7 +83,7 @@
 	m.releasing, m.releaseReason = true, reason
 	c.releaseQueue = append(c.releaseQueue, m)
 	for _, p := range slices.Clone(m.placements) {
-		if !p.startSent && !p.reported && !p.inDirectCommand {
+		if p.unsent() {
 			c.removePlacement(p, now)
 		}
 	}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -53,7 +53,7 @@
 func (c *Core) mayStartCancelled(m *machine, r *Report, now Micros) bool {
 	for _, p := range m.placements {
 		if p.startUnanswered && p.job != nil && p.job.cancelled && now-p.job.cancelledAt >= c.cfg.MaxCancelStaleness &&
-			r.Session == m.session && !p.copiesRefused(max(r.Token, c.token)) {
+			r.Session == m.session && !p.directStart.copiesRefused(max(r.Token, c.token)) {
 			return true
 		}
 	}
@@ -272,7 +272,7 @@
 func (c *Core) adopt(m *machine, t *TaskReport, now Micros) *placement {
 	j := c.jobs[t.Job]
 	p := &placement{jobID: t.Job, index: t.Index, attempt: t.Attempt, machine: m, startSent: true, placedAt: now,
-		directStartToken: c.adoptedStartToken(j, t.Attempt)}
+		directStart: c.adoptedStartToken(j, t.Attempt)}
 	c.logUnexpectedAttempt(m, t)
 	if j == nil || t.Index >= len(j.status) {
 		p.stopRequested = true
@@ -330,7 +330,7 @@
 			c.removePlacement(p, now)
 		case p.inDirectCommand:
 			// The worker may execute the direct command after it made this report.
-		case p.startUnanswered && !p.copiesRefused(m.reportedToken):
+		case p.startUnanswered && !p.directStart.copiesRefused(m.reportedToken):
 			// An unanswered direct command can still arrive as long as the worker accepts its
 			// token.
 			if p.stopRequested {
--- a/internal/core/report_test.go
+++ b/internal/core/report_test.go
@@ -107,7 +107,7 @@
 	spec := JobSpec{ID: "job-1", Kind: Service, Tasks: 2, Team: "blue", Resources: Resources{2000, 0, 2000}, Image: "im"}
 	w := newWorld(t, Team{Name: "blue"})
 	attempt := uint64(50<<24 | 1)
-	record := PartitionRecord{Key: PartitionPrefix + "50-1", Zone: "a", BeganAt: w.now - 2*Second, Machines: []RetainedMachine{{Name: "n-1", Tasks: []RetainedTask{{"job-1", 0, attempt}}}}}
+	record := PartitionRecord{Key: PartitionPrefix + "50-1", Zone: "a", BeganAt: w.now - 2*Second, Machines: []RetainedMachine{{Name: "n-1", Tasks: []TaskAttempt{{"job-1", 0, attempt}}}}}
 	w.beginTerm(100, []JobRecord{{Spec: spec, Revision: 3}}, Snapshot{MachineGroups: recordedMachines("n-1"), Started: []string{"job-1"}, Partitions: []PartitionRecord{record}})
 	m := w.c.machines["n-1"]
 	w.want("kept", m.retainedIn != nil, true)
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -11,7 +11,7 @@
 	}
 	p.stopRequested, p.grace = true, grace
 	c.queueCommands(p.machine)
-	if !p.startSent && !p.reported && !p.inDirectCommand {
+	if p.unsent() {
 		c.removePlacement(p, now)
 	}
 }
@@ -60,7 +60,7 @@
 func (c *Core) removeUnsentStopped(m *machine, now Micros) {
 	for i := len(m.placements) - 1; i >= 0; i-- {
 		if i < len(m.placements) {
-			if p := m.placements[i]; p.stopRequested && !p.startSent && !p.reported && !p.inDirectCommand {
+			if p := m.placements[i]; p.stopRequested && p.unsent() {
 				c.removePlacement(p, now)
 			}
 		}
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -88,12 +88,20 @@
 // attemptTokenShift is the number of an attempt's low bits that hold its count under the token.
 const attemptTokenShift = 24
 
+// startToken is the highest token under which a direct start of an attempt may have been sent; 0: none
+// was.
+type startToken uint64
+
+// copiesRefused reports whether a worker that has seen the token refuses every direct start of the
+// attempt, also a copy of one that it has executed.
+func (s startToken) copiesRefused(token uint64) bool { return token > uint64(s) }
+
 // adoptedStartToken returns the highest token under which a direct start of an attempt that this
 // leader does not know may have been sent. An attempt of an earlier term was started by an earlier
 // leader, unless it is a gang's: its replacements have the same attempt in later terms.
-func (c *Core) adoptedStartToken(j *job, attempt uint64) uint64 {
+func (c *Core) adoptedStartToken(j *job, attempt uint64) startToken {
 	if j != nil && j.spec.Kind != Gang && attempt>>attemptTokenShift < c.termToken {
-		return c.termToken - 1
+		return startToken(c.termToken - 1)
 	}
-	return c.token
+	return startToken(c.token)
 }
--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -3,9 +3,9 @@
 //
 //	Test/sub: cause; issue N
 //
-// An entry of a test covers its subtests. The file has at most three entries. The command fails if the file has more or malformed entries,
-// or lists a test that did not run, if any other test fails, and if a package does not build or
-// panics.
+// An entry of a test covers its subtests. The file has at most three entries. The command fails if the
+// file has more or malformed entries, or lists a test that did not run, if any other test fails, and
+// if a package does not build or panics.
 package main
 
 import (
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -205,7 +205,7 @@
 			finished()
 			if reqs[0].background && errors.Is(err, statestore.ErrNotExecuted) {
 				if reqs[0].term == c.n.term {
-					c.backgroundQueue = append(reqs, c.backgroundQueue...)
+					c.requeue(reqs)
 					c.backgroundNotBefore = c.n.now() + backgroundRetryPause
 				}
 				return
@@ -246,16 +246,21 @@
 		return false
 	}
 	t.whenRaiseEnded(func() {
-		if reqs[0].background {
-			c.backgroundQueue = slices.Concat(reqs, c.backgroundQueue)
-		} else {
-			c.userQueue = slices.Concat(reqs, c.userQueue)
-		}
+		c.requeue(reqs)
 		c.dispatch()
 	})
 	return true
 }
 
+// requeue puts the requests of a transaction at the head of a queue again.
+func (c *committer) requeue(reqs []*writeRequest) {
+	if reqs[0].background {
+		c.backgroundQueue = slices.Concat(reqs, c.backgroundQueue)
+	} else {
+		c.userQueue = slices.Concat(reqs, c.userQueue)
+	}
+}
+
 // logInvalid logs, once per key, a write that the service found invalid, with the size of its
 // largest value: it may exceed a limit that is lower than the known ones.
 func (c *committer) logInvalid(req *writeRequest, err error) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -9,6 +9,7 @@
 	"aspenstall/internal/clusterconfig"
 	"aspenstall/internal/core"
 	"aspenstall/internal/peer"
+	"aspenstall/internal/wait"
 )
 
 // Controllers exchange their status: the leader sends its own every statusInterval. Other nodes
@@ -50,7 +51,7 @@
 	defer c.Close()
 	sent := map[string]peer.Counts{}
 	var sentToken uint64
-	for ; ctx.Err() == nil; awaitNextStatus(ctx, n.statusWake[member]) {
+	for ; ctx.Err() == nil; wait.ForOrWake(ctx, statusInterval, n.statusWake[member]) {
 		var sentAt core.Micros
 		s, ok := call(ctx, n, func(reply func(*peer.Status)) {
 			s := n.status()
@@ -87,24 +88,10 @@
 	}
 }
 
-// awaitNextStatus waits until the next status is due or ctx ends.
-func awaitNextStatus(ctx context.Context, wake <-chan struct{}) {
-	t := time.NewTimer(statusInterval)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-wake:
-	case <-t.C:
-	}
-}
-
 // sendStatusNow has this node's status sent to all peers at once.
 func (n *Node) sendStatusNow() {
 	for _, wake := range n.statusWake {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
+		wait.Wake(wake)
 	}
 }
 
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -50,11 +50,11 @@
 			return
 		}
 		var err error
-		wait := time.Hour
+		pause := time.Hour
 		switch {
 		case !st.ready:
 		case st.leader == "" && st.abstainFor > 0:
-			wait = st.abstainFor
+			pause = st.abstainFor
 		case st.leader == "":
 			err = n.campaign(ctx, st.leaderRevision)
 		case st.leader == n.platform.Member:
@@ -64,15 +64,9 @@
 		}
 		if err != nil {
 			n.log.Info("election", "err", err)
-			wait = 200 * time.Millisecond
+			pause = 200 * time.Millisecond
 		}
-		t := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-n.electorWake:
-		case <-t.C:
-		}
-		t.Stop()
+		wait.ForOrWake(ctx, pause, n.electorWake)
 	}
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -217,12 +217,7 @@
 	}
 }
 
-func (n *Node) wakeElector() {
-	select {
-	case n.electorWake <- struct{}{}:
-	default:
-	}
-}
+func (n *Node) wakeElector() { wait.Wake(n.electorWake) }
 
 // readLinearizable calls f with true once the view is known to hold every change made before this
 // call (a linearizable read), or with false if that could not be found out.
--- a/internal/wire/names_test.go
+++ b/internal/wire/names_test.go
@@ -109,7 +109,7 @@
 	machines := core.MachineGroupRecord{Key: "k", Machines: []core.MachineRecord{{Name: "m", Address: "a:1", Type: "ty", Zone: "z", Spot: true}}}
 	rent := core.RentalRecord{RequestID: "r", Type: "ty", Zone: "z", Spot: true, Count: 1, Machines: []string{"m"}, RentedAt: 2}
 	ranges := core.CompletionRecord{Key: "k", Job: "job-1", Chunk: 2, Ranges: []int{3, 4}}
-	kept := core.PartitionRecord{Key: "k", Zone: "z", BeganAt: 1, Machines: []core.RetainedMachine{{Name: "m", Tasks: []core.RetainedTask{{Job: "job-2", Index: 3, Attempt: 4}}}}}
+	kept := core.PartitionRecord{Key: "k", Zone: "z", BeganAt: 1, Machines: []core.RetainedMachine{{Name: "m", Tasks: []core.TaskAttempt{{Job: "job-2", Index: 3, Attempt: 4}}}}}
 	for _, c := range []struct {
 		name   string
 		value  any
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -197,7 +197,7 @@
 	for _, m := range w.Machines {
 		km := core.RetainedMachine{Name: m.Name}
 		for _, t := range m.Tasks {
-			km.Tasks = append(km.Tasks, core.RetainedTask{Job: t.Job, Index: t.Index, Attempt: t.Attempt})
+			km.Tasks = append(km.Tasks, core.TaskAttempt{Job: t.Job, Index: t.Index, Attempt: t.Attempt})
 		}
 		r.Machines = append(r.Machines, km)
 	}
