Tests: one log handler, one sender of transactions, one check of named tests

On rereading; all assertions are as they were. The tests of token raises had two log handlers that differ in what they call; the copied transactions were sent by two copies of the same lines; three faults set copies of requests by themselves; the checks of the two design tables had the same loop over the tests that a row names; the world called its two hooks by two copies of the same lines.

--- a/internal/designdoc/designdoc.go
+++ b/internal/designdoc/designdoc.go
@@ -3,6 +3,7 @@
 package designdoc
 
 import (
+	"errors"
 	"fmt"
 	"io/fs"
 	"os"
@@ -64,6 +65,20 @@
 	return names, err
 }
 
+// CheckTests returns an error if a cell names no test, or one that is not among the tests.
+func CheckTests(cell string, tests map[string]bool) error {
+	named := List(cell)
+	if len(named) == 0 {
+		return errors.New("no test is named")
+	}
+	for _, name := range named {
+		if !tests[name] {
+			return fmt.Errorf("there is no test %s", name)
+		}
+	}
+	return nil
+}
+
 // List returns the entries of a cell that are separated by commas.
 func List(cell string) []string {
 	var out []string
--- a/internal/designdoc/messages_test.go
+++ b/internal/designdoc/messages_test.go
@@ -94,13 +94,8 @@
 		for _, message := range designdoc.List(row[0]) {
 			named[message] = true
 		}
-		if len(designdoc.List(row[3])) == 0 {
-			t.Errorf("%s: no test is named", row[0])
-		}
-		for _, test := range designdoc.List(row[3]) {
-			if !tests[test] {
-				t.Errorf("%s: there is no test %s", row[0], test)
-			}
+		if err := designdoc.CheckTests(row[3], tests); err != nil {
+			t.Errorf("%s: %v", row[0], err)
 		}
 	}
 	kinds := map[string][]string{
--- a/internal/simulator/copied_commands_test.go
+++ b/internal/simulator/copied_commands_test.go
@@ -24,22 +24,21 @@
 // copyCommands returns an action that makes copies of a share of the direct commands arrive again,
 // although the commands are executed and answered. A share of 0 ends it.
 func copyCommands(share float64, latest time.Duration) func(*simulator.World) {
-	return func(w *simulator.World) {
-		w.WorkerFaults.Update(func(f *simulator.Faults) {
-			f.Duplicate, f.LateDelay, f.LateJitter = share, earliestCopy, latest-earliestCopy
-		})
-	}
+	return func(w *simulator.World) { duplicateRequests(w.WorkerFaults, share, earliestCopy, latest) }
+}
+
+// duplicateRequests makes copies of a share of the requests arrive again after a time between two limits.
+func duplicateRequests(faults *simulator.Faults, share float64, earliest, latest time.Duration) {
+	faults.Update(func(f *simulator.Faults) {
+		f.Duplicate, f.LateDelay, f.LateJitter = share, earliest, latest-earliest
+	})
 }
 
 // copyRequests returns the actions of a fault in which copies of a share of the requests to a service
 // arrive again.
 func copyRequests(of func(*simulator.World) *simulator.Faults) func(*rand.Rand, time.Duration) []action {
 	set := func(share float64) func(*simulator.World) {
-		return func(w *simulator.World) {
-			of(w).Update(func(f *simulator.Faults) {
-				f.Duplicate, f.LateDelay, f.LateJitter = share, earliestCopy, 30*time.Second
-			})
-		}
+		return func(w *simulator.World) { duplicateRequests(of(w), share, earliestCopy, earliestCopy+30*time.Second) }
 	}
 	return func(r *rand.Rand, at time.Duration) []action {
 		return []action{{at, set(0.1 + 0.9*r.Float64())}, {at + randomDuration(r, 10, 40), set(0)}}
@@ -135,7 +134,6 @@
 // finished, failed, moved or cancelled task again.
 func TestCopyOfAnsweredStart(t *testing.T) {
 	const s, ms = time.Second, time.Millisecond
-	whole := func() (config.Platform, []simulator.MachineType) { return wholeMachinePlatform() }
 	small := func() (config.Platform, []simulator.MachineType) { return platform(), machineTypes }
 	for i, c := range []struct {
 		name     string
@@ -147,7 +145,7 @@
 		{"tasks fail and run elsewhere", small, mixedWorkload, repeatEvery(20*s, 15*s, 5, failEveryThird)},
 		{"tasks are moved from drained machines", small, mixedWorkload, repeatEvery(25*s, 20*s, 4, noticeEveryThird)},
 		{"jobs are cancelled", small, cancelledWorkload, nil},
-		{"gangs and reclaimed tasks", whole, gangWorkload, repeatEvery(40*s, 25*s, 3, noticeEveryThird)},
+		{"gangs and reclaimed tasks", wholeMachinePlatform, gangWorkload, repeatEvery(40*s, 25*s, 3, noticeEveryThird)},
 		{"a controller is back within a second", small, mixedWorkload, repeatEvery(25*s, 12*s, 6, restartLeaderWithin(300*ms))},
 		{"machines are back within a second", small, mixedWorkload, repeatEvery(20*s, 6*s, 12, hangWorkersFor(700*ms))},
 		{"tasks fail while the state service refuses the leader, then everybody", small, mixedWorkload, []action{
--- a/internal/simulator/copied_transactions_test.go
+++ b/internal/simulator/copied_transactions_test.go
@@ -42,12 +42,18 @@
 	}
 	first := c.bodies[0]
 	c.mu.Unlock()
-	request, err := http.NewRequest(http.MethodPost, "http://"+w.StateAddr()+wire.CommitPath, bytes.NewReader(first))
+	return recorded, sendTransaction(w, first)
+}
+
+// sendTransaction sends a transaction to the state service, and returns the status of the answer; 0 if
+// there is none.
+func sendTransaction(w *simulator.World, body []byte) (status int) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+w.StateAddr()+wire.CommitPath, bytes.NewReader(body))
 	if err != nil {
-		return recorded, 0
+		return 0
 	}
 	status, _ = simulator.Exchange(w.Net.Client("10.9.0.1:1"), request)
-	return recorded, status
+	return status
 }
 
 // TestCopyOfAnsweredTransaction guards against a copy of an answered write of the leader that takes
@@ -103,12 +109,7 @@
 	if err != nil {
 		return 0
 	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+w.StateAddr()+wire.CommitPath, bytes.NewReader(body))
-	if err != nil {
-		return 0
-	}
-	status, _ = simulator.Exchange(w.Net.Client("10.9.0.1:1"), request)
-	return status
+	return sendTransaction(w, body)
 }
 
 // TestRecordWithUnexpectedRevision guards against machines that are never recorded, and so get no task,
--- a/internal/simulator/fault_combinations_random_test.go
+++ b/internal/simulator/fault_combinations_random_test.go
@@ -385,9 +385,7 @@
 func duplicateReports(share float64) func(*simulator.World) {
 	return func(w *simulator.World) {
 		for _, n := range w.NodeFaults {
-			n.Update(func(f *simulator.Faults) {
-				f.Duplicate, f.LateDelay, f.LateJitter = share, 2*time.Second, 28*time.Second
-			})
+			duplicateRequests(n, share, 2*time.Second, 30*time.Second)
 		}
 	}
 }
--- a/internal/simulator/token_raise_test.go
+++ b/internal/simulator/token_raise_test.go
@@ -12,31 +12,28 @@
 	"aspenstall/internal/simulator"
 )
 
-// messageCounter is a log handler that counts the records of two messages.
-type messageCounter struct {
+// messageObserver is a log handler that calls a function for each record with one of its messages.
+type messageObserver struct {
 	slog.Handler
-	failedWrites, raises *atomic.Int64
+	on map[string]func()
 }
 
-func (h messageCounter) Enabled(context.Context, slog.Level) bool { return true }
+func (h messageObserver) Enabled(context.Context, slog.Level) bool { return true }
 
-func (h messageCounter) Handle(_ context.Context, r slog.Record) error {
-	switch r.Message {
-	case "write failed":
-		h.failedWrites.Add(1)
-	case "token raised":
-		h.raises.Add(1)
+func (h messageObserver) Handle(_ context.Context, r slog.Record) error {
+	if f := h.on[r.Message]; f != nil {
+		f()
 	}
 	return nil
 }
 
-func (h messageCounter) WithAttrs([]slog.Attr) slog.Handler { return h }
+func (h messageObserver) WithAttrs([]slog.Attr) slog.Handler { return h }
 
 // TestWritesGoOnWhileTokenIsRaised guards against starts that wait because the leader's writes fail with
 // each raise of its token.
 func TestWritesGoOnWhileTokenIsRaised(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		counter := messageCounter{slog.DiscardHandler, new(atomic.Int64), new(atomic.Int64)}
+		var failedWrites, raises atomic.Int64
 		p := platform()
 		p.Params.Teams = nil
 		addTeam(&p, "blue", 0, 0, 0, 0)
@@ -44,7 +41,10 @@
 		large := simulator.MachineType{Name: "l64", CPUs: 64, MemGB: 256, CacheGB: 40, FetchGBps: 1, Price: 2, SpotPrice: 1, BootS: 15, Zones: []string{"a"}}
 		w := simulator.NewWorld(72, p, []simulator.MachineType{large})
 		defer w.Close()
-		w.SetLogHandler(counter)
+		w.SetLogHandler(messageObserver{slog.DiscardHandler, map[string]func(){
+			"write failed": func() { failedWrites.Add(1) },
+			"token raised": func() { raises.Add(1) },
+		}})
 		w.StateFaults.MaxDelay = 200 * time.Millisecond
 		startAllNodes(w)
 		time.Sleep(2 * time.Second)
@@ -55,10 +55,10 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		time.Sleep(60 * time.Second)
-		if n := counter.raises.Load(); n < 5 {
+		if n := raises.Load(); n < 5 {
 			t.Errorf("the token was raised %d times; the scenario is inconclusive", n)
 		}
-		if n := counter.failedWrites.Load(); n > 0 {
+		if n := failedWrites.Load(); n > 0 {
 			t.Errorf("%d writes failed", n)
 		}
 		for _, v := range w.Violations() {
@@ -67,23 +67,6 @@
 	})
 }
 
-// raiseObserver is a log handler that calls raised when a controller has raised its token.
-type raiseObserver struct {
-	slog.Handler
-	raised func()
-}
-
-func (h raiseObserver) Handle(_ context.Context, r slog.Record) error {
-	if r.Message == "token raised" {
-		h.raised()
-	}
-	return nil
-}
-
-func (h raiseObserver) Enabled(context.Context, slog.Level) bool { return true }
-
-func (h raiseObserver) WithAttrs([]slog.Attr) slog.Handler { return h }
-
 // TestZonePartitionAfterTokenRaise guards against leases that run out in a partitioned zone because its
 // delegate does not know the token that its workers have just seen.
 func TestZonePartitionAfterTokenRaise(t *testing.T) {
@@ -93,13 +76,13 @@
 			c := &activeFaults{}
 			raises := 0
 			setup := func(w *simulator.World) {
-				w.SetLogHandler(raiseObserver{slog.DiscardHandler, func() {
+				w.SetLogHandler(messageObserver{slog.DiscardHandler, map[string]func(){"token raised": func() {
 					if raises++; raises > 1 {
 						return
 					}
 					time.AfterFunc(400*time.Millisecond, func() { c.partitionZone(1)(w) })
 					time.AfterFunc(20*time.Second, func() { c.healZone(w) })
-				}})
+				}}})
 			}
 			runPartitionScenario(t, scenario{seed: 730 + seed, keepsLeases: true, setup: setup})
 			if raises == 0 {
--- a/internal/simulator/users.go
+++ b/internal/simulator/users.go
@@ -171,19 +171,15 @@
 }
 
 // notifyUserState calls the function that OnUserState set.
-func (w *World) notifyUserState(id string) {
-	w.mu.Lock()
-	f := w.onUserState
-	w.mu.Unlock()
-	if f != nil {
-		f(id)
-	}
-}
+func (w *World) notifyUserState(id string) { w.notify(&w.onUserState, id) }
 
 // notifyLastTaskDone calls the function that OnLastTaskDone set.
-func (w *World) notifyLastTaskDone(id string) {
+func (w *World) notifyLastTaskDone(id string) { w.notify(&w.onLastTaskDone, id) }
+
+// notify calls a function of the world's, if it is set.
+func (w *World) notify(function *func(id string), id string) {
 	w.mu.Lock()
-	f := w.onLastTaskDone
+	f := *function
 	w.mu.Unlock()
 	if f != nil {
 		f(id)
--- a/internal/txn/kind_test.go
+++ b/internal/txn/kind_test.go
@@ -41,14 +41,8 @@
 			t.Errorf("kind %q (%s): %s\nthe page has %q", info.Name, info.Guard, info.Late, row)
 			continue
 		}
-		named := designdoc.List(row[3])
-		if len(named) == 0 {
-			t.Errorf("kind %q: no test is named", info.Name)
-		}
-		for _, name := range named {
-			if !tests[name] {
-				t.Errorf("kind %q: there is no test %s", info.Name, name)
-			}
+		if err := designdoc.CheckTests(row[3], tests); err != nil {
+			t.Errorf("kind %q: %v", info.Name, err)
 		}
 	}
 	for name := range byName {
